--- /dev/null
+++ b/proto/generate.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Regenerates src/codec/generated from the .proto files. The result is
+# committed, so that a build needs no generator.
+set -euo pipefail
+cd "$(dirname "$0")"
+out=../src/codec/generated
+mkdir -p "$out"
+protoc -I. --cpp_out="$out" records.proto peer.proto platform.proto api.proto
+protoc -I. --grpc_out="$out" --plugin=protoc-gen-grpc="$(command -v grpc_cpp_plugin)" peer.proto
--- /dev/null
+++ b/src/core/base/types/time.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <chrono>
+
+namespace geraniumpaddle {
+
+/// Tag of the monotonic time line that adapters read and hand to decisions.
+struct monotonic_time_line {
+  using rep = std::chrono::microseconds::rep;
+  using period = std::chrono::microseconds::period;
+  using duration = std::chrono::microseconds;
+  static constexpr bool is_steady =
+      true; // NOLINT(readability-identifier-naming)
+};
+
+using duration = std::chrono::microseconds;
+/// Present time as decisions see it; only differences mean anything.
+using time_point = std::chrono::time_point<monotonic_time_line, duration>;
+/// Calendar time for the audit trail; never decides safety.
+using wall_time = std::chrono::sys_time<std::chrono::milliseconds>;
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/core/ledger/types/record.h
@@ -0,0 +1,178 @@
+#pragma once
+
+#include "core/base/types/ids.h"
+#include "core/base/types/resources.h"
+#include "core/base/types/time.h"
+#include "core/placement/types/shapes.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace geraniumpaddle {
+
+/// Limits on a customer's requests; 0 means unlimited.
+struct request_limits {
+  double RatePerSecond = 0;
+  std::int32_t Burst = 0;
+  std::int32_t InFlight = 0;
+
+  friend auto operator<=>(const request_limits &,
+                          const request_limits &) = default;
+};
+
+/// Everything configured for one customer.
+struct customer_config {
+  customer_id Id;
+  std::string DisplayName;
+  std::vector<guarantee> Guarantees;
+  request_limits Limits;
+  /// Most accelerators held at once, guaranteed and borrowed; 0: unlimited.
+  std::int32_t MaxAccelerators = 0;
+  /// Salted hash of the customer's token, as printed by the hash library.
+  std::string TokenHash;
+
+  friend auto operator<=>(const customer_config &,
+                          const customer_config &) = default;
+};
+
+enum class change_source : std::uint8_t { Command, Sheet };
+
+/// Puts and removes customers in one step, based on a version.
+struct customers_changed {
+  config_version Base{};
+  std::vector<customer_config> Put;
+  std::vector<customer_id> Removed;
+  change_source Source = change_source::Command;
+  std::string SourceDetail; ///< sheet name and row, or the command
+};
+
+/// An entry tells where it can be reached.
+struct entry_announced {
+  node_id Node;
+  region_id Region;
+  availability_zone_id Zone;
+  std::string PeerAddress; ///< ip:port of its peer interface
+  std::string HttpAddress; ///< ip:port of its HTTP interface
+};
+
+/// An agent announces its worker and, if it has one, its endpoint.
+struct worker_registered {
+  worker_info Worker;
+  node_id Agent;
+  incarnation AgentIncarnation{};
+  std::string PeerAddress; ///< ip:port of the agent's peer interface
+  service_id Service;      ///< empty if there is no endpoint beside it
+  std::int32_t Slots = 0;  ///< requests the endpoint serves at once
+};
+
+enum class worker_state : std::uint8_t { Active, Draining, Quarantined, Lost };
+enum class state_cause : std::uint8_t {
+  Announced,
+  OperatorRequest,
+  GracefulShutdown,
+  HeartbeatTimeout,
+  TaskFailures,
+  ProbeSucceeded,
+};
+
+/// A worker's availability for placement changes.
+struct worker_state_changed {
+  worker_id Worker;
+  incarnation AgentIncarnation{};
+  worker_state State = worker_state::Active;
+  state_cause Cause = state_cause::Announced;
+};
+
+struct task_shape {
+  resources Need;
+};
+
+/// A gang of tasks that run together or not at all.
+struct job_spec {
+  job_id Id;
+  customer_id Customer;
+  std::vector<task_shape> Tasks;
+  adjacency Adjacency = adjacency::Any;
+  bool Urgent = false;
+  bool Idempotent = true; ///< false: never placed again once started
+  std::chrono::seconds DeclaredRunTime{0}; ///< a hint only
+  std::string Command;                     ///< opaque to the scheduler
+};
+
+struct job_submitted {
+  job_spec Spec;
+};
+
+/// Proposes where every task of one attempt runs. If accepted, the offset of
+/// this record is the attempt's fencing token. The attempts in Victims are
+/// preempted by the same record.
+struct job_placed {
+  job_id Job;
+  std::uint32_t Attempt = 0; ///< 1 for the first
+  std::vector<task_assignment> Assignments;
+  std::vector<fencing_token> Victims;
+};
+
+/// Every member is prepared; the start barrier may open.
+struct job_started {
+  job_id Job;
+  fencing_token Token{};
+};
+
+enum class job_outcome : std::uint8_t {
+  Succeeded,
+  Failed,      ///< a task ended with an error
+  Aborted,     ///< the gang was not run, or not to its end; may be placed again
+  Preempted,   ///< stopped for a guarantee; may be placed again
+  LeaseLapsed, ///< the gang lost a member or its lead
+  Cancelled,
+  NeverFits, ///< no registered set of workers can hold it
+};
+
+/// An attempt is over and all its accelerators are released.
+struct job_ended {
+  job_id Job;
+  fencing_token Token{};
+  job_outcome Outcome = job_outcome::Succeeded;
+  worker_id BlamedWorker; ///< worker whose task failed, if one did
+  std::string Detail;
+};
+
+struct job_cancelled {
+  job_id Job;
+};
+
+/// Part of a serialized ledger that covers every record up to Covered.
+struct snapshot_chunk {
+  log_offset Covered{};
+  std::uint32_t Index = 0;
+  std::uint32_t Count = 0;
+  std::uint64_t Checksum = 0; ///< of the whole snapshot
+  std::string Payload;
+};
+
+using record_body =
+    std::variant<customers_changed, entry_announced, worker_registered,
+                 worker_state_changed, job_submitted, job_placed, job_started,
+                 job_ended, job_cancelled, snapshot_chunk>;
+
+/// Names one record of one run of one process, so that repeats are dropped.
+struct producer {
+  node_id Node;
+  incarnation Incarnation{};
+  std::uint64_t Sequence = 0;
+
+  friend auto operator<=>(const producer &, const producer &) = default;
+};
+
+/// A proposal in the log; the fold accepts or rejects it where it lands.
+struct record {
+  producer Producer;
+  actor_id Actor;
+  wall_time At{};
+  record_body Body;
+};
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/platform/iworker.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "core/base/types/resources.h"
+#include "core/base/types/time.h"
+#include "core/placement/types/shapes.h"
+#include "transport/ihttpclient.h"
+
+#include <functional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace geraniumpaddle {
+
+enum class worker_task_state : std::uint8_t {
+  Running,
+  Finished,
+  Failed,
+  Stopped, ///< by request, or because its lease lapsed
+  Checkpointing,
+};
+
+struct worker_task {
+  std::string Task;
+  worker_task_state State = worker_task_state::Running;
+  accelerator_mask Accelerators = 0;
+  duration LeaseLeft{};
+  duration CheckpointAge{};
+  std::string Detail;
+};
+
+struct worker_start {
+  std::string Task;
+  accelerator_mask Accelerators = 0;
+  resources Need;
+  std::string Command;
+  duration Lease{};
+};
+
+/// Answer of every call: the state of the named tasks, or of all of them.
+struct worker_result {
+  call_status Status = call_status::NotSent;
+  bool Refused = false; ///< the worker answered that it did not act
+  resources Capacity;   ///< only of describe()
+  std::vector<worker_task> Tasks;
+};
+
+struct worker_usage {
+  call_status Status = call_status::NotSent;
+  duration Age{};
+  resources Busy;
+};
+
+using worker_callback = std::function<void(const worker_result &)>;
+
+/// The lease interface of the worker beside an agent. An answer may be lost
+/// after the worker has acted; start and stop are idempotent by task.
+class iworker {
+public:
+  virtual ~iworker() = default;
+
+  virtual void describe(worker_callback Done) = 0;
+  virtual void start(const worker_start &Start, worker_callback Done) = 0;
+  virtual void renew(std::span<const std::string> Tasks, duration Lease,
+                     worker_callback Done) = 0;
+  virtual void checkpoint(std::string_view Task, worker_callback Done) = 0;
+  virtual void throttle(std::string_view Task, int Percent,
+                        worker_callback Done) = 0;
+  virtual void stop(std::string_view Task, worker_callback Done) = 0;
+  virtual void usage(std::function<void(const worker_usage &)> Done) = 0;
+};
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/transport/ihttpserver.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "transport/ihttpclient.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace geraniumpaddle {
+
+/// Valid during the call of the handler only.
+struct http_request_view {
+  std::string_view Method;
+  std::string_view Path; ///< decoded, without the query
+  std::string_view Query;
+  std::span<const http_header> Headers;
+  std::string_view Body;
+  std::string_view RemoteAddress;
+};
+
+struct http_response {
+  int Code = 200;
+  std::vector<http_header> Headers;
+  std::string Body;
+};
+
+/// Answers one request, at once or later. Destroying it unanswered sends 500.
+class ihttp_responder {
+public:
+  virtual ~ihttp_responder() = default;
+
+  /// The first call sends; later calls and calls after the caller has gone
+  /// have no effect.
+  virtual void respond(http_response Response) = 0;
+  /// \p Gone is called at most once, if the caller closes before the answer.
+  virtual void onCallerGone(std::function<void()> Gone) = 0;
+};
+
+using http_handler = std::function<void(const http_request_view &,
+                                        std::shared_ptr<ihttp_responder>)>;
+
+/// Bounds on what a caller may send.
+struct http_server_limits {
+  std::size_t MaxHeaderBytes = 16 * 1024;
+  std::size_t MaxBodyBytes = 8 * 1024 * 1024;
+  std::size_t MaxConnections = 2048;
+  std::chrono::seconds IdleTimeout{30};
+};
+
+class ihttp_server {
+public:
+  virtual ~ihttp_server() = default;
+
+  /// The bound port, also if 0 was asked for.
+  virtual std::uint16_t port() const = 0;
+  /// Stops listening; open connections are served to their end, and answers
+  /// from then on carry "Connection: close".
+  virtual void stopAccepting() = 0;
+  /// Requests whose answer has not been written out yet.
+  virtual std::size_t openRequests() const = 0;
+};
+
+} // namespace geraniumpaddle
