--- /dev/null
+++ b/src/metrics/metrics.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "core/base/error.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace geraniumpaddle {
+
+/// Label names and values of one series.
+using metric_labels = std::vector<std::pair<std::string, std::string>>;
+
+class counter {
+public:
+  void add(std::uint64_t Count = 1) { Value += Count; }
+  std::uint64_t value() const { return Value; }
+
+private:
+  std::uint64_t Value = 0;
+};
+
+class gauge {
+public:
+  void set(double NewValue) { Value = NewValue; }
+  void add(double Change) { Value += Change; }
+  double value() const { return Value; }
+
+private:
+  double Value = 0;
+};
+
+/// Distribution of observed values over fixed buckets.
+class histogram {
+public:
+  /// \param UpperBounds ascending; a bucket above the last is added.
+  /// \throws invalid_argument_error if the bounds do not ascend.
+  explicit histogram(std::span<const double> UpperBounds);
+  ~histogram();
+  histogram(histogram &&) noexcept;
+
+  void observe(double Value);
+  std::uint64_t count() const;
+  double sum() const;
+  std::span<const double> upperBounds() const;
+  /// Observations in the bucket at \p Index, counted from the lowest.
+  std::uint64_t bucket(std::size_t Index) const;
+  /// Upper bound of the bucket that holds the \p Share quantile, 0 to 1.
+  double quantile(double Share) const;
+
+private:
+  struct state;
+  std::unique_ptr<state> State;
+};
+
+/// Upper bounds in seconds for latencies from 1 ms to 60 s.
+std::span<const double> latencyBounds();
+
+/// All metrics of the process. Series live as long as the registry; asking
+/// again for the same name and labels gives the same series.
+class metric_registry {
+public:
+  metric_registry();
+  ~metric_registry();
+
+  /// \throws invalid_argument_error if \p Name has another type already or is
+  ///         no Prometheus metric name.
+  counter &getCounter(std::string_view Name, std::string_view Help,
+                      const metric_labels &Labels = {});
+  gauge &getGauge(std::string_view Name, std::string_view Help,
+                  const metric_labels &Labels = {});
+  histogram &getHistogram(std::string_view Name, std::string_view Help,
+                          std::span<const double> UpperBounds,
+                          const metric_labels &Labels = {});
+
+  /// \p Update runs before each render(), to set gauges from current state.
+  void onRender(std::function<void()> Update);
+  /// The Prometheus text format, version 0.0.4.
+  std::string render();
+
+private:
+  struct family;
+
+  family &getFamily(std::string_view Name, std::string_view Help, int Type);
+
+  std::map<std::string, std::unique_ptr<family>, std::less<>> Families;
+  std::vector<std::function<void()>> Updates;
+};
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/transport/httpclient.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "transport/eventloop.h"
+#include "transport/ihttpclient.h"
+#include "transport/traffic.h"
+
+#include <memory>
+
+namespace geraniumpaddle {
+
+struct http_client_limits {
+  std::size_t MaxConnectionsPerAddress = 64;
+  std::size_t MaxQueuedPerAddress = 1024; ///< beyond it calls are NotSent
+  std::size_t MaxHeaderBytes = 64 * 1024;
+  std::size_t MaxBodyBytes = 16 * 1024 * 1024;
+  std::chrono::seconds KeepIdle{20}; ///< an idle connection is closed then
+  /// Takes an answer that ends with the connection, without Content-Length or
+  /// chunks, as whole. Off, it counts as Lost: it may have been cut short.
+  bool AcceptCloseDelimited = false;
+};
+
+/// HTTP/1.1 client over evhttp.
+///
+/// NotSent is said only if no byte of the request was written: the connection
+/// failed, the call was still queued, or the queue was full. A call that
+/// runs out of time before the first byte is NotSent too. Nothing is retried.
+class http_client final : public ihttp_client {
+public:
+  http_client(event_loop &Loop, const http_client_limits &Limits,
+              traffic_counter &Traffic);
+  /// Drops open calls; their Done is not called.
+  ~http_client() override;
+  http_client(const http_client &) = delete;
+  http_client &operator=(const http_client &) = delete;
+
+  /// \throws invalid_argument_error if the address or method is malformed.
+  http_call_id send(http_call Call,
+                    std::function<void(const http_result &)> Done) override;
+  void cancel(http_call_id Call) override;
+
+private:
+  class impl;
+  std::unique_ptr<impl> Impl;
+};
+
+} // namespace geraniumpaddle
--- a/src/transport/ihttpclient.h
+++ b/src/transport/ihttpclient.h
@@ -23,6 +23,15 @@
   TimedOut,  ///< no whole answer within the time limit
 };
 
+/// Whether a call may go over a connection that was kept from an earlier one.
+/// A peer may close a kept connection just as the call is written; the call is
+/// then Lost although it was probably not handled.
+enum class connection_reuse : std::uint8_t {
+  ByMethod, ///< for the methods that RFC 9110 defines as idempotent
+  Always,   ///< the caller can repeat the call without harm
+  Never,
+};
+
 struct http_call {
   std::string Address; ///< ip:port
   std::string Method;  ///< GET, POST, PUT, DELETE, ...
@@ -30,6 +39,8 @@
   std::vector<http_header> Headers;
   std::string Body;
   duration Timeout{};
+  connection_reuse Reuse = connection_reuse::ByMethod;
+  std::string Cause = "http"; ///< under which its bytes are counted
 };
 
 struct http_result {
