Add settings with a checked schema, and an agent's links to the entries

Links: which entries an agent talks to, as a function of (event, now). Ruled out: keeping the balancer's link beside the direct ones, which costs a heartbeat per interval and may lead to another entry each time. Tests: 17 bad settings files in a table with line and key; silent links, lost entries and a change during a heartbeat. One failure found by the tests: the balancer's link stayed healthy after it was no longer used; now it is retired.

--- /dev/null
+++ b/src/core/links/types/linkmessages.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "core/base/types/time.h"
+
+#include <chrono>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace geraniumpaddle {
+
+/// Policy of an agent's links to the entries of its region.
+struct link_settings {
+  duration FirstInterval = std::chrono::seconds(1);
+  duration MaxInterval = std::chrono::seconds(30);
+  /// A heartbeat without an answer by then has failed.
+  duration ReplyTimeout = std::chrono::milliseconds(1500);
+  /// Time between attempts on a link that fails.
+  duration RetryInterval = std::chrono::milliseconds(500);
+  /// Failures in a row after which an entry is forgotten, unless it is one of
+  /// the configured addresses.
+  int ForgetAfter = 8;
+};
+
+struct links_started {};
+
+/// An entry answered a heartbeat.
+struct heartbeat_answered {
+  std::string Address;
+  duration Interval{}; ///< until the next heartbeat
+  bool RegistrationWanted = false;
+  std::vector<std::string> Entries; ///< peer addresses of the live entries
+};
+
+/// No answer came within the time limit, or the call failed.
+struct heartbeat_failed {
+  std::string Address;
+};
+
+/// Something that every entry has to know at once, such as a drain.
+struct state_changed {};
+
+struct links_timer_fired {};
+
+using link_event =
+    std::variant<links_started, heartbeat_answered, heartbeat_failed,
+                 state_changed, links_timer_fired>;
+
+/// Answered by one heartbeat_answered or heartbeat_failed.
+struct send_heartbeat {
+  std::string Address;
+  bool WithRegistration = false;
+  duration Timeout{};
+};
+
+/// The connection to \p Address may have lost its other end: open a new one.
+struct replace_connection {
+  std::string Address;
+};
+
+/// Send links_timer_fired at this time; replaces the earlier one.
+struct links_wake_at {
+  time_point At{};
+};
+
+using link_command =
+    std::variant<send_heartbeat, replace_connection, links_wake_at>;
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/settings/internal/settingsschema.cpp
@@ -0,0 +1,116 @@
+#include "settings/internal/settingsschema.h"
+
+#include <array>
+
+namespace geraniumpaddle {
+
+namespace {
+
+constexpr std::int64_t MaxMilliseconds = 600000;
+constexpr std::int64_t MaxCount = 1000000;
+constexpr std::int64_t MaxBytes = 256LL * 1024 * 1024;
+
+using s = settings;
+using rule = value_rule;
+
+constexpr setting_field text(std::string_view Key, std::string s::*Member,
+                             rule Rule, needed_by Needed,
+                             std::string_view Comment) {
+  return {Key, Member, Rule, Needed, 0, 0, Comment};
+}
+
+constexpr setting_field list(std::string_view Key,
+                             std::vector<std::string> s::*Member,
+                             needed_by Needed, std::string_view Comment) {
+  return {Key, Member, rule::Address, Needed, 0, 0, Comment};
+}
+
+constexpr setting_field number(std::string_view Key, std::int64_t s::*Member,
+                               std::int64_t Most, std::string_view Comment) {
+  return {Key, Member, rule::None, needed_by::Nobody, 1, Most, Comment};
+}
+
+constexpr setting_field time(std::string_view Key,
+                             std::chrono::milliseconds s::*Member,
+                             std::string_view Comment) {
+  return {Key, Member,          rule::None, needed_by::Nobody,
+          1,   MaxMilliseconds, Comment};
+}
+
+constexpr auto Schema = std::to_array<setting_field>({
+    {"role", &s::Role, rule::None, needed_by::Both, 0, 0, "entry or agent"},
+    text("node", &s::Node, rule::Name, needed_by::Both,
+         "name of this process, unique in the system"),
+    text("region", &s::Region, rule::Name, needed_by::Both,
+         "region of this VM"),
+    text("zone", &s::Zone, rule::Name, needed_by::Both,
+         "availability zone of this VM"),
+    text("listen.peer", &s::PeerListen, rule::Address, needed_by::Both,
+         "ip:port for the system's own processes"),
+    text("listen.http", &s::HttpListen, rule::Address, needed_by::Both,
+         "ip:port for callers, operators, health and metrics"),
+    {"logging.format", &s::LogFormat, rule::None, needed_by::Nobody, 0, 0,
+     "key_value or json"},
+    text("logging.level", &s::LogLevel, rule::Severity, needed_by::Nobody,
+         "trace, debug, info, warning or error"),
+    text("log.address", &s::LogAddress, rule::Address, needed_by::Entry,
+         "ip:port of the platform's log service"),
+    text("log.append_path", &s::LogAppendPath, rule::Path, needed_by::Nobody,
+         "path of its append call"),
+    text("log.read_path", &s::LogReadPath, rule::Path, needed_by::Nobody,
+         "path of its read call"),
+    time("log.timeout_ms", &s::LogTimeout, "limit of one call to it"),
+    time("log.long_poll_ms", &s::LogLongPoll,
+         "how long a read waits for a record"),
+    {"entry.objective", &s::Objective, rule::None, needed_by::Nobody, 0, 0,
+     "completion_time or fragmentation: what placement weighs more"},
+    number("entry.append_queue", &s::AppendQueue, MaxCount,
+           "records that may wait for the log"),
+    time("entry.append_deadline_ms", &s::AppendDeadline,
+         "a proposal without a verdict by then is undetermined"),
+    number("entry.snapshot_records", &s::SnapshotRecords, MaxCount,
+           "records between two snapshots"),
+    {"entry.operator_token_hash", &s::OperatorTokenHash, rule::SaltedHash,
+     needed_by::Nobody, 0, 0,
+     "salted hash of the operators' token; empty: no token asked", true},
+    number("entry.max_connections", &s::MaxConnections, MaxCount,
+           "open connections of callers"),
+    number("entry.max_body_bytes", &s::MaxBodyBytes, MaxBytes,
+           "largest request body"),
+    time("entry.request_timeout_ms", &s::RequestTimeout,
+         "a request without an outcome by then is given up"),
+    number("entry.request_queue", &s::RequestQueue, MaxCount,
+           "requests that may wait for an endpoint"),
+    list("entry.peers", &s::Peers, needed_by::Nobody,
+         "peer addresses of other entries, asked for the state while the log "
+         "is down"),
+    list("agent.entries", &s::EntryAddresses, needed_by::Agent,
+         "peer addresses of the balancer in front of the entries"),
+    text("agent.worker.id", &s::WorkerId, rule::Name, needed_by::Agent,
+         "name of the worker beside this agent"),
+    text("agent.worker.rack", &s::WorkerRack, rule::Name, needed_by::Agent,
+         "rack of the worker"),
+    text("agent.worker.address", &s::WorkerAddress, rule::Address,
+         needed_by::Agent, "ip:port of the worker's lease interface"),
+    text("agent.worker.base_path", &s::WorkerBasePath, rule::Path,
+         needed_by::Nobody, "path before its calls"),
+    text("agent.endpoint.service", &s::Service, rule::Name, needed_by::Nobody,
+         "service that the endpoint belongs to; empty: no endpoint"),
+    text("agent.endpoint.address", &s::EndpointAddress, rule::Address,
+         needed_by::Nobody, "ip:port of the endpoint"),
+    number("agent.endpoint.slots", &s::EndpointSlots, MaxCount,
+           "requests that it serves at once"),
+    number("agent.endpoint.queue", &s::EndpointQueue, MaxCount,
+           "requests that may wait for a slot"),
+    time("timing.heartbeat_ms", &s::HeartbeatInterval,
+         "least time between heartbeats"),
+    time("timing.lease_ms", &s::LeaseDuration, "lease of a running task"),
+    time("timing.drain_notice_ms", &s::DrainNotice,
+         "how long a drain is announced before the listener closes"),
+});
+
+} // namespace
+
+std::span<const setting_field> settingsSchema() { return Schema; }
+
+} // namespace geraniumpaddle
