--- /dev/null
+++ b/src/codec/protoconvert.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "core/ledger/types/state.h"
+
+#include "records.pb.h"
+
+#include <string>
+#include <string_view>
+
+namespace geraniumpaddle {
+
+// Conversions between core types and messages. Those from messages check every
+// field and throw malformed_message_error that names the one at fault, as a
+// path from the message on ("spec.tasks[3].accelerators").
+
+proto::CustomerConfig toProto(const customer_config &Config);
+proto::EntryAnnounced toProto(const entry_announced &Entry);
+proto::WorkerInfo toProto(const worker_info &Worker);
+proto::WorkerRegistered toProto(const worker_registered &Registration);
+proto::Resources toProto(const resources &Amount);
+proto::JobSpec toProto(const job_spec &Spec);
+proto::TaskAssignment toProto(const task_assignment &Assignment);
+proto::SnapshotChunk toProto(const snapshot_chunk &Chunk);
+proto::JobStarted toProto(const job_started &Start);
+proto::JobEnded toProto(const job_ended &End);
+proto::JobOutcome toProto(job_outcome Outcome);
+proto::Adjacency toProto(adjacency Adjacency);
+proto::WorkerState toProto(worker_state State);
+proto::Record toProto(const record &Record);
+
+customer_config fromProto(const proto::CustomerConfig &Message);
+entry_announced fromProto(const proto::EntryAnnounced &Message);
+worker_info fromProto(const proto::WorkerInfo &Message);
+worker_registered fromProto(const proto::WorkerRegistered &Message);
+resources fromProto(const proto::Resources &Message);
+job_spec fromProto(const proto::JobSpec &Message);
+task_assignment fromProto(const proto::TaskAssignment &Message);
+snapshot_chunk fromProto(const proto::SnapshotChunk &Message);
+job_started fromProto(const proto::JobStarted &Message);
+job_ended fromProto(const proto::JobEnded &Message);
+job_outcome fromProto(proto::JobOutcome Outcome);
+customers_changed fromProto(const proto::CustomersChanged &Message);
+record fromProto(const proto::Record &Message);
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/codec/tokenhash.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace geraniumpaddle {
+
+/// Salted hash of a customer's token, as "pbkdf2-sha256$ROUNDS$SALT$HASH" with
+/// salt and hash in hexadecimal. The salt comes from the system's generator.
+/// \throws internal_error if the cryptographic library fails.
+std::string hashToken(std::string_view Token);
+
+/// True if \p Token matches \p Hash; compares in constant time. A malformed
+/// hash matches nothing.
+bool verifyToken(std::string_view Token, std::string_view Hash);
+
+} // namespace geraniumpaddle
--- a/src/core/ledger/types/record.h
+++ b/src/core/ledger/types/record.h
@@ -87,6 +87,8 @@
 
 struct task_shape {
   resources Need;
+
+  friend bool operator==(const task_shape &, const task_shape &) = default;
 };
 
 /// A gang of tasks that run together or not at all.
@@ -99,6 +101,8 @@
   bool Idempotent = true; ///< false: never placed again once started
   std::chrono::seconds DeclaredRunTime{0}; ///< a hint only
   std::string Command;                     ///< opaque to the scheduler
+
+  friend bool operator==(const job_spec &, const job_spec &) = default;
 };
 
 struct job_submitted {
--- /dev/null
+++ b/src/core/sheet/sheet.h
@@ -0,0 +1,157 @@
+#pragma once
+
+#include "core/ledger/types/record.h"
+#include "core/ledger/types/state.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace geraniumpaddle {
+
+/// One row of the sheet as text, with the line on which it starts.
+struct sheet_row {
+  std::uint32_t Line = 0; ///< 1 for the first line of the file
+  std::vector<std::string> Cells;
+};
+
+enum class sheet_problem : std::uint8_t {
+  EmptySheet,
+  MissingColumn,
+  UnknownColumn,
+  DuplicateColumn,
+  MissingCell,
+  ExtraCell,
+  EmptyCustomer,
+  InvalidCustomer, ///< not a-z, 0-9, '-', '_', '.', or too long
+  DuplicateCustomer,
+  NotANumber,
+  NotAnInteger,
+  Negative,
+  TooLarge,
+  TextTooLong,
+  InvalidText,         ///< control characters or broken UTF-8
+  BurstWithoutRate,    ///< a burst needs a rate
+  GuaranteeAboveLimit, ///< guarantees more than max_accelerators
+  RemovalNotAllowed,   ///< a customer in force is not in the sheet
+  TooManyChanges,      ///< more than the allowed share of customers changes
+};
+
+/// Stable lower-case name of \p Problem.
+std::string_view name(sheet_problem Problem);
+
+/// A bad cell or row.
+struct sheet_error {
+  std::uint32_t Line = 0; ///< 0 if it concerns the whole sheet
+  std::string Column;     ///< empty if it concerns the whole row
+  std::string Value;      ///< as found, shortened
+  sheet_problem Problem = sheet_problem::EmptySheet;
+  std::string Message; ///< for people
+
+  friend bool operator==(const sheet_error &, const sheet_error &) = default;
+};
+
+/// The customers that a sheet asks for, or all that is wrong with it.
+struct parsed_sheet {
+  std::vector<customer_config> Customers; ///< by id; no token hashes
+  std::vector<sheet_error> Errors;
+
+  bool ok() const { return Errors.empty(); }
+};
+
+/// Reads \p Rows, the first of which names the columns. Order of columns is
+/// free; trailing empty rows are passed over; numbers may use a decimal comma.
+parsed_sheet parseSheet(std::span<const sheet_row> Rows);
+
+enum class customer_field : std::uint8_t {
+  DisplayName,
+  GuaranteeOne,
+  GuaranteeTwo,
+  GuaranteeFour,
+  GuaranteeEight,
+  GuaranteeWorker,
+  GuaranteeRack,
+  RatePerSecond,
+  Burst,
+  InFlight,
+  MaxAccelerators,
+};
+
+/// Name of the column of \p Field.
+std::string_view name(customer_field Field);
+
+struct field_change {
+  customer_field Field = customer_field::DisplayName;
+  std::string Before;
+  std::string After;
+
+  friend bool operator==(const field_change &, const field_change &) = default;
+};
+
+/// A customer whose fields differ from those in force.
+struct customer_difference {
+  customer_id Customer;
+  std::vector<field_change> Fields;
+};
+
+enum class undo_kind : std::uint8_t { Change, Addition, Removal };
+
+/// An operator's command since the last sheet that this sheet would undo.
+struct undone_command {
+  customer_id Customer;
+  undo_kind Kind = undo_kind::Change;
+  change_origin Origin;
+};
+
+/// What applying a sheet would do.
+struct sheet_difference {
+  std::vector<customer_id> Added;
+  std::vector<customer_difference> Changed;
+  std::vector<customer_id> Removed;
+  std::vector<undone_command> Undone;
+
+  bool empty() const {
+    return Added.empty() && Changed.empty() && Removed.empty();
+  }
+};
+
+/// The configuration that a sheet is compared with.
+struct current_configuration {
+  config_version Version{};
+  std::span<const customer_entry> Customers; ///< by id
+  std::span<const removed_customer> RemovedByCommand;
+  log_offset LastSheet{};
+};
+
+/// What the sheet's own limits allow.
+struct sheet_rules {
+  bool AllowRemovals = false;
+  /// Share of the customers in force that may be added, changed or removed, in
+  /// percent; 100 and more: no limit.
+  std::uint32_t MaxChangedPercent = 50;
+};
+
+/// Compares the sheet's customers with those in force.
+sheet_difference compareSheet(std::span<const customer_config> Wanted,
+                              const current_configuration &Current);
+
+/// The change that takes the sheet as a whole, or why it is not taken.
+struct sheet_plan {
+  sheet_difference Difference;
+  customers_changed Change; ///< only if ok()
+  std::vector<sheet_error> Errors;
+
+  bool ok() const { return Errors.empty(); }
+};
+
+/// Plans \p Sheet, which must be ok(), against \p Current. Fields that the
+/// sheet does not carry keep their value.
+/// \param SourceDetail names the sheet in the audit trail.
+sheet_plan planSheet(const parsed_sheet &Sheet,
+                     const current_configuration &Current,
+                     const sheet_rules &Rules, std::string_view SourceDetail);
+
+} // namespace geraniumpaddle
