placement: capacity account with buddy cells and the scheduler's public header

Change: bindings are keyed by the physical cell (level, unit, first accelerator), so equal calls give equal accounts and the image is canonical; packing is kept per rack as counts and checked by one walk over the levels. A shrunk guarantee gives up its last bound cells and the tasks inside become borrowed, so that a new sheet never waits for a running job. claim() works on a copy at first. decide() proposes nothing yet.

--- /dev/null
+++ b/src/core/placement/internal/capacityimage.cpp
@@ -0,0 +1,87 @@
+#include "core/base/error.h"
+#include "core/placement/capacityaccount.h"
+
+namespace geraniumpaddle {
+
+capacity_image capacity_account::image() const {
+  capacity_image Image;
+  for (topology_index Index = 0; Index < Slots.size(); ++Index)
+    Image.Workers.push_back({Topology.worker(Index).Info, Slots[Index].Usable});
+  for (const customer_slot &Customer : Customers)
+    Image.Customers.push_back(Customer.Config);
+  for (const auto &[Token, Attempt] : Attempts) {
+    attempt_image &Out = Image.Attempts.emplace_back();
+    Out.Token = Token;
+    Out.Customer = Customers[Attempt.Customer].Config.Customer;
+    for (const held_task &Task : Attempt.Tasks) {
+      Out.Assignments.push_back({Task.Task,
+                                 Topology.worker(Task.Worker).Info.Id,
+                                 Task.Accelerators, Task.Guaranteed});
+      Out.Needs.push_back(Task.Need);
+    }
+  }
+  for (const auto &[Key, Customer] : Bindings) {
+    topology_index Worker = cellWorkers(Key).front();
+    Image.Bound.push_back({Customers[Customer].Config.Customer, Key.Level,
+                           Topology.worker(Worker).Info.Id, Key.First});
+  }
+  return Image;
+}
+
+capacity_account capacity_account::fromImage(const capacity_image &Image) {
+  capacity_account Account;
+  for (const worker_image &Worker : Image.Workers)
+    Account.registerWorker(Worker.Info);
+  for (const customer_guarantees &Config : Image.Customers)
+    Account.restoreCustomer(Config);
+  for (const bound_cell &Cell : Image.Bound)
+    Account.restoreCell(Cell);
+  for (const attempt_image &Attempt : Image.Attempts)
+    Account.restoreAttempt(Attempt);
+  for (const worker_image &Worker : Image.Workers)
+    Account.setUsable(Worker.Info.Id, Worker.Usable);
+  return Account;
+}
+
+void capacity_account::restoreCustomer(const customer_guarantees &Config) {
+  customer_index Customer = internCustomer(Config.Customer);
+  Customers[Customer].Config = Config;
+  setGuaranteed(Customer, countsOf(Config));
+}
+
+void capacity_account::restoreCell(const bound_cell &Cell) {
+  std::optional<customer_index> Customer = find(Cell.Customer);
+  std::optional<topology_index> Worker = Topology.find(Cell.Worker);
+  if (!Customer || !Worker)
+    throw invalid_argument_error("bound cell of an unknown customer or worker");
+  if (Cell.FirstAccelerator >= MaxAcceleratorsPerWorker)
+    throw invalid_argument_error("bound cell outside its worker");
+  cell_key Key =
+      cellAt(Cell.Level, *Worker, static_cast<int>(Cell.FirstAccelerator));
+  if (!cellUnbound(Key))
+    throw invalid_argument_error("two cells are bound to one place");
+  bind(Key, *Customer);
+}
+
+void capacity_account::restoreAttempt(const attempt_image &Attempt) {
+  std::optional<customer_index> Customer = find(Attempt.Customer);
+  if (!Customer || Attempt.Assignments.size() != Attempt.Needs.size())
+    throw invalid_argument_error("attempt of an unknown customer");
+  held_attempt Held;
+  Held.Customer = *Customer;
+  for (std::size_t Index = 0; Index < Attempt.Needs.size(); ++Index) {
+    const task_assignment &Assignment = Attempt.Assignments[Index];
+    std::optional<topology_index> Worker = Topology.find(Assignment.Worker);
+    if (!Worker)
+      throw invalid_argument_error("attempt on an unknown worker");
+    held_task Task{Assignment.Task, *Worker, Assignment.Accelerators,
+                   Assignment.Guaranteed, Attempt.Needs[Index]};
+    if (hold(Attempt.Token, *Customer, Task) != capacity_check::Ok)
+      throw invalid_argument_error("two attempts hold one place");
+    Held.Tasks.push_back(Task);
+  }
+  Held.countFlags();
+  Attempts.emplace(Attempt.Token, std::move(Held));
+}
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/core/placement/internal/topology.cpp
@@ -0,0 +1,80 @@
+#include "core/placement/topology.h"
+
+#include <algorithm>
+
+namespace geraniumpaddle {
+
+namespace {
+
+constexpr std::int64_t Percent = 100;
+
+accelerator_mask maskOf(std::int32_t Count) {
+  if (Count <= 0)
+    return 0;
+  if (Count >= MaxAcceleratorsPerWorker)
+    return ~accelerator_mask{0};
+  return (accelerator_mask{1} << Count) - 1;
+}
+
+void divideCapacity(worker_node &Node) {
+  const resources &Whole = Node.Info.Capacity;
+  std::int32_t Count =
+      std::clamp(Whole.Accelerators, 0, MaxAcceleratorsPerWorker);
+  Node.Accelerators = maskOf(Count);
+  Node.Host = {0, Whole.MilliCores, Whole.MemoryMb};
+  Node.PerAccelerator = {};
+  if (Count == 0)
+    return;
+  Node.Host.MilliCores = Whole.MilliCores * HostSharePercent / Percent;
+  Node.Host.MemoryMb = Whole.MemoryMb * HostSharePercent / Percent;
+  Node.PerAccelerator.Accelerators = 1;
+  Node.PerAccelerator.MilliCores =
+      (Whole.MilliCores - Node.Host.MilliCores) / Count;
+  Node.PerAccelerator.MemoryMb = (Whole.MemoryMb - Node.Host.MemoryMb) / Count;
+}
+
+template <typename Map, typename Key>
+topology_index intern(Map &Index, const Key &Name) {
+  auto Next = static_cast<topology_index>(Index.size());
+  return Index.try_emplace(Name, Next).first->second;
+}
+
+} // namespace
+
+topology_index topology::rackOf(const worker_info &Worker) {
+  topology_index Region = intern(Regions, Worker.Region);
+  topology_index Zone = intern(Zones, zone_key{Worker.Region, Worker.Zone});
+  topology_index Rack =
+      intern(RackIndex, rack_key{Worker.Region, Worker.Zone, Worker.Rack});
+  if (Rack == Racks.size())
+    Racks.push_back({Worker.Rack, Zone, Region, {}});
+  return Rack;
+}
+
+topology_index topology::put(const worker_info &Worker) {
+  topology_index Index = intern(WorkerIndex, Worker.Id);
+  topology_index Rack = rackOf(Worker);
+  if (Index == Workers.size()) {
+    Workers.push_back({});
+    Racks[Rack].Workers.push_back(Index);
+  } else if (Workers[Index].Rack != Rack) {
+    std::erase(Racks[Workers[Index].Rack].Workers, Index);
+    Racks[Rack].Workers.push_back(Index);
+  }
+  worker_node &Node = Workers[Index];
+  Node.Info = Worker;
+  Node.Rack = Rack;
+  Node.Zone = Racks[Rack].Zone;
+  Node.Region = Racks[Rack].Region;
+  divideCapacity(Node);
+  return Index;
+}
+
+std::optional<topology_index> topology::find(const worker_id &Worker) const {
+  auto Found = WorkerIndex.find(Worker);
+  if (Found == WorkerIndex.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/core/placement/scheduler.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "core/base/types/ids.h"
+#include "core/base/types/resources.h"
+#include "core/base/types/time.h"
+#include "core/placement/capacityaccount.h"
+#include "core/placement/types/schedule.h"
+
+#include <span>
+#include <vector>
+
+namespace geraniumpaddle {
+
+/// Proposes placements for waiting jobs. Each decision is a function of the
+/// view, the present time and the run times seen so far; a proposal that the
+/// fold rejects leaves nothing behind, so that several schedulers may propose
+/// for the same ledger.
+class scheduler {
+public:
+  explicit scheduler(objective Objective);
+  ~scheduler();
+  scheduler(const scheduler &) = delete;
+  scheduler &operator=(const scheduler &) = delete;
+
+  /// Decides about every waiting job. The spans are valid until the next call.
+  schedule decide(const schedule_view &View, time_point Now);
+
+  /// Learns from an attempt that ran to its end; hints only.
+  void observe(const run_observation &Observation);
+
+private:
+  objective Objective;
+  std::vector<placement_proposal> Proposals;
+  std::vector<job_explanation> Explanations;
+};
+
+} // namespace geraniumpaddle
