Add the agent role, the peer codec and the supervision of running gangs

Agent: carries out the decisions of gang_registry, attempt_table and entry_links; the configuration in force never goes back. Supervision (core): an accepted placement is told to its lead until it is acknowledged; a gang whose lead is lost is ended only after its leases lapsed; what may still run on a worker that comes back is stopped there. Ruled out: sending from every entry (live entries share attempts by token).

--- /dev/null
+++ b/src/agent/customersinforce.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "core/base/types/ids.h"
+#include "core/ledger/types/record.h"
+
+#include <span>
+#include <utility>
+#include <vector>
+
+namespace geraniumpaddle {
+
+/// The customer configuration that is in force in this process. Its version
+/// only rises, whatever order entries tell it in.
+class customers_in_force {
+public:
+  /// Takes \p Customers if \p NewVersion is newer. \returns whether it was.
+  bool update(config_version NewVersion,
+              std::vector<customer_config> NewCustomers) {
+    if (NewVersion <= Version)
+      return false;
+    Version = NewVersion;
+    Customers = std::move(NewCustomers);
+    return true;
+  }
+
+  config_version version() const { return Version; }
+  std::span<const customer_config> customers() const { return Customers; }
+
+private:
+  config_version Version{};
+  std::vector<customer_config> Customers;
+};
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/agent/internal/entryconnector.cpp
@@ -0,0 +1,122 @@
+#include "agent/entryconnector.h"
+
+#include "core/base/membertable.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace geraniumpaddle {
+
+namespace {
+
+/// The entry may wait for the log before it answers.
+constexpr duration ReportTimeout = std::chrono::seconds(10);
+
+duration delayUntil(time_point At, time_point Now) {
+  return std::max(At - Now, duration::zero());
+}
+
+} // namespace
+
+struct entry_connector::pending_report {
+  proto::PeerRequest Request;
+  std::size_t TriesLeft = 0;
+  std::function<void(const proto::RecordVerdict &)> Done;
+};
+
+entry_connector::entry_connector(ievent_loop &Loop, ipeer_client &Peers,
+                                 const peer_identity &Self,
+                                 const link_settings &Settings,
+                                 std::span<const std::string> Configured,
+                                 ilink_content &Content)
+    : Loop(Loop), Peers(Peers), Self(Self), Content(Content),
+      Links(Settings, Configured), Wakeup(Loop) {}
+
+void entry_connector::start() { push(links_started{}); }
+
+void entry_connector::announceChange() { push(state_changed{}); }
+
+void entry_connector::report(
+    const proto::JobReport &Report,
+    std::function<void(const proto::RecordVerdict &)> Done) {
+  auto Pending = std::make_shared<pending_report>();
+  Pending->Request = makeRequest(Self);
+  *Pending->Request.mutable_job_report() = Report;
+  Pending->TriesLeft = std::max<std::size_t>(Links.healthyLinks(), 1);
+  Pending->Done = std::move(Done);
+  auto First = Links.preferred();
+  if (!First) {
+    Loop.startTimer(duration::zero(),
+                    [Pending] { Pending->Done(proto::RecordVerdict()); });
+    return;
+  }
+  tryEntry(Pending, std::string(*First));
+}
+
+void entry_connector::tryEntry(const std::shared_ptr<pending_report> &Report,
+                               const std::string &Address) {
+  Report->TriesLeft--;
+  Peers.call(Address, Report->Request, ReportTimeout,
+             [this, Report, Address, Alive = Alive](const peer_result &Result) {
+               if (!*Alive)
+                 return;
+               bool Answered = Result.Status == call_status::Completed &&
+                               Result.Response.has_verdict();
+               if (Answered)
+                 return Report->Done(Result.Response.verdict());
+               if (Report->TriesLeft == 0)
+                 return Report->Done(proto::RecordVerdict());
+               tryEntry(Report, std::string(Links.after(Address)));
+             });
+}
+
+void entry_connector::push(link_event Event) {
+  using table =
+      member_table<&entry_connector::onSend, &entry_connector::onReplace,
+                   &entry_connector::onWakeAt>;
+  Events.push(std::move(Event), [this](const link_event &Next) {
+    for (const link_command &Command : Links.handle(Next, Loop.now()))
+      table::dispatch(*this, Command);
+  });
+}
+
+void entry_connector::onSend(const send_heartbeat &Command) {
+  proto::PeerRequest Request = makeRequest(Self);
+  *Request.mutable_heartbeat() = Content.heartbeat(Command.WithRegistration);
+  Peers.call(Command.Address, Request, Command.Timeout,
+             [this, Address = Command.Address,
+              Alive = Alive](const peer_result &Result) {
+               if (*Alive)
+                 onAnswer(Address, Result);
+             });
+}
+
+void entry_connector::onReplace(const replace_connection &Command) {
+  Peers.reconnect(Command.Address);
+}
+
+void entry_connector::onWakeAt(const links_wake_at &Command) {
+  Wakeup.start(delayUntil(Command.At, Loop.now()),
+               [this] { push(links_timer_fired{}); });
+}
+
+void entry_connector::onAnswer(const std::string &Address,
+                               const peer_result &Result) {
+  bool Answered = Result.Status == call_status::Completed &&
+                  Result.Response.has_heartbeat();
+  if (!Answered)
+    return push(heartbeat_failed{Address});
+  const proto::HeartbeatReply &Reply = Result.Response.heartbeat();
+  if (Reply.has_customers())
+    Content.learnCustomers(Reply.customers());
+  heartbeat_answered Event{Address,
+                           std::chrono::milliseconds(Reply.interval_ms()),
+                           Reply.registration_wanted(),
+                           {}};
+  for (const proto::EntryAnnounced &Entry : Reply.entries())
+    Event.Entries.push_back(Entry.peer_address());
+  push(std::move(Event));
+}
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/core/supervision/tests/gangsupervisortest.cpp
@@ -0,0 +1,122 @@
+#include "core/supervision/gangsupervisor.h"
+
+#include <CppUTest/TestHarness.h>
+#include <chrono>
+
+using namespace geraniumpaddle;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr fencing_token Token{10};
+const worker_id Lead("w1");
+const worker_id Member("w2");
+constexpr time_point Start{};
+
+class switchable_owner final : public iattempt_owner {
+public:
+  bool owns(fencing_token) const override { return Owns; }
+  bool Owns = true;
+};
+
+template <typename Command>
+std::vector<Command> only(std::span<const supervision_command> Commands) {
+  std::vector<Command> Found;
+  for (const supervision_command &Each : Commands)
+    if (const auto *Match = std::get_if<Command>(&Each))
+      Found.push_back(*Match);
+  return Found;
+}
+
+} // namespace
+
+TEST_GROUP(GangSupervisor) {
+  switchable_owner Owner;
+  supervision_settings Settings;
+  gang_supervisor Supervisor{Settings, Owner};
+
+  std::span<const supervision_command> place() {
+    return Supervisor.handle(attempt_placed{job_id("j"), Token, {Lead, Member}},
+                             Start);
+  }
+  void settle() {
+    place();
+    Supervisor.handle(assignment_answered{Token, true}, Start);
+  }
+};
+
+TEST(GangSupervisor, TellsTheLeadUntilItAcknowledges) {
+  LONGS_EQUAL(1, only<send_assignment>(place()).size());
+  Supervisor.handle(assignment_answered{Token, false}, Start);
+  auto Again = Supervisor.handle(supervision_timer_fired{}, Start + 1s);
+  LONGS_EQUAL(1, only<send_assignment>(Again).size());
+  Supervisor.handle(assignment_answered{Token, true}, Start + 1s);
+  auto Later = Supervisor.handle(supervision_timer_fired{}, Start + 60s);
+  LONGS_EQUAL(0, only<send_assignment>(Later).size());
+}
+
+TEST(GangSupervisor, TellsAgainAfterTheLeadsAgentRestarted) {
+  settle();
+  auto Commands = Supervisor.handle(worker_returned{Lead}, Start + 5s);
+  LONGS_EQUAL(1, only<send_assignment>(Commands).size());
+}
+
+TEST(GangSupervisor, TakesOverWhenItBecomesTheOwner) {
+  Owner.Owns = false;
+  LONGS_EQUAL(0, only<send_assignment>(place()).size());
+  Owner.Owns = true;
+  auto Commands = Supervisor.handle(ownership_changed{}, Start + 1s);
+  LONGS_EQUAL(1, only<send_assignment>(Commands).size());
+}
+
+TEST(GangSupervisor, EndsAStartedGangOnlyAfterItsLeasesLapsed) {
+  settle();
+  Supervisor.handle(attempt_started{Token}, Start);
+  auto AtOnce = Supervisor.handle(worker_gone{Lead}, Start);
+  LONGS_EQUAL(0, only<propose_lapsed>(AtOnce).size());
+  auto Before = Supervisor.handle(supervision_timer_fired{},
+                                  Start + Settings.LapseAfter - 1us);
+  LONGS_EQUAL(0, only<propose_lapsed>(Before).size());
+  auto Due =
+      Supervisor.handle(supervision_timer_fired{}, Start + Settings.LapseAfter);
+  LONGS_EQUAL(1, only<propose_lapsed>(Due).size());
+}
+
+TEST(GangSupervisor, EndsAGangThatNeverStartedAtOnce) {
+  settle();
+  auto AtOnce = Supervisor.handle(worker_gone{Lead}, Start);
+  LONGS_EQUAL(1, only<propose_lapsed>(AtOnce).size());
+}
+
+TEST(GangSupervisor, ALeadThatComesBackInTimeKeepsItsGang) {
+  settle();
+  Supervisor.handle(attempt_started{Token}, Start);
+  Supervisor.handle(worker_gone{Lead}, Start);
+  Supervisor.handle(worker_returned{Lead}, Start + 1s);
+  auto Later = Supervisor.handle(supervision_timer_fired{},
+                                 Start + Settings.LapseAfter + 1s);
+  LONGS_EQUAL(0, only<propose_lapsed>(Later).size());
+}
+
+TEST(GangSupervisor, ALapsedGangIsStoppedOnEveryWorkerThatAnswers) {
+  settle();
+  auto Commands = only<send_stop>(
+      Supervisor.handle(attempt_over{Token, job_outcome::LeaseLapsed}, Start));
+  LONGS_EQUAL(2, Commands.size());
+  Supervisor.handle(stop_answered{Token, Member, true}, Start);
+  Supervisor.handle(stop_answered{Token, Lead, false}, Start);
+  auto Return =
+      only<send_stop>(Supervisor.handle(worker_returned{Lead}, Start + 3600s));
+  LONGS_EQUAL(1, Return.size());
+  CHECK(Return[0].Worker == Lead);
+  Supervisor.handle(stop_answered{Token, Lead, true}, Start + 3600s);
+  LONGS_EQUAL(0, Supervisor.superseded());
+}
+
+TEST(GangSupervisor, ACancelledGangIsStoppedThroughItsLead) {
+  settle();
+  auto Commands = only<send_stop>(Supervisor.handle(
+      attempt_stop_wanted{Token, job_outcome::Cancelled}, Start));
+  LONGS_EQUAL(1, Commands.size());
+  CHECK(Commands[0].ToLead);
+}
