Fold the log into a ledger; appender, follower and record codec

The fold judges each record by the state at its offset and dispatches by a member table; repeats are dropped by (node, incarnation, sequence) within a window. The appender and the follower are decisions without I/O.

--- a/src/codec/protoconvert.h
+++ b/src/codec/protoconvert.h
@@ -26,8 +26,13 @@
 proto::JobOutcome toProto(job_outcome Outcome);
 proto::Adjacency toProto(adjacency Adjacency);
 proto::WorkerState toProto(worker_state State);
+proto::CustomersChanged toProto(const customers_changed &Change);
+proto::WorkerStateChanged toProto(const worker_state_changed &Change);
+proto::JobPlaced toProto(const job_placed &Placement);
 proto::Record toProto(const record &Record);
 
+guarantee fromProto(const proto::Guarantee &Message);
+request_limits fromProto(const proto::RequestLimits &Message);
 customer_config fromProto(const proto::CustomerConfig &Message);
 entry_announced fromProto(const proto::EntryAnnounced &Message);
 worker_info fromProto(const proto::WorkerInfo &Message);
@@ -40,6 +45,10 @@
 job_ended fromProto(const proto::JobEnded &Message);
 job_outcome fromProto(proto::JobOutcome Outcome);
 customers_changed fromProto(const proto::CustomersChanged &Message);
+worker_state_changed fromProto(const proto::WorkerStateChanged &Message);
+job_submitted fromProto(const proto::JobSubmitted &Message);
+job_placed fromProto(const proto::JobPlaced &Message);
+job_cancelled fromProto(const proto::JobCancelled &Message);
 record fromProto(const proto::Record &Message);
 
 } // namespace geraniumpaddle
--- a/src/core/ledger/ledger.h
+++ b/src/core/ledger/ledger.h
@@ -117,6 +117,7 @@
 
   void advance(log_offset Offset);
   verdict judge(const context &Context);
+  log_offset firstFoldOf(const producer &Producer) const;
   void count(const verdict &Verdict);
   void noteAudit(const context &Context, const verdict &Verdict);
 
@@ -124,14 +125,20 @@
   std::vector<customer_entry> changedCustomers(const customers_changed &Change,
                                                const context &Context) const;
   void noteRemovals(const customers_changed &Change, const context &Context);
-  void cancelJobsOfRemoved(const context &Context);
+  void cancelJobsOfRemoved(std::span<const customer_id> Removed,
+                           const context &Context);
 
   worker_entry *findWorker(const worker_id &Id);
   void setWorkerState(worker_entry &Worker, worker_state State,
                       state_cause Cause, log_offset Offset);
+  verdict changeWorkerState(worker_entry &Worker,
+                            const worker_state_changed &Change,
+                            log_offset Offset);
   void blameWorker(const worker_id &Id, const job_id &Job,
                    const context &Context);
 
+  void clearFailures(std::span<const task_assignment> Assignments);
+
   verdict checkPlacement(const job_entry &Job,
                          const job_placed &Placement) const;
   verdict checkAssignments(const job_entry &Job,
@@ -142,7 +149,6 @@
                      const context &Context);
   void endAttempt(const job_entry &Job, const job_ended &End,
                   const context &Context);
-  void rebuildAccount();
 
   log_offset Folded{};
   config_version Version{};
--- a/src/core/ledger/logfollower.h
+++ b/src/core/ledger/logfollower.h
@@ -131,10 +131,12 @@
 
   void noteLog(log_offset NewHead, log_offset NewOldest);
   void fold(const read_completed &Read);
-  void scan(const read_completed &Read, time_point Now);
+  void scan(const read_completed &Read);
+  void startScan();
   void read(log_offset From);
   void readOn();
   void retryLater(time_point Now);
+  void becomeReady();
   void becomeReadyIfCaughtUp();
   void findState();
 
--- a/src/core/ledger/types/state.h
+++ b/src/core/ledger/types/state.h
@@ -2,6 +2,7 @@
 
 #include "core/ledger/types/record.h"
 #include "core/ledger/types/verdict.h"
+#include "core/placement/types/capacityimage.h"
 
 #include <compare>
 #include <cstdint>
@@ -230,6 +231,7 @@
   std::vector<job_entry> Jobs;           ///< by submission
   std::vector<producer_entry> Producers; ///< by node
   std::vector<audit_event> Audit;        ///< by offset
+  capacity_image Capacity;
 
   friend bool operator==(const ledger_image &, const ledger_image &) = default;
 };
