Gangs: prepare, start barrier, leases in rounds, stop and end

Cause: a placed gang has to run whole or not at all while agents, workers and the log fail. Ruled out: granting the whole lease at each renewal (a member that dies right after a round would leave the rest running for a lease and a round more), and answering a renewal before the worker has confirmed it (a silent worker would be seen a round later). Change: gang_lead drives one attempt, gang_member holds one worker's attempts, gang_registry joins both and delivers a lead's calls to its own worker inside. A larger token takes its accelerators from smaller ones.

--- a/src/core/gang/ganglead.h
+++ b/src/core/gang/ganglead.h
@@ -4,8 +4,8 @@
 #include "core/gang/types/gangevents.h"
 #include "core/gang/types/gangtiming.h"
 
-#include <map>
 #include <span>
+#include <string>
 #include <vector>
 
 namespace geraniumpaddle {
@@ -31,8 +31,7 @@
 public:
   gang_lead(assign_gang Assignment, const gang_timing &Timing, time_point Now);
 
-  /// Decides on one event; also called once after construction, with
-  /// wakeup_due.
+  /// Decides on one event; the first is wakeup_due, right after construction.
   /// \returns commands in order, valid until the next call.
   std::span<const gang_command> handle(const lead_event &Event, time_point Now);
 
@@ -44,13 +43,13 @@
   struct member {
     gang_member_info Info;
     member_state State = member_state::Unknown;
-    bool Answered = false;         ///< in the present round
-    time_point LastSent{};         ///< last call in the present round
-    time_point LastAnswer{};       ///< of any kind
-    time_point LastPrepared{};     ///< last answer "prepared"
-    time_point LeaseSent{};        ///< last call that grants a lease
-    bool LeaseGranted = false;     ///< a lease was ever sent to it
-    member_call_id FirstOfRound{}; ///< earlier calls' answers are old
+    bool Open = false;     ///< a call has not been answered or given up
+    bool Answered = false; ///< the present round
+    bool Sent = false;     ///< a call of the present round
+    time_point SentAt{};
+    time_point PreparedAt{}; ///< last answer "prepared"
+    time_point LeasedAt{};   ///< last call that may have granted a lease
+    member_call_id Call{};   ///< the newest
   };
 
   void onStop(const stop_gang &Event, time_point Now);
@@ -58,12 +57,16 @@
   void onReportAnswered(const report_answered &Event, time_point Now);
   void onWakeup(const wakeup_due &Event, time_point Now);
 
-  /// Does what the present phase has to do at \p Now.
+  void judgePreparing(member &From, const member_report &Report,
+                      time_point Now);
+  void judgeRunning(member &From, const member_report &Report, time_point Now);
+  void judgeStopping(member &From, const member_report &Report, time_point Now);
+  void ignoreReport(member &From, const member_report &Report, time_point Now);
+
   void advance(time_point Now);
   void advancePreparing(time_point Now);
   void advanceRecording(time_point Now);
   void advanceOpening(time_point Now);
-  void advanceStarting(time_point Now);
   void advanceRunning(time_point Now);
   void advanceStopping(time_point Now);
   void advanceReporting(time_point Now);
@@ -71,33 +74,33 @@
 
   void enter(lead_phase Next, time_point Now);
   void beginRound(time_point Now);
-  void beginStop(job_outcome Reason, worker_id Blamed, std::string Why,
-                 time_point Now);
-  void judgeMember(const member &Member, const member_report &Report,
-                   time_point Now);
+  void beginStop(job_outcome Reason, const worker_id &Blamed,
+                 std::string_view Why, time_point Now);
   void send(member &To, member_message Message, time_point Now);
-  void sendPrepare(member &To, time_point Now);
   void sendToUnanswered(const member_message &Message, time_point Now);
-  void repeatPrepare(time_point Now);
+  void sendPrepare(member &To, time_point Now);
+  void prepareAll(duration Interval, time_point Now);
+  void report(gang_command Report, time_point Now);
+  bool dueAt(time_point At, time_point Now);
   bool allAre(member_state State) const;
-  bool allStarted() const;
+  bool allPreparedSince(time_point Since) const;
   bool roundAnswered() const;
-  bool hasLapsed(const member &Member, time_point Now) const;
-  void wakeAt(time_point At);
   member *find(const worker_id &Worker);
 
   const assign_gang Assignment;
-  const gang_timing Timing;
+  const gang_timing &Timing;
   lead_phase Phase = lead_phase::Preparing;
   std::vector<member> Members;
   time_point PhaseSince{};
   time_point RoundSince{};
-  time_point ReportSent{};
-  bool ReportPending = false;
+  time_point ReportedAt{};
+  bool ReportOpen = false;
   job_outcome Outcome = job_outcome::Succeeded;
+  bool OutcomeKnown = false; ///< asked for, or a task failed
   worker_id BlamedWorker;
   std::string Detail;
   std::uint64_t LastCall = 0;
+  member_call_id RoundStart{}; ///< answers to earlier calls are old
   time_point Wakeup = time_point::max();
   std::vector<gang_command> Commands;
 };
--- a/src/core/gang/gangmember.h
+++ b/src/core/gang/gangmember.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "core/gang/heldattempt.h"
 #include "core/gang/types/gangcommands.h"
 #include "core/gang/types/gangevents.h"
 #include "core/gang/types/gangtiming.h"
+#include "core/gang/workercalls.h"
 
 #include <map>
 #include <span>
@@ -23,6 +25,8 @@
 class gang_member {
 public:
   explicit gang_member(const gang_timing &Timing);
+  gang_member(const gang_member &) = delete;
+  gang_member &operator=(const gang_member &) = delete;
 
   /// Decides on one event. Tasks whose lease has lapsed by \p Now are stopped
   /// before the event is looked at.
@@ -40,62 +44,6 @@
   time_point nextWakeup() const { return Wakeup; }
 
 private:
-  enum class task_phase : std::uint8_t {
-    Held,     ///< not started
-    Starting, ///< the worker was told to start it
-    Running,
-    Over,
-  };
-
-  struct held_task {
-    gang_task Task;
-    task_phase Phase = task_phase::Held;
-    task_state Last = task_state::Running; ///< as the worker told it
-    time_point LapsesAt{}; ///< when it is over even if the worker is silent
-    time_point LastCommand{};
-    worker_call_id CheckpointCall{}; ///< 0: not asked for
-    std::string Detail;
-  };
-
-  enum class attempt_phase : std::uint8_t {
-    Waiting,
-    Prepared,
-    Started,
-    Stopping,
-    Over,
-  };
-
-  struct attempt {
-    job_id Job;
-    std::string Command;
-    attempt_phase Phase = attempt_phase::Waiting;
-    std::vector<held_task> Tasks;
-    std::vector<fencing_token> Victims;
-    accelerator_mask Accelerators = 0;
-    duration Lease{};
-    time_point LeaseUntil{};      ///< stopped then unless renewed
-    time_point CheckpointUntil{}; ///< checkpoints are cut off then
-    time_point OverSince{};
-    bool WasStopped = false;
-    std::vector<reply_handle> Waiting; ///< calls to answer with the worker's
-    std::size_t OpenCalls = 0;         ///< starts and renewals
-    bool CallFailed = false;
-  };
-
-  enum class call_kind : std::uint8_t {
-    Describe,
-    Start,
-    Renew,
-    Checkpoint,
-    Stop
-  };
-  struct open_call {
-    call_kind Kind = call_kind::Describe;
-    fencing_token Token{};
-    std::vector<std::uint32_t> Tasks;
-    duration Lease{};
-  };
-
   void onStarted(const agent_started &Event, time_point Now);
   void onPrepare(const peer_request<prepare_tasks> &Event, time_point Now);
   void onStart(const peer_request<start_tasks> &Event, time_point Now);
@@ -104,13 +52,33 @@
   void onWorkerAnswered(const worker_answered &Event, time_point Now);
   void onWakeup(const wakeup_due &Event, time_point Now);
 
+  held_attempt *find(fencing_token Token);
+  held_attempt &create(fencing_token Token);
+  void bar(fencing_token Token, time_point Now);
+  /// True if a later attempt has taken these accelerators, or the attempt
+  /// itself as a victim.
+  bool isStale(const prepare_tasks &Message) const;
+  void displace(const prepare_tasks &Message, time_point Now);
+  bool isClear(fencing_token Token, const held_attempt &Attempt) const;
+  void admitWaiting();
+  void onStatus(const task_status &Status, worker_call_id Call, time_point Now);
+  void onDescribed(const worker_answered &Event, time_point Now);
+  void poll(time_point Now);
+  void forgetOld(time_point Now);
+  void flushReplies();
+  void chooseWakeup();
+  void reply(const reply_handle &Reply, const member_report &Report);
+  duration pollInterval() const;
+
   const gang_timing Timing;
+  std::vector<gang_command> Commands;
+  worker_calls Calls{Commands};
+  bool Started = false;
   bool Ready = false;
-  std::map<fencing_token, attempt> Attempts;
-  std::map<worker_call_id, open_call> OpenCalls;
-  std::uint64_t LastCall = 0;
+  bool DescribeOpen = false;
+  time_point DescribedAt{}; ///< when the last description was asked for
+  std::map<fencing_token, held_attempt> Attempts;
   time_point Wakeup = time_point::max();
-  std::vector<gang_command> Commands;
 };
 
 } // namespace geraniumpaddle
--- a/src/core/gang/gangregistry.h
+++ b/src/core/gang/gangregistry.h
@@ -23,9 +23,13 @@
   /// call.
   std::span<const gang_command> handle(const gang_event &Event, time_point Now);
 
-  /// True once the worker has described its tasks; until then calls of peers
+  /// True once the worker has described its tasks; until then calls of leads
   /// are refused as not ready.
   bool ready() const { return Member.ready(); }
+  /// Where the own worker stands with the attempt of \p Token.
+  member_state memberState(fencing_token Token) const {
+    return Member.state(Token);
+  }
   /// Attempts led here that are not over and recorded.
   std::size_t leads() const { return Leads.size(); }
   /// True while tasks of any attempt run or may run on the worker.
@@ -51,7 +55,7 @@
   void deliverInside(time_point Now);
   void deliverOwnCall(const send_to_member &Command, time_point Now);
   void deliverOwnReply(const gang_reply &Command, time_point Now);
-  void forgetOldTokens(time_point Now);
+  void retireLeads(time_point Now);
   void requestWakeup();
 
   struct own_call {
--- a/src/core/gang/types/gangmessages.h
+++ b/src/core/gang/types/gangmessages.h
@@ -32,6 +32,7 @@
   fencing_token Token{};
   std::uint32_t Attempt = 0;
   bool Idempotent = true;
+  bool Started = false; ///< the ledger has accepted the attempt's job_started
   std::string Command;
   std::vector<gang_task> Tasks;
   std::vector<gang_member_info> Members;
--- a/src/core/gang/types/gangtiming.h
+++ b/src/core/gang/types/gangtiming.h
@@ -31,6 +31,8 @@
   /// Lease of a task at its start and at each renewal. A member may die just
   /// after it answered a round, so one round and one task lease make a Lease.
   duration taskLease() const { return Lease - renewInterval(); }
+  /// Time limit of a call to a member: two tries fit into a round.
+  duration callTimeout() const { return renewInterval() / 2; }
   /// When a lease of \p Granted is certainly over on another machine.
   duration lapseAfter(duration Granted) const {
     return Granted + Granted * MaxClockDriftPerMille / 1000 + DeliveryMargin;
