Route requests and keep attempts, with a fault table over both

Cause: callers need one true outcome each, whatever is lost on the way. Ruled out: an agent that takes deliveries addressed to an earlier run as refused; a duplicate could have reached that run, so it is reported as another run, which proves nothing. Change: request_router and attempt_table decide; endpoint pool, admission with shared limits, retry budget, latency window and fair queue beneath them. Tests drive the real classes on a model of network and endpoints. Conclusion: the first whole path can be wired; overload, generated interleavings and shares are not tested yet.

--- a/src/core/routing/internal/attempttable.cpp
+++ b/src/core/routing/internal/attempttable.cpp
@@ -1,20 +1,255 @@
 #include "core/routing/attempttable.h"
 
+#include "core/base/membertable.h"
+
+#include <algorithm>
+
 namespace geraniumpaddle {
 
-class attempt_table::state {};
+attempt_table::attempt_table(const attempt_settings &Settings, incarnation Self)
+    : Settings(Settings), Self(Self), Queue(Settings.QueueLimit) {}
+
+std::span<const attempt_command>
+attempt_table::handle(const attempt_event &Event, time_point Now) {
+  using handlers =
+      member_table<&attempt_table::onDelivery, &attempt_table::onQuery,
+                   &attempt_table::onEndpointFinished, &attempt_table::onDrain,
+                   &attempt_table::onTimer>;
+  Commands.clear();
+  handlers::dispatch(*this, Event, Now);
+  finishEvent(Now);
+  return Commands;
+}
+
+agent_load attempt_table::load() const {
+  return {Running, static_cast<std::uint32_t>(Queue.size())};
+}
+
+void attempt_table::onDelivery(const delivery_arrived &Event, time_point Now) {
+  const auto Known = Attempts.find(Event.Attempt);
+  if (Event.Target != Self)
+    // Another copy may have reached the addressed run: this proves nothing.
+    report(Event.Call, Event.Attempt, attempt_state::OtherRun,
+           attempt_refusal::WrongIncarnation);
+  else if (Known != Attempts.end())
+    return repeat(Event, Known->second);
+  else if (forgotten(Event.Attempt))
+    report(Event.Call, Event.Attempt, attempt_state::Undetermined,
+           attempt_refusal::None);
+  else
+    return accept(Event, Now);
+  if (Known == Attempts.end())
+    Commands.emplace_back(release_attempt{Event.Attempt});
+}
+
+void attempt_table::accept(const delivery_arrived &Event, time_point Now) {
+  if (Draining)
+    return refuse(Event, attempt_refusal::Draining, Now);
+  if (Event.Timeout <= duration::zero())
+    return refuse(Event, attempt_refusal::DeadlineExpired, Now);
+  attempt &Attempt = Attempts[Event.Attempt];
+  Attempt.Customer = Event.Customer;
+  Attempt.Deadline = Now + std::min(Event.Timeout, Settings.MaxTimeout);
+  Attempt.Waiting.push_back(Event.Call);
+  if (Running < Settings.Slots)
+    start(Event.Attempt, Attempt, Now);
+  else
+    enqueue(Event.Attempt, Attempt, Now);
+}
+
+void attempt_table::repeat(const delivery_arrived &Event, attempt &Known) {
+  if (Known.Phase == phase::Queued || Known.Phase == phase::Running)
+    Known.Waiting.push_back(Event.Call);
+  else
+    reportKnown(Event.Call, Event.Attempt, Known);
+}
+
+/// Remembers the refusal: a second copy must not run after the entry was told.
+void attempt_table::refuse(const delivery_arrived &Event,
+                           attempt_refusal Refusal, time_point Now) {
+  attempt &Attempt = Attempts[Event.Attempt];
+  Attempt.Waiting.push_back(Event.Call);
+  settle(Event.Attempt, Attempt, phase::NotRun, Refusal, Now);
+}
+
+void attempt_table::enqueue(const attempt_id &Id, attempt &Attempt,
+                            time_point Now) {
+  const std::optional<attempt_id> Loser = Queue.push(Attempt.Customer, Id);
+  if (Loser)
+    settle(*Loser, Attempts.at(*Loser), phase::NotRun,
+           attempt_refusal::QueueFull, Now);
+}
+
+void attempt_table::start(const attempt_id &Id, attempt &Attempt,
+                          time_point Now) {
+  Attempt.Phase = phase::Running;
+  ++Running;
+  Commands.emplace_back(call_endpoint{Id, Attempt.Deadline - Now});
+}
+
+void attempt_table::startQueued(time_point Now) {
+  while (Running < Settings.Slots && !Queue.empty()) {
+    const attempt_id Id = *Queue.pop();
+    start(Id, Attempts.at(Id), Now);
+  }
+}
+
+void attempt_table::onQuery(const query_arrived &Event, time_point Now) {
+  const auto Known = Attempts.find(Event.Attempt);
+  if (Event.Target != Self)
+    report(Event.Call, Event.Attempt, attempt_state::OtherRun,
+           attempt_refusal::WrongIncarnation);
+  else if (Known != Attempts.end())
+    reportKnown(Event.Call, Event.Attempt, Known->second);
+  else if (forgotten(Event.Attempt))
+    report(Event.Call, Event.Attempt, attempt_state::Undetermined,
+           attempt_refusal::None);
+  else
+    bar(Event, Now);
+}
+
+void attempt_table::bar(const query_arrived &Event, time_point Now) {
+  attempt &Attempt = Attempts[Event.Attempt];
+  settle(Event.Attempt, Attempt, phase::NotRun, attempt_refusal::Barred, Now);
+  report(Event.Call, Event.Attempt, attempt_state::Barred,
+         attempt_refusal::Barred);
+}
+
+void attempt_table::onEndpointFinished(const endpoint_finished &Event,
+                                       time_point Now) {
+  const auto Known = Attempts.find(Event.Attempt);
+  if (Known == Attempts.end() || Known->second.Phase != phase::Running)
+    return;
+  --Running;
+  attempt &Attempt = Known->second;
+  Attempt.AnswerBytes = Event.AnswerBytes;
+  switch (Event.Result) {
+  case endpoint_result::Answered:
+    return settle(Event.Attempt, Attempt, phase::Answered,
+                  attempt_refusal::None, Now);
+  case endpoint_result::NotSent:
+    return settle(Event.Attempt, Attempt, phase::NotRun,
+                  attempt_refusal::EndpointDown, Now);
+  case endpoint_result::Lost:
+    return settle(Event.Attempt, Attempt, phase::Undetermined,
+                  attempt_refusal::None, Now);
+  }
+}
+
+void attempt_table::onDrain(const agent_drain_started &, time_point) {
+  Draining = true;
+}
+
+void attempt_table::onTimer(const agent_timer_fired &, time_point) {
+  ArmedWake = time_point::max();
+}
+
+/// Moves an attempt to its last phase and answers every call that waits for it.
+void attempt_table::settle(const attempt_id &Id, attempt &Attempt, phase Phase,
+                           attempt_refusal Refusal, time_point Now) {
+  Attempt.Phase = Phase;
+  Attempt.Refusal = Refusal;
+  for (const call_handle Call : Attempt.Waiting)
+    reportKnown(Call, Id, Attempt);
+  Attempt.Waiting = {};
+  Settled.push_back({Now, Id});
+  if (Phase == phase::Answered)
+    keepAnswer(Id, Attempt);
+  else
+    Commands.emplace_back(release_attempt{Id});
+}
 
-attempt_table::attempt_table(const attempt_settings &, incarnation)
-    : State(std::make_unique<state>()) {}
-attempt_table::~attempt_table() = default;
+/// Counts the answer, and drops the oldest ones while all are over the bound.
+void attempt_table::keepAnswer(const attempt_id &Id, attempt &Attempt) {
+  Answers.push_back(Id);
+  AnswerBytes += Attempt.AnswerBytes;
+  while (AnswerBytes > Settings.MaxAnswerBytes) {
+    const attempt_id Oldest = Answers.front();
+    Answers.pop_front();
+    attempt &Dropped = Attempts.at(Oldest);
+    AnswerBytes -= Dropped.AnswerBytes;
+    Dropped.Phase = phase::Undetermined;
+    Commands.emplace_back(release_attempt{Oldest});
+  }
+}
+
+void attempt_table::expireQueued(time_point Now) {
+  const std::vector<attempt_id> Expired = Queue.removeIf(
+      [&](const attempt_id &Id) { return Attempts.at(Id).Deadline <= Now; });
+  for (const attempt_id &Id : Expired)
+    settle(Id, Attempts.at(Id), phase::NotRun, attempt_refusal::DeadlineExpired,
+           Now);
+}
 
-std::span<const attempt_command> attempt_table::handle(const attempt_event &,
-                                                       time_point) {
-  return {};
+void attempt_table::forgetOld(time_point Now) {
+  while (!Settled.empty() && (Settled.front().At + Settings.Retention <= Now ||
+                              Settled.size() > Settings.MaxRemembered))
+    forgetOldest();
 }
 
-agent_load attempt_table::load() const { return {}; }
-bool attempt_table::draining() const { return false; }
-bool attempt_table::idle() const { return true; }
+void attempt_table::forgetOldest() {
+  const attempt_id Id = Settled.front().Id;
+  Settled.pop_front();
+  const auto Known = Attempts.find(Id);
+  if (Known->second.Phase == phase::Answered) {
+    // Answers are kept in the order in which they settled.
+    Answers.pop_front();
+    AnswerBytes -= Known->second.AnswerBytes;
+    Commands.emplace_back(release_attempt{Id});
+  }
+  Attempts.erase(Known);
+  std::uint64_t &Floor = Floors[{Id.Entry, Id.EntryIncarnation}];
+  Floor = std::max(Floor, Id.Number);
+}
+
+bool attempt_table::forgotten(const attempt_id &Id) const {
+  const auto Floor = Floors.find({Id.Entry, Id.EntryIncarnation});
+  return Floor != Floors.end() && Id.Number <= Floor->second;
+}
+
+void attempt_table::finishEvent(time_point Now) {
+  expireQueued(Now);
+  startQueued(Now);
+  forgetOld(Now);
+  if (Draining && idle() && !DrainReported) {
+    DrainReported = true;
+    Commands.emplace_back(agent_drained{});
+  }
+  const time_point Wake = nextWake();
+  if (Wake < ArmedWake) {
+    ArmedWake = Wake;
+    Commands.emplace_back(agent_wake_at{Wake});
+  }
+}
+
+time_point attempt_table::nextWake() const {
+  time_point Wake = time_point::max();
+  if (!Settled.empty())
+    Wake = Settled.front().At + Settings.Retention;
+  Queue.forEach([&](const attempt_id &Id) {
+    Wake = std::min(Wake, Attempts.at(Id).Deadline);
+  });
+  return Wake;
+}
+
+void attempt_table::report(call_handle Call, const attempt_id &Id,
+                           attempt_state State, attempt_refusal Refusal) {
+  Commands.emplace_back(report_attempt{Call, Id, State, Refusal, load()});
+}
+
+void attempt_table::reportKnown(call_handle Call, const attempt_id &Id,
+                                const attempt &Known) {
+  switch (Known.Phase) {
+  case phase::Queued:
+  case phase::Running:
+    return report(Call, Id, attempt_state::Running, Known.Refusal);
+  case phase::Answered:
+    return report(Call, Id, attempt_state::Answered, Known.Refusal);
+  case phase::NotRun:
+    return report(Call, Id, attempt_state::NotRun, Known.Refusal);
+  case phase::Undetermined:
+    return report(Call, Id, attempt_state::Undetermined, Known.Refusal);
+  }
+}
 
 } // namespace geraniumpaddle
--- /dev/null
+++ b/src/core/routing/latencywindow.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "core/base/types/time.h"
+
+#include <array>
+#include <cstddef>
+#include <optional>
+
+namespace geraniumpaddle {
+
+/// Quantiles of the most recent answer times.
+class latency_window {
+public:
+  /// \param Quantile in (0, 1) of the upper of the two quantiles kept.
+  explicit latency_window(double Quantile) : Quantile(Quantile) {}
+
+  void add(duration Latency);
+  /// Nothing until enough answers were seen.
+  std::optional<duration> upper() const { return Upper; }
+  std::optional<duration> median() const { return Median; }
+
+private:
+  static constexpr std::size_t Capacity = 256;
+  static constexpr std::size_t RefreshEvery = 32; ///< answers
+
+  void refresh();
+
+  double Quantile;
+  std::array<duration, Capacity> Samples{};
+  std::size_t Added = 0;
+  std::optional<duration> Upper;
+  std::optional<duration> Median;
+};
+
+} // namespace geraniumpaddle
--- a/src/core/routing/requestrouter.h
+++ b/src/core/routing/requestrouter.h
@@ -1,11 +1,22 @@
 #pragma once
 
+#include "core/routing/customeradmission.h"
+#include "core/routing/endpointpool.h"
+#include "core/routing/fairqueue.h"
+#include "core/routing/latencywindow.h"
+#include "core/routing/retrybudget.h"
 #include "core/routing/types/routermessages.h"
 #include "core/routing/types/routersettings.h"
 
+#include <array>
 #include <cstdint>
-#include <memory>
+#include <functional>
+#include <optional>
+#include <queue>
 #include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
 
 namespace geraniumpaddle {
 
@@ -31,11 +42,9 @@
   /// \param Seed of the choice among endpoints.
   request_router(const router_settings &Settings, const router_identity &Self,
                  std::uint64_t Seed);
-  ~request_router();
-  request_router(const request_router &) = delete;
-  request_router &operator=(const request_router &) = delete;
 
   /// Decides on one event. The commands are valid until the next call.
+  /// Throws internal_error if a request handle is used twice.
   std::span<const router_command> handle(const router_event &Event,
                                          time_point Now);
 
@@ -44,12 +53,156 @@
   std::span<const customer_demand> demand(time_point Now);
 
   /// Requests that have no outcome yet; 0 ends a drain.
-  std::size_t openRequests() const;
-  const router_counters &counters() const;
+  std::size_t openRequests() const { return Requests.size(); }
+  const router_counters &counters() const { return Counters; }
 
 private:
-  class state;
-  std::unique_ptr<state> State;
+  struct request {
+    customer_id Customer;
+    service_id Service;
+    bool Idempotent = false;
+    bool Queued = false;
+    bool MayHaveRun = false; ///< an earlier attempt may have run
+    std::uint32_t Bytes = 0;
+    std::uint32_t Attempts = 0;
+    time_point Deadline;
+    time_point HedgeAt = time_point::max();
+    std::vector<node_id> Tried;
+    std::vector<std::uint64_t> Open; ///< attempts whose fate is not known
+  };
+
+  struct attempt {
+    request_handle Request{};
+    endpoint_index Endpoint{};
+    service_id Service;
+    node_id Agent;
+    incarnation AgentIncarnation{};
+    std::string PeerAddress;
+    time_point SentAt;
+    time_point QueryAt; ///< of the next query
+    duration Backoff{}; ///< between queries
+    bool DeliveryOpen = true;
+    bool QueryOpen = false;
+    bool Settled = false;
+  };
+
+  /// What a report says, from a delivery or a query.
+  struct report {
+    attempt_refusal Refusal = attempt_refusal::None;
+    bool ServerError = false;
+    bool FromQuery = false;
+  };
+
+  struct timer {
+    time_point At;
+    std::uint64_t Key = 0; ///< request handle or attempt number
+    bool ForRequest = false;
+    bool operator>(const timer &Other) const { return At > Other.At; }
+  };
+
+  struct service_state {
+    explicit service_state(const router_settings &Settings)
+        : Queue(Settings.QueueLimit), Latency(Settings.HedgeQuantile) {}
+    fair_queue<request_handle> Queue;
+    latency_window Latency;
+    time_point NextPump; ///< of the pumps that arrivals cause
+  };
+
+  /// What an attempt shows about its endpoint.
+  enum class evidence : std::uint8_t { Success, Failure, Neutral };
+
+  using report_handler = void (request_router::*)(std::uint64_t, attempt &,
+                                                  const report &, time_point);
+  static const std::array<report_handler, 8> ReportHandlers;
+
+  // Events.
+  void onRequest(const request_arrived &Event, time_point Now);
+  void onAttempt(const attempt_reported &Event, time_point Now);
+  void onQuery(const query_reported &Event, time_point Now);
+  void onCallerGone(const caller_gone &Event, time_point Now);
+  void onAnnounced(const endpoint_announced &Event, time_point Now);
+  void onLoad(const endpoint_load_reported &Event, time_point Now);
+  void onSuspected(const endpoint_suspected &Event, time_point Now);
+  void onLost(const endpoint_lost &Event, time_point Now);
+  void onCustomers(const customers_configured &Event, time_point Now);
+  void onPeerDemand(const peer_demand_reported &Event, time_point Now);
+  void onPeerLost(const peer_lost &Event, time_point Now);
+  void onDrain(const router_drain_started &Event, time_point Now);
+  void onTimer(const router_timer_fired &Event, time_point Now);
+
+  // Requests.
+  not_run_reason refusalOf(const request_arrived &Event, time_point Now);
+  request &accept(const request_arrived &Event, time_point Now);
+  void dispatch(request_handle Handle, request &Request, time_point Now);
+  std::optional<endpoint_index> choose(const request &Request,
+                                       bool FreeSlotOnly, time_point Now);
+  void enqueue(request_handle Handle, request &Request);
+  void pump(const service_id &Service, time_point Now);
+  void pumpOnArrival(const service_id &Service, time_point Now);
+  bool expiresBeforeAnswer(const request &Request, time_point Now);
+  bool trySend(request_handle Handle, request &Request, time_point Now);
+  void hedge(request_handle Handle, request &Request, time_point Now);
+  void retryOrGiveUp(request_handle Handle, request &Request,
+                     attempt_refusal Refusal, time_point Now);
+  void giveUp(request_handle Handle, const request &Request,
+              not_run_reason Reason);
+  void finish(request_handle Handle, const request_outcome &Outcome);
+  void release(request_handle Handle);
+  void onRequestTimer(request_handle Handle, time_point Now);
+  service_state &serviceOf(const service_id &Service);
+  std::optional<duration> hedgeDelay(const service_id &Service);
+  duration silence(const service_id &Service);
+
+  // Attempts.
+  void send(request_handle Handle, request &Request, endpoint_index Index,
+            time_point Now);
+  void query(std::uint64_t Number, attempt &Attempt, time_point Now);
+  void queryAfter(std::uint64_t Number, attempt &Attempt, duration Delay,
+                  time_point Now);
+  void backOff(std::uint64_t Number, attempt &Attempt, time_point Now);
+  request *requestOf(const attempt &Attempt);
+  void queryAllAt(const node_id &Agent, incarnation AgentIncarnation,
+                  time_point Now);
+  void onAttemptTimer(std::uint64_t Number, time_point Now);
+  void onAnswered(std::uint64_t Number, attempt &Attempt, const report &Report,
+                  time_point Now);
+  void onNotRun(std::uint64_t Number, attempt &Attempt, const report &Report,
+                time_point Now);
+  void onRunning(std::uint64_t Number, attempt &Attempt, const report &Report,
+                 time_point Now);
+  void onUndetermined(std::uint64_t Number, attempt &Attempt,
+                      const report &Report, time_point Now);
+  void onOtherRun(std::uint64_t Number, attempt &Attempt, const report &Report,
+                  time_point Now);
+  void onNotSent(std::uint64_t Number, attempt &Attempt, const report &Report,
+                 time_point Now);
+  void onNoReport(std::uint64_t Number, attempt &Attempt, const report &Report,
+                  time_point Now);
+  request *settle(std::uint64_t Number, attempt &Attempt, evidence Evidence,
+                  time_point Now);
+  void abandon(std::uint64_t Number);
+  void forgetIfClosed(std::uint64_t Number);
+  attempt_id idOf(std::uint64_t Number) const;
+
+  // Timers.
+  void startTimer(time_point At, std::uint64_t Key, bool ForRequest);
+  bool current(const timer &Timer) const;
+  void armWake();
+
+  router_settings Settings;
+  router_identity Self;
+  bool Draining = false;
+  std::uint64_t LastAttempt = 0;
+  endpoint_pool Pool;
+  customer_admission Admission;
+  retry_budget Budget;
+  std::unordered_map<request_handle, request> Requests;
+  std::unordered_map<std::uint64_t, attempt> Attempts;
+  std::unordered_map<service_id, service_state> Services;
+  std::priority_queue<timer, std::vector<timer>, std::greater<>> Timers;
+  time_point ArmedWake = time_point::max();
+  router_counters Counters;
+  std::vector<router_command> Commands;
 };
 
 } // namespace geraniumpaddle
--- /dev/null
+++ b/src/core/routing/tests/routingworld.cpp
@@ -0,0 +1,365 @@
+#include "routingworld.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace geraniumpaddle::testing {
+
+namespace {
+
+constexpr duration LateBy = std::chrono::milliseconds(700);
+constexpr duration DuplicateAfter = std::chrono::milliseconds(90);
+
+node_id agentName(std::size_t Agent) {
+  return node_id("a" + std::to_string(Agent));
+}
+
+std::size_t agentIndex(const node_id &Name) {
+  std::size_t Index = 0;
+  const std::string_view Digits = Name.view().substr(1);
+  std::from_chars(Digits.data(), Digits.data() + Digits.size(), Index);
+  return Index;
+}
+
+} // namespace
+
+routing_world::routing_world(std::size_t EntryCount, std::size_t AgentCount,
+                             const router_settings &Router,
+                             const attempt_settings &Table)
+    : RouterSettings(Router), TableSettings(Table), Entries(EntryCount),
+      Agents(AgentCount) {
+  for (std::size_t E = 0; E < EntryCount; ++E)
+    killEntry(E);
+  for (std::size_t A = 0; A < AgentCount; ++A) {
+    Agents[A].Table =
+        std::make_unique<attempt_table>(TableSettings, Agents[A].Run);
+    Agents[A].SilentTo.resize(EntryCount);
+    announce(A);
+  }
+}
+
+void routing_world::after(duration Delay, std::function<void()> Act) {
+  Agenda.emplace(Now + Delay, std::move(Act));
+}
+
+fate routing_world::nextFate() {
+  if (Fates.empty())
+    return fate::Deliver;
+  return Fates[NextFate++ % Fates.size()];
+}
+
+std::size_t routing_world::request(std::size_t Entry, bool Idempotent,
+                                   duration Timeout,
+                                   const std::string &Customer) {
+  const std::size_t Id = Callers.size();
+  Callers.push_back({Entry, Idempotent, false, 0, {}, false});
+  toRouter(Entry, request_arrived{request_handle{Id}, customer_id(Customer),
+                                  service_id("s"), Idempotent, 100, Timeout});
+  return Id;
+}
+
+void routing_world::leaveCaller(std::size_t Request) {
+  Callers[Request].MayMissOutcome = true;
+  toRouter(Callers[Request].Entry, caller_gone{request_handle{Request}});
+}
+
+void routing_world::killEntry(std::size_t Index) {
+  entry &Entry = Entries[Index];
+  for (caller &Caller : Callers)
+    Caller.MayMissOutcome = Caller.MayMissOutcome || Caller.Entry == Index;
+  Entry.Run = incarnation{raw(Entry.Run) + 1};
+  Entry.Wake = time_point::max();
+  const router_identity Self{node_id("e" + std::to_string(Index)), Entry.Run,
+                             region_id("r"), availability_zone_id("z0")};
+  Entry.Router =
+      std::make_unique<request_router>(RouterSettings, Self, Index + 1);
+  customers_configured Configured;
+  for (const char *Name : {"c1", "c2", "c3"}) {
+    Configured.Customers.emplace_back();
+    Configured.Customers.back().Id = customer_id(Name);
+  }
+  toRouter(Index, Configured);
+  for (std::size_t A = 0; A < Agents.size(); ++A) {
+    if (Agents[A].Table)
+      announce(A);
+  }
+}
+
+void routing_world::announce(std::size_t Agent) {
+  const std::string Zone = "z" + std::to_string(Agent % 2);
+  for (std::size_t E = 0; E < Entries.size(); ++E)
+    toRouter(E, endpoint_announced{agentName(Agent), Agents[Agent].Run,
+                                   "address", service_id("s"), region_id("r"),
+                                   availability_zone_id(Zone),
+                                   TableSettings.Slots});
+}
+
+void routing_world::killAgent(std::size_t Index) {
+  agent &Agent = Agents[Index];
+  Agent.Alive = false;
+  Agent.Wake = time_point::max();
+  Agent.Requests.clear();
+  Agent.Answers.clear();
+}
+
+void routing_world::restartAgent(std::size_t Index, duration AnnounceAfter) {
+  killAgent(Index);
+  agent &Agent = Agents[Index];
+  Agent.Alive = true;
+  Agent.PausedUntil = Now;
+  Agent.Run = incarnation{raw(Agent.Run) + 1};
+  Agent.Table = std::make_unique<attempt_table>(TableSettings, Agent.Run);
+  after(AnnounceAfter, [this, Index] { announce(Index); });
+}
+
+void routing_world::pauseAgent(std::size_t Agent, duration Length) {
+  Agents[Agent].PausedUntil = Now + Length;
+}
+
+void routing_world::drainAgent(std::size_t Agent) {
+  toTable(Agent, Agents[Agent].Run, agent_drain_started{});
+}
+
+void routing_world::silenceLink(std::size_t Entry, std::size_t Agent) {
+  Agents[Agent].SilentTo[Entry] = true;
+}
+
+void routing_world::suspectAgent(std::size_t Agent) {
+  for (std::size_t E = 0; E < Entries.size(); ++E)
+    toRouter(E, endpoint_suspected{agentName(Agent), Agents[Agent].Run});
+  after(std::chrono::seconds(1), [this, Agent] {
+    for (std::size_t E = 0; E < Entries.size(); ++E)
+      toRouter(E, endpoint_load_reported{agentName(Agent), Agents[Agent].Run,
+                                         Agents[Agent].Table->load()});
+  });
+}
+
+void routing_world::setEndpoint(std::size_t Agent, endpoint_fault Fault) {
+  Agents[Agent].Fault = Fault;
+}
+
+void routing_world::run(duration Length) {
+  const time_point End = Now + Length;
+  while (true) {
+    time_point Next = Agenda.empty() ? End : Agenda.begin()->first;
+    for (const entry &Entry : Entries)
+      Next = std::min(Next, Entry.Wake);
+    for (const agent &Agent : Agents)
+      Next = std::min(Next, std::max(Agent.Wake, Agent.PausedUntil));
+    if (Next >= End)
+      break;
+    Now = std::max(Now, Next);
+    if (!Agenda.empty() && Agenda.begin()->first <= Now) {
+      const auto Act = std::move(Agenda.begin()->second);
+      Agenda.erase(Agenda.begin());
+      Act();
+    }
+    for (std::size_t E = 0; E < Entries.size(); ++E) {
+      if (Entries[E].Wake <= Now) {
+        Entries[E].Wake = time_point::max();
+        toRouter(E, router_timer_fired{});
+      }
+    }
+    for (std::size_t A = 0; A < Agents.size(); ++A) {
+      agent &Agent = Agents[A];
+      if (Agent.Wake <= Now && Agent.PausedUntil <= Now) {
+        Agent.Wake = time_point::max();
+        toTable(A, Agent.Run, agent_timer_fired{});
+      }
+    }
+  }
+  Now = End;
+}
+
+void routing_world::toRouter(std::size_t Entry, const router_event &Event) {
+  const auto Commands = Entries[Entry].Router->handle(Event, Now);
+  // Carrying a command out may call the router again.
+  const std::vector<router_command> Copy(Commands.begin(), Commands.end());
+  for (const router_command &Command : Copy)
+    carryOut(Entry, Command);
+}
+
+void routing_world::carryOut(std::size_t Entry, const router_command &Command) {
+  if (const auto *Send = std::get_if<send_attempt>(&Command)) {
+    const send_attempt Copy = *Send;
+    openCall(
+        Entry, Copy.Attempt, Copy.Agent, Copy.Timeout, false,
+        [Copy](call_handle Call) {
+          return delivery_arrived{
+              Call,          Copy.Attempt,    Copy.AgentIncarnation,
+              Copy.Customer, Copy.Idempotent, Copy.Timeout};
+        },
+        raw(Copy.Request));
+  } else if (const auto *Query = std::get_if<query_attempt>(&Command)) {
+    const query_attempt Copy = *Query;
+    Agents[agentIndex(Copy.Agent)].SilentTo[Entry] = false;
+    openCall(
+        Entry, Copy.Attempt, Copy.Agent, Copy.Timeout, true,
+        [Copy](call_handle Call) {
+          return query_arrived{Call, Copy.Attempt, Copy.AgentIncarnation};
+        },
+        0);
+  } else if (const auto *Answer = std::get_if<answer_caller>(&Command)) {
+    caller &Caller = Callers[raw(Answer->Request)];
+    Caller.Outcomes.push_back(Answer->Outcome);
+    Caller.AnswerIsOwn = AnswerInHand == raw(Answer->Request);
+  } else if (const auto *Wake = std::get_if<wake_at>(&Command)) {
+    Entries[Entry].Wake = Wake->At;
+  }
+}
+
+bool routing_world::silent(const call &Call) const {
+  return !Call.IsQuery && Agents[Call.Agent].SilentTo[Call.Entry];
+}
+
+void routing_world::transmit(const call &Call,
+                             const std::function<void()> &Arrive) {
+  if (silent(Call))
+    return;
+  switch (nextFate()) {
+  case fate::Drop:
+    return;
+  case fate::Duplicate:
+    after(OneWay + DuplicateAfter, Arrive);
+    [[fallthrough]];
+  case fate::Deliver:
+    return after(OneWay, Arrive);
+  case fate::Late:
+    return after(OneWay + LateBy, Arrive);
+  }
+}
+
+void routing_world::openCall(
+    std::size_t Entry, const attempt_id &Attempt, const node_id &Agent,
+    duration Timeout, bool IsQuery,
+    const std::function<attempt_event(call_handle)> &Event,
+    std::size_t Request) {
+  const call_handle Handle{Calls.size()};
+  const std::size_t Target = agentIndex(Agent);
+  Calls.push_back(
+      {Entry, Target, Entries[Entry].Run, Attempt, Request, IsQuery, true});
+  if (!Agents[Target].Alive) {
+    after(OneWay, [this, Handle] {
+      closeCall(Handle, attempt_state::NotSent, attempt_refusal::None, {}, {});
+    });
+    return;
+  }
+  after(Timeout, [this, Handle] {
+    closeCall(Handle, attempt_state::Lost, attempt_refusal::None, {}, {});
+  });
+  transmit(Calls.back(),
+           [=, this] { toTable(Target, Agents[Target].Run, Event(Handle)); });
+}
+
+void routing_world::closeCall(call_handle Handle, attempt_state State,
+                              attempt_refusal Refusal, agent_load Load,
+                              std::optional<std::size_t> Answer) {
+  call &Call = Calls[raw(Handle)];
+  if (!Call.Open || Entries[Call.Entry].Run != Call.EntryRun)
+    return;
+  Call.Open = false;
+  const std::size_t Entry = Call.Entry;
+  AnswerInHand = Answer;
+  const std::uint64_t Number = Call.Attempt.Number;
+  if (Call.IsQuery)
+    toRouter(Entry, query_reported{Number, State, Refusal, false, Load});
+  else
+    toRouter(Entry, attempt_reported{Number, State, Refusal, false, Load});
+  AnswerInHand.reset();
+}
+
+void routing_world::toTable(std::size_t Index, incarnation Run,
+                            const attempt_event &Event) {
+  agent &Agent = Agents[Index];
+  if (!Agent.Alive || Agent.Run != Run)
+    return;
+  if (Agent.PausedUntil > Now) {
+    after(Agent.PausedUntil - Now, [=, this] { toTable(Index, Run, Event); });
+    return;
+  }
+  if (const auto *Delivery = std::get_if<delivery_arrived>(&Event))
+    Agent.Requests.try_emplace(Delivery->Attempt,
+                               Calls[raw(Delivery->Call)].Request);
+  const auto Commands = Agent.Table->handle(Event, Now);
+  const std::vector<attempt_command> Copy(Commands.begin(), Commands.end());
+  for (const attempt_command &Command : Copy)
+    carryOut(Index, Command);
+}
+
+void routing_world::carryOut(std::size_t Index,
+                             const attempt_command &Command) {
+  agent &Agent = Agents[Index];
+  if (const auto *Call = std::get_if<call_endpoint>(&Command)) {
+    callEndpoint(Index, *Call);
+  } else if (const auto *Report = std::get_if<report_attempt>(&Command)) {
+    std::optional<std::size_t> Answer;
+    if (Report->State == attempt_state::Answered)
+      Answer = Agent.Answers.at(Report->Attempt);
+    transmit(Calls[raw(Report->Call)], [this, Copy = *Report, Answer] {
+      closeCall(Copy.Call, Copy.State, Copy.Refusal, Copy.Load, Answer);
+    });
+  } else if (const auto *Release = std::get_if<release_attempt>(&Command)) {
+    Agent.Requests.erase(Release->Attempt);
+    Agent.Answers.erase(Release->Attempt);
+  } else if (std::holds_alternative<agent_drained>(Command)) {
+    // The process exits once its last answers are written out.
+    after(OneWay, [this, Index] { killAgent(Index); });
+  } else if (const auto *Wake = std::get_if<agent_wake_at>(&Command)) {
+    Agent.Wake = Wake->At;
+  }
+}
+
+void routing_world::callEndpoint(std::size_t Index,
+                                 const call_endpoint &Command) {
+  agent &Agent = Agents[Index];
+  const std::size_t Request = Agent.Requests.at(Command.Attempt);
+  const attempt_id Id = Command.Attempt;
+  const incarnation Run = Agent.Run;
+  const endpoint_fault Fault = Agent.Fault;
+  if (Fault == endpoint_fault::Down) {
+    after(duration::zero(), [=, this] {
+      toTable(Index, Run, endpoint_finished{Id, endpoint_result::NotSent, 0});
+    });
+    return;
+  }
+  ++Callers[Request].Runs;
+  Peak = std::max(Peak, ++Agent.AtEndpoint);
+  const duration Takes =
+      Fault == endpoint_fault::Stuck ? Command.Timeout : Service;
+  after(Takes, [=, this] {
+    --Agents[Index].AtEndpoint;
+    if (Agents[Index].Run != Run || !Agents[Index].Alive)
+      return;
+    const bool Whole = Fault == endpoint_fault::None;
+    if (Whole)
+      Agents[Index].Answers[Id] = Request;
+    toTable(Index, Run,
+            endpoint_finished{
+                Id, Whole ? endpoint_result::Answered : endpoint_result::Lost,
+                100});
+  });
+}
+
+std::string routing_world::violation() const {
+  for (const caller &Caller : Callers) {
+    if (Caller.Outcomes.size() > 1)
+      return "a caller got two outcomes";
+    if (Caller.Outcomes.empty() && !Caller.MayMissOutcome)
+      return "a caller got no outcome";
+    if (!Caller.Idempotent && Caller.Runs > 1)
+      return "a non-idempotent request ran twice";
+    if (Caller.Outcomes.empty())
+      continue;
+    const outcome_kind Kind = Caller.Outcomes.front().Kind;
+    if (Kind == outcome_kind::NotRun && Caller.Runs > 0)
+      return "a request that ran was said not to";
+    if (Kind == outcome_kind::Answered &&
+        (Caller.Runs == 0 || !Caller.AnswerIsOwn))
+      return "a caller got another's answer";
+  }
+  if (Peak > static_cast<int>(TableSettings.Slots))
+    return "an agent sent its endpoint more than its slots";
+  return {};
+}
+
+} // namespace geraniumpaddle::testing
