placement: scheduler that places inside guarantees, borrows, preempts and reserves

Cause: the first whole path needs proposals and reasons why jobs wait. Change: decide() works on a copy of the account, on which it claims what it proposes; a greedy gang planner fills one group of the adjacency asked for. claim() takes back its own changes in place of working on a copy. One attempt is all guaranteed or all borrowed: a mixed gang would make its borrowed accelerators impossible to preempt.

--- a/src/core/placement/capacityaccount.h
+++ b/src/core/placement/capacityaccount.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <utility>
 #include <vector>
 
 namespace geraniumpaddle {
@@ -78,8 +79,8 @@
   /// Everything one attempt holds.
   struct held_attempt {
     customer_index Customer = 0;
-    bool Borrowed = false; ///< at least one task with accelerators is borrowed
-    bool Guaranteed = false; ///< at least one task is guaranteed
+    bool Borrowed = false;   ///< its accelerators are borrowed
+    bool Guaranteed = false; ///< its accelerators are guaranteed
     std::vector<held_task> Tasks;
 
     /// Derives the two flags from the tasks.
@@ -104,7 +105,9 @@
 
   /// Checks \p Claim as if the attempts in \p Victims were released, then, if
   /// it passes, releases them and claims. Otherwise the account is unchanged.
-  /// Victims must hold nothing guaranteed, unless they are the customer's own.
+  /// The accelerators of one attempt are all guaranteed or all borrowed, so
+  /// that a preemptible accelerator never belongs to a protected gang. Victims
+  /// must hold nothing guaranteed, unless they are the customer's own.
   capacity_check claim(const capacity_claim &Claim,
                        std::span<const fencing_token> Victims);
   /// Releases everything held under \p Token; unknown tokens are ignored.
@@ -158,6 +161,11 @@
     return Bindings;
   }
 
+  /// Accelerators of \p Worker inside the cell; the worker is one of its own.
+  accelerator_mask cellMask(const cell_key &Key, topology_index Worker) const;
+  /// Workers that the cell lies on.
+  std::span<const topology_index> cellWorkers(const cell_key &Key) const;
+
   /// Full state as plain data.
   capacity_image image() const;
   /// Account with the state of \p Image. Throws invalid_argument_error if the
@@ -189,24 +197,26 @@
                            const customer_slot &) = default;
   };
 
+  struct undo_log;
+
   customer_index internCustomer(const customer_id &Customer);
   std::optional<cell_key> bindingAt(topology_index Worker,
                                     int Accelerator) const;
   cell_key cellAt(cell_level Level, topology_index Worker,
                   int Accelerator) const;
-  accelerator_mask cellMask(const cell_key &Key, topology_index Worker) const;
-  std::span<const topology_index> cellWorkers(const cell_key &Key) const;
   bool cellUnbound(const cell_key &Key) const;
   bool cellUsable(const cell_key &Key) const;
   bool cellInUse(const cell_key &Key) const;
 
   void bind(const cell_key &Key, customer_index Customer);
   void unbind(const cell_key &Key);
-  void unbindIfUnused(topology_index Worker, accelerator_mask Mask);
+  void unbindIfUnused(topology_index Worker, accelerator_mask Mask,
+                      undo_log &Undo);
   bool bindFor(customer_index Customer, topology_index Worker,
                accelerator_mask Buddy);
   bool bindAll(customer_index Customer, const held_task &Task);
   void demote(const cell_key &Key);
+  bool liesIn(const held_task &Task, const cell_key &Key) const;
   void giveUpExcess();
 
   void countBound(const cell_key &Key, customer_index Customer,
@@ -215,8 +225,17 @@
   void refreshRack(topology_index Rack);
   std::vector<cell_key> cellsOn(topology_index Worker) const;
 
+  /// What a claim changed so far, to take it back if it fails.
+  struct undo_log {
+    std::vector<held_task> Held;
+    std::vector<std::pair<fencing_token, held_attempt>> Released;
+    std::vector<std::pair<cell_key, customer_index>> Unbound;
+  };
+
   capacity_check tryClaim(const capacity_claim &Claim,
-                          std::span<const fencing_token> Victims);
+                          std::span<const fencing_token> Victims,
+                          customer_index Customer, undo_log &Undo);
+  void rollBack(const undo_log &Undo, customer_index Customer);
   capacity_check resolve(const capacity_claim &Claim,
                          held_attempt &Attempt) const;
   capacity_check resolveTask(const task_assignment &Assignment,
@@ -224,9 +243,15 @@
                              held_attempt &Attempt) const;
   capacity_check checkLent(const held_attempt &Attempt) const;
   capacity_check releaseVictims(customer_index Customer,
-                                std::span<const fencing_token> Victims);
+                                std::span<const fencing_token> Victims,
+                                undo_log &Undo);
+  void releaseLogged(fencing_token Token, undo_log &Undo);
+  capacity_check checkWhole(customer_index Customer,
+                            const cell_counts &Before) const;
   capacity_check hold(fencing_token Token, customer_index Customer,
-                      const held_task &Task);
+                      const held_task &Task, undo_log &Undo);
+  void occupy(fencing_token Token, customer_index Customer,
+              const held_task &Task);
   void drop(customer_index Customer, const held_task &Task);
 
   static cell_counts countsOf(const customer_guarantees &Config);
--- a/src/core/placement/internal/capacityclaim.cpp
+++ b/src/core/placement/internal/capacityclaim.cpp
@@ -16,54 +16,88 @@
 
 capacity_check capacity_account::claim(const capacity_claim &Claim,
                                        std::span<const fencing_token> Victims) {
-  capacity_account Trial = *this;
-  capacity_check Check = Trial.tryClaim(Claim, Victims);
+  bool Known = CustomerIndex.contains(Claim.Customer);
+  customer_index Customer = internCustomer(Claim.Customer);
+  undo_log Undo;
+  capacity_check Check = tryClaim(Claim, Victims, Customer, Undo);
   if (Check == capacity_check::Ok)
-    *this = std::move(Trial);
+    return Check;
+  rollBack(Undo, Customer);
+  if (!Known) {
+    CustomerIndex.erase(Claim.Customer);
+    Customers.pop_back();
+  }
   return Check;
 }
 
 void capacity_account::release(fencing_token Token) {
+  undo_log Ignored;
+  releaseLogged(Token, Ignored);
+}
+
+void capacity_account::releaseLogged(fencing_token Token, undo_log &Undo) {
   auto Found = Attempts.find(Token);
   if (Found == Attempts.end())
     return;
-  held_attempt Attempt = std::move(Found->second);
+  const held_attempt &Attempt =
+      Undo.Released.emplace_back(Token, std::move(Found->second)).second;
   Attempts.erase(Found);
   for (const held_task &Task : Attempt.Tasks)
     drop(Attempt.Customer, Task);
+  if (!Attempt.Guaranteed)
+    return;
   for (const held_task &Task : Attempt.Tasks)
-    unbindIfUnused(Task.Worker, Task.Accelerators);
+    unbindIfUnused(Task.Worker, Task.Accelerators, Undo);
+}
+
+void capacity_account::rollBack(const undo_log &Undo, customer_index Customer) {
+  for (const held_task &Task : Undo.Held)
+    drop(Customer, Task);
+  undo_log Ignored;
+  for (const held_task &Task : Undo.Held)
+    unbindIfUnused(Task.Worker, Task.Accelerators, Ignored);
+  for (const auto &[Key, Owner] : Undo.Unbound)
+    bind(Key, Owner);
+  for (const auto &[Token, Attempt] : Undo.Released) {
+    for (const held_task &Task : Attempt.Tasks)
+      occupy(Token, Attempt.Customer, Task);
+    Attempts.emplace(Token, Attempt);
+  }
 }
 
 capacity_check
 capacity_account::tryClaim(const capacity_claim &Claim,
-                           std::span<const fencing_token> Victims) {
+                           std::span<const fencing_token> Victims,
+                           customer_index Customer, undo_log &Undo) {
   if (Attempts.contains(Claim.Token))
     return capacity_check::CapacityTaken;
   held_attempt Attempt;
-  Attempt.Customer = internCustomer(Claim.Customer);
+  Attempt.Customer = Customer;
   capacity_check Check = resolve(Claim, Attempt);
   if (Check == capacity_check::Ok)
     Check = checkLent(Attempt);
   cell_counts Before = shortByLevel();
   if (Check == capacity_check::Ok)
-    Check = releaseVictims(Attempt.Customer, Victims);
-  for (const held_task &Task : Attempt.Tasks) {
-    if (Check != capacity_check::Ok)
-      return Check;
-    Check = hold(Claim.Token, Attempt.Customer, Task);
-  }
-  if (Check != capacity_check::Ok)
-    return Check;
-  const customer_slot &Customer = Customers[Attempt.Customer];
-  std::int32_t Limit = Customer.Config.MaxAccelerators;
-  if (Limit > 0 && Customer.Held > Limit)
+    Check = releaseVictims(Customer, Victims, Undo);
+  for (const held_task &Task : Attempt.Tasks)
+    if (Check == capacity_check::Ok)
+      Check = hold(Claim.Token, Customer, Task, Undo);
+  if (Check == capacity_check::Ok)
+    Check = checkWhole(Customer, Before);
+  if (Check == capacity_check::Ok)
+    Attempts.emplace(Claim.Token, std::move(Attempt));
+  return Check;
+}
+
+capacity_check capacity_account::checkWhole(customer_index Customer,
+                                            const cell_counts &Before) const {
+  std::int32_t Limit = Customers[Customer].Config.MaxAccelerators;
+  if (Limit > 0 && Customers[Customer].Held > Limit)
     return capacity_check::OverOwnLimit;
   cell_counts After = shortByLevel();
   for (std::size_t Level = 0; Level < After.size(); ++Level)
     if (After[Level] > Before[Level])
       return capacity_check::GuaranteeViolated;
-  Attempts.emplace(Claim.Token, std::move(Attempt));
   return capacity_check::Ok;
 }
 
@@ -76,7 +110,8 @@
       return Check;
   }
   Attempt.countFlags();
-  return capacity_check::Ok;
+  bool Mixed = Attempt.Borrowed && Attempt.Guaranteed;
+  return Mixed ? capacity_check::GuaranteeViolated : capacity_check::Ok;
 }
 
 capacity_check capacity_account::resolveTask(const task_assignment &Assignment,
@@ -121,41 +156,47 @@
 
 capacity_check
 capacity_account::releaseVictims(customer_index Customer,
-                                 std::span<const fencing_token> Victims) {
+                                 std::span<const fencing_token> Victims,
+                                 undo_log &Undo) {
   for (fencing_token Victim : Victims) {
     auto Found = Attempts.find(Victim);
     if (Found == Attempts.end())
       continue;
     if (Found->second.Guaranteed && Found->second.Customer != Customer)
       return capacity_check::GuaranteeViolated;
-    release(Victim);
+    releaseLogged(Victim, Undo);
   }
   return capacity_check::Ok;
 }
 
 capacity_check capacity_account::hold(fencing_token Token,
                                       customer_index Customer,
-                                      const held_task &Task) {
-  worker_slot &Slot = Slots[Task.Worker];
-  if ((Slot.Used & Task.Accelerators) != 0)
+                                      const held_task &Task, undo_log &Undo) {
+  bool HostOnly = Task.Accelerators == 0;
+  if (HostOnly && !freeHost(Task.Worker).covers(Task.Need))
+    return capacity_check::CapacityTaken;
+  if ((Slots[Task.Worker].Used & Task.Accelerators) != 0)
     return capacity_check::CapacityTaken;
+  occupy(Token, Customer, Task);
+  Undo.Held.push_back(Task);
+  if (Task.Guaranteed && !bindAll(Customer, Task))
+    return capacity_check::GuaranteeViolated;
+  return capacity_check::Ok;
+}
+
+void capacity_account::occupy(fencing_token Token, customer_index Customer,
+                              const held_task &Task) {
+  worker_slot &Slot = Slots[Task.Worker];
   if (Task.Accelerators == 0) {
-    resources Left = freeHost(Task.Worker);
-    if (!Left.covers(Task.Need))
-      return capacity_check::CapacityTaken;
     Slot.HostUsed += Task.Need;
-    return capacity_check::Ok;
-  }
-  if (Task.Guaranteed) {
-    if (!bindAll(Customer, Task))
-      return capacity_check::GuaranteeViolated;
-    Slot.GuaranteedUse |= Task.Accelerators;
+    return;
   }
   Slot.Used |= Task.Accelerators;
+  if (Task.Guaranteed)
+    Slot.GuaranteedUse |= Task.Accelerators;
   for (accelerator_mask Left = Task.Accelerators; Left != 0; Left &= Left - 1)
     Slot.Holder[std::countr_zero(Left)] = Token;
   Customers[Customer].Held += std::popcount(Task.Accelerators);
-  return capacity_check::Ok;
 }
 
 void capacity_account::drop(customer_index Customer, const held_task &Task) {
--- a/src/core/placement/internal/capacityimage.cpp
+++ b/src/core/placement/internal/capacityimage.cpp
@@ -76,8 +76,9 @@
       throw invalid_argument_error("attempt on an unknown worker");
     held_task Task{Assignment.Task, *Worker, Assignment.Accelerators,
                    Assignment.Guaranteed, Attempt.Needs[Index]};
-    if (hold(Attempt.Token, *Customer, Task) != capacity_check::Ok)
+    if ((Slots[*Worker].Used & Task.Accelerators) != 0)
       throw invalid_argument_error("two attempts hold one place");
+    occupy(Attempt.Token, *Customer, Task);
     Held.Tasks.push_back(Task);
   }
   Held.countFlags();
--- a/src/core/placement/internal/cellbinding.cpp
+++ b/src/core/placement/internal/cellbinding.cpp
@@ -103,15 +103,17 @@
 }
 
 void capacity_account::unbindIfUnused(topology_index Worker,
-                                      accelerator_mask Mask) {
+                                      accelerator_mask Mask, undo_log &Undo) {
   Mask &= Slots[Worker].Bound;
   while (Mask != 0) {
     std::optional<cell_key> Key = bindingAt(Worker, std::countr_zero(Mask));
     if (!Key)
       return;
     Mask &= ~cellMask(*Key, Worker);
-    if (!cellInUse(*Key))
-      unbind(*Key);
+    if (cellInUse(*Key))
+      continue;
+    Undo.Unbound.emplace_back(*Key, Bindings.at(*Key));
+    unbind(*Key);
   }
 }
 
@@ -152,23 +154,32 @@
 }
 
 void capacity_account::demote(const cell_key &Key) {
-  std::vector<held_task> Freed;
+  undo_log Ignored;
   for (auto &[Token, Attempt] : Attempts) {
+    bool Inside =
+        std::ranges::any_of(Attempt.Tasks, [&](const held_task &Task) {
+          return liesIn(Task, Key);
+        });
+    if (!Inside)
+      continue;
     for (held_task &Task : Attempt.Tasks) {
-      bool Here = std::ranges::count(cellWorkers(Key), Task.Worker) != 0;
-      if (!Task.Guaranteed || !Here ||
-          (Task.Accelerators & cellMask(Key, Task.Worker)) == 0)
-        continue;
+      if (Task.Guaranteed)
+        Slots[Task.Worker].GuaranteedUse &= ~Task.Accelerators;
       Task.Guaranteed = false;
-      Slots[Task.Worker].GuaranteedUse &= ~Task.Accelerators;
-      Freed.push_back(Task);
     }
     Attempt.countFlags();
+    for (const held_task &Task : Attempt.Tasks)
+      unbindIfUnused(Task.Worker, Task.Accelerators, Ignored);
   }
-  for (const held_task &Task : Freed)
-    unbindIfUnused(Task.Worker, Task.Accelerators);
   if (Bindings.contains(Key))
     unbind(Key);
 }
 
+bool capacity_account::liesIn(const held_task &Task,
+                              const cell_key &Key) const {
+  return Task.Guaranteed &&
+         std::ranges::count(cellWorkers(Key), Task.Worker) != 0 &&
+         (Task.Accelerators & cellMask(Key, Task.Worker)) != 0;
+}
+
 } // namespace geraniumpaddle
--- /dev/null
+++ b/src/core/placement/internal/decision.cpp
@@ -0,0 +1,186 @@
+#include "core/placement/internal/decision.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace geraniumpaddle {
+
+namespace {
+
+/// Tokens of proposals on the scratch account; far above any log offset.
+constexpr std::uint64_t FirstScratchToken = std::uint64_t{1} << 62;
+/// Work that a preempted attempt repeats besides what its checkpoint lacks.
+constexpr double RestartSeconds = 120;
+/// Price factor of an attempt that may not run again.
+constexpr double NonIdempotentFactor = 1000;
+
+double toSeconds(duration Value) {
+  return std::chrono::duration<double>(Value).count();
+}
+
+std::chrono::seconds wholeSeconds(duration Value) {
+  return std::chrono::duration_cast<std::chrono::seconds>(Value);
+}
+
+} // namespace
+
+decision::decision(const schedule_view &View, time_point Now,
+                   const scheduling_strategy &Strategy,
+                   const run_time_estimator &Estimator,
+                   std::vector<placement_proposal> &Proposals,
+                   std::vector<job_explanation> &Explanations)
+    : View(View), Now(Now), Strategy(Strategy), Estimator(Estimator),
+      Proposals(Proposals), Explanations(Explanations), Scratch(View.Account),
+      Planner(Scratch, Strategy) {}
+
+void decision::run() {
+  std::size_t Workers = Scratch.workers().workers().size();
+  LatestEnd.assign(Workers, 0);
+  Reserved.assign(Workers, false);
+  Explanations.resize(View.Waiting.size());
+  priceAttempts();
+  for (const candidate &Job : ranked())
+    decideJob(Job);
+}
+
+void decision::priceAttempts() {
+  for (const running_attempt &Attempt : View.Running) {
+    auto Held = Scratch.attempts().find(Attempt.Token);
+    if (Held == Scratch.attempts().end())
+      continue;
+    double Left =
+        toSeconds(Estimator.remaining(Attempt.Customer, Attempt.DeclaredRunTime,
+                                      wholeSeconds(Now - Attempt.StartedAt)));
+    RemainingSeconds[Attempt.Token] = Left;
+    double Accelerators = 0;
+    for (const auto &Task : Held->second.Tasks) {
+      Accelerators += std::popcount(Task.Accelerators);
+      LatestEnd[Task.Worker] = std::max(LatestEnd[Task.Worker], Left);
+    }
+    if (!Held->second.Borrowed || Held->second.Guaranteed)
+      continue;
+    double Lost =
+        std::max(0.0, toSeconds(Now - Attempt.CheckpointAt)) + RestartSeconds;
+    Prices[Attempt.Token] =
+        Lost * Accelerators * (Attempt.Idempotent ? 1 : NonIdempotentFactor);
+  }
+}
+
+decision::candidate decision::describe(std::size_t Position) const {
+  candidate Job;
+  Job.Job = &View.Waiting[Position];
+  Job.Position = Position;
+  for (const resources &Need : Job.Job->Needs)
+    Job.Accelerators += std::max(0, Need.Accelerators);
+  Job.Facts.Accelerators = Job.Accelerators;
+  Job.Facts.EstimatedSeconds = toSeconds(
+      Estimator.estimate(Job.Job->Customer, Job.Job->DeclaredRunTime));
+  Job.Facts.WaitedSeconds =
+      std::max(0.0, toSeconds(Now - Job.Job->WaitingSince));
+  Job.Rank = Strategy.rank(Job.Facts);
+  return Job;
+}
+
+std::vector<decision::candidate> decision::ranked() const {
+  std::vector<candidate> Jobs;
+  Jobs.reserve(View.Waiting.size());
+  for (std::size_t Position = 0; Position < View.Waiting.size(); ++Position)
+    Jobs.push_back(describe(Position));
+  std::ranges::stable_sort(Jobs,
+                           [](const candidate &Left, const candidate &Right) {
+                             if (Left.Job->Urgent != Right.Job->Urgent)
+                               return Left.Job->Urgent;
+                             return Left.Rank < Right.Rank;
+                           });
+  return Jobs;
+}
+
+void decision::decideJob(const candidate &Job) {
+  job_explanation &Explanation = Explanations[Job.Position];
+  Explanation = {Job.Job->Job,
+                 wait_reason::Proposed,
+                 Job.Job->Adjacency,
+                 unmet_constraint::None,
+                 {}};
+  if (!overOwnLimit(Job) && place(Job))
+    return;
+  Explanation = explain(Job);
+  double Threshold = toSeconds(Strategy.starvationWait(Job.Facts));
+  bool Waits = Explanation.Reason != wait_reason::NeverFits &&
+               Explanation.Reason != wait_reason::OwnLimit;
+  if (Waits && ReservedFor.empty() && Job.Facts.WaitedSeconds >= Threshold)
+    reserve(Job);
+}
+
+bool decision::place(const candidate &Job) {
+  return placeGuaranteed(Job, /*Preempting=*/false) ||
+         placeGuaranteed(Job, /*Preempting=*/true) || placeBorrowed(Job) ||
+         (Job.Job->Urgent && placeOverOwn(Job)) || placeByMoving(Job);
+}
+
+bool decision::overOwnLimit(const candidate &Job) const {
+  std::optional<customer_index> Customer = Scratch.find(Job.Job->Customer);
+  if (!Customer)
+    return false;
+  std::int32_t Limit = Scratch.customer(*Customer).MaxAccelerators;
+  return Limit > 0 && Scratch.held(*Customer) + Job.Accelerators > Limit;
+}
+
+job_explanation decision::explain(const candidate &Job) const {
+  job_explanation Explanation{Job.Job->Job,
+                              wait_reason::NoFreeCapacity,
+                              Job.Job->Adjacency,
+                              unmet_constraint::None,
+                              {}};
+  Explanation.Unmet = unmet(Job);
+  std::optional<customer_index> Customer = Scratch.find(Job.Job->Customer);
+  if (Explanation.Unmet != unmet_constraint::None)
+    Explanation.Reason = wait_reason::NeverFits;
+  else if (overOwnLimit(Job))
+    Explanation.Reason = wait_reason::OwnLimit;
+  else if (!Scratch.shortfalls().empty())
+    Explanation.Reason = wait_reason::GuaranteeShortfall;
+  else if (!ReservedFor.empty() &&
+           Planner.plan(freeOffer(), request(Job)).has_value()) {
+    Explanation.Reason = wait_reason::ReservedForStarved;
+    Explanation.ReservedFor = ReservedFor;
+  } else if (Customer && !Scratch.customer(*Customer).Guarantees.empty() &&
+             guaranteeLeft(*Customer, ownCells(*Customer)) < Job.Accelerators)
+    Explanation.Reason = wait_reason::GuaranteeInUse;
+  return Explanation;
+}
+
+plan_request decision::request(const candidate &Job) const {
+  return {Job.Job->Needs, Job.Job->Adjacency, Job.Facts.EstimatedSeconds};
+}
+
+bool decision::commit(const candidate &Job, const gang_plan &Plan,
+                      bool Guaranteed) {
+  fillAssignments(Plan, Guaranteed);
+  fencing_token Token{FirstScratchToken + Proposals.size()};
+  capacity_claim Claim{Token, Job.Job->Customer, Assignments, Job.Job->Needs};
+  if (Scratch.claim(Claim, Plan.Victims) != capacity_check::Ok)
+    return false;
+  for (fencing_token Victim : Plan.Victims) {
+    Prices.erase(Victim);
+    RemainingSeconds.erase(Victim);
+  }
+  RemainingSeconds[Token] = Job.Facts.EstimatedSeconds;
+  for (const planned_task &Task : Plan.Tasks)
+    LatestEnd[Task.Worker] =
+        std::max(LatestEnd[Task.Worker], Job.Facts.EstimatedSeconds);
+  Proposals.push_back(
+      {Job.Job->Job, Job.Job->NextAttempt, Assignments, Plan.Victims});
+  return true;
+}
+
+void decision::fillAssignments(const gang_plan &Plan, bool Guaranteed) {
+  Assignments.clear();
+  for (const planned_task &Task : Plan.Tasks)
+    Assignments.push_back(
+        {Task.Task, Scratch.workers().worker(Task.Worker).Info.Id,
+         Task.Accelerators, Guaranteed && Task.Accelerators != 0});
+  std::ranges::sort(Assignments, {}, &task_assignment::Task);
+}
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/core/placement/internal/gangplanner.cpp
@@ -0,0 +1,296 @@
+#include "core/placement/internal/gangplanner.h"
+
+#include <algorithm>
+#include <bit>
+#include <limits>
+#include <numeric>
+
+namespace geraniumpaddle {
+
+namespace {
+
+/// Cost of an accelerator that the offer calls dear.
+constexpr double DearCost = 3;
+/// Cost of one accelerator second of lost work.
+constexpr double VictimCostPerSecond = 1.0 / 60;
+
+std::int64_t ceilDivide(std::int64_t Value, std::int64_t Divisor) {
+  if (Value <= 0)
+    return 0;
+  if (Divisor <= 0)
+    return MaxAcceleratorsPerWorker + 1;
+  return (Value + Divisor - 1) / Divisor;
+}
+
+accelerator_mask lowest(accelerator_mask Mask, int Count) {
+  accelerator_mask Taken = 0;
+  for (; Count > 0; --Count) {
+    accelerator_mask Bit = Mask & (~Mask + 1);
+    Taken |= Bit;
+    Mask ^= Bit;
+  }
+  return Taken;
+}
+
+accelerator_mask aligned(int First, int Size) {
+  if (Size >= MaxAcceleratorsPerWorker)
+    return ~accelerator_mask{0};
+  return ((accelerator_mask{1} << Size) - 1) << First;
+}
+
+/// Levels between a group of \p Size at \p First and the largest aligned group
+/// around it that \p Mask still offers.
+int splitLevels(accelerator_mask Mask, int First, int Size) {
+  int Levels = 0;
+  while (Size < MaxAcceleratorsPerWorker) {
+    Size *= 2;
+    First = First / Size * Size;
+    accelerator_mask Group = aligned(First, Size);
+    if ((Mask & Group) != Group)
+      break;
+    ++Levels;
+  }
+  return Levels;
+}
+
+} // namespace
+
+int acceleratorsFor(const resources &Need, const worker_node &Worker) {
+  if (Need.Accelerators <= 0)
+    return 0;
+  std::int64_t Count = Need.Accelerators;
+  Count = std::max(
+      Count, ceilDivide(Need.MilliCores, Worker.PerAccelerator.MilliCores));
+  Count = std::max(Count,
+                   ceilDivide(Need.MemoryMb, Worker.PerAccelerator.MemoryMb));
+  return static_cast<int>(
+      std::min<std::int64_t>(Count, MaxAcceleratorsPerWorker + 1));
+}
+
+/// What a plan in the making has taken.
+struct gang_planner::attempt_state {
+  struct choice {
+    double Cost = std::numeric_limits<double>::infinity();
+    topology_index Worker = 0;
+    accelerator_mask Accelerators = 0;
+  };
+
+  const gang_planner &Planner;
+  const capacity_offer &Offer;
+  const plan_request &Request;
+  std::vector<accelerator_mask> Left; ///< by position in the group
+  std::vector<resources> Host;        ///< by position in the group
+  gang_plan Plan;
+
+  bool chosen(fencing_token Token) const {
+    return std::ranges::find(Plan.Victims, Token) != Plan.Victims.end();
+  }
+
+  /// Price of the attempts that hold \p Mask and are not victims yet.
+  double price(topology_index Worker, accelerator_mask Mask) const {
+    double Sum = 0;
+    fencing_token Last{};
+    for (; Mask != 0; Mask &= Mask - 1) {
+      fencing_token Token =
+          Planner.Account.holder(Worker, std::countr_zero(Mask));
+      if (Token == fencing_token{} || Token == Last || chosen(Token))
+        continue;
+      Last = Token;
+      auto Price = Offer.Prices->find(Token);
+      if (Price == Offer.Prices->end())
+        return std::numeric_limits<double>::infinity();
+      Sum += Price->second;
+    }
+    return Sum;
+  }
+
+  double cost(topology_index Worker, accelerator_mask Before,
+              accelerator_mask Mask, int Split, bool Scattered) const {
+    worker_fit Fit;
+    Fit.Accelerators = std::popcount(Mask);
+    Fit.FreeBefore = std::popcount(Before);
+    Fit.WorkerSize =
+        std::popcount(Planner.Account.workers().worker(Worker).Accelerators);
+    Fit.SplitLevels = Split;
+    Fit.Scattered = Scattered;
+    if (!Offer.LatestEnd.empty())
+      Fit.LifetimeGapSeconds =
+          std::max(0.0, Request.EstimatedSeconds - Offer.LatestEnd[Worker]);
+    double Cost = Planner.Strategy.fitCost(Fit);
+    if (!Offer.Dear.empty())
+      Cost += DearCost * std::popcount(Mask & Offer.Dear[Worker]);
+    if (Offer.Prices != nullptr)
+      Cost += VictimCostPerSecond * price(Worker, Mask);
+    return Cost;
+  }
+
+  void consider(topology_index Worker, accelerator_mask Before, int Count,
+                choice &Best) const {
+    int Size = static_cast<int>(std::bit_ceil(static_cast<unsigned>(Count)));
+    bool Found = false;
+    for (int First = 0; First < MaxAcceleratorsPerWorker; First += Size) {
+      accelerator_mask Inside = Before & aligned(First, Size);
+      if (std::popcount(Inside) < Count)
+        continue;
+      Found = true;
+      accelerator_mask Mask = lowest(Inside, Count);
+      double Cost =
+          cost(Worker, Before, Mask, splitLevels(Before, First, Size), false);
+      if (Cost < Best.Cost)
+        Best = {Cost, Worker, Mask};
+    }
+    if (Found || std::popcount(Before) < Count)
+      return;
+    accelerator_mask Mask = lowest(Before, Count);
+    double Cost = cost(Worker, Before, Mask, 0, true);
+    if (Cost < Best.Cost)
+      Best = {Cost, Worker, Mask};
+  }
+
+  bool placeWithAccelerators(std::uint32_t Task,
+                             const std::vector<topology_index> &Group) {
+    const topology &Topology = Planner.Account.workers();
+    choice Best;
+    std::size_t BestPosition = 0;
+    for (std::size_t Position = 0; Position < Group.size(); ++Position) {
+      if (Left[Position] == 0)
+        continue;
+      const worker_node &Node = Topology.worker(Group[Position]);
+      int Count = acceleratorsFor(Request.Needs[Task], Node);
+      if (std::popcount(Left[Position]) < Count)
+        continue;
+      double Before = Best.Cost;
+      consider(Group[Position], Left[Position], Count, Best);
+      if (Best.Cost < Before)
+        BestPosition = Position;
+    }
+    if (Best.Accelerators == 0)
+      return false;
+    take(Best.Worker, Best.Accelerators);
+    Left[BestPosition] &= ~Best.Accelerators;
+    Plan.Cost += Best.Cost;
+    Plan.Tasks.push_back({Task, Best.Worker, Best.Accelerators});
+    return true;
+  }
+
+  void take(topology_index Worker, accelerator_mask Mask) {
+    if (Offer.Prices == nullptr)
+      return;
+    for (; Mask != 0; Mask &= Mask - 1) {
+      fencing_token Token =
+          Planner.Account.holder(Worker, std::countr_zero(Mask));
+      if (Token == fencing_token{} || chosen(Token))
+        continue;
+      Plan.Victims.push_back(Token);
+      Plan.VictimPrice += Offer.Prices->at(Token);
+    }
+  }
+
+  bool placeOnHost(std::uint32_t Task,
+                   const std::vector<topology_index> &Group) {
+    const resources &Need = Request.Needs[Task];
+    std::size_t Best = Group.size();
+    for (std::size_t Position = 0; Position < Group.size(); ++Position) {
+      if (!Host[Position].covers(Need))
+        continue;
+      if (Best == Group.size() ||
+          Host[Position].MilliCores < Host[Best].MilliCores)
+        Best = Position;
+    }
+    if (Best == Group.size())
+      return false;
+    Host[Best] -= Need;
+    Plan.Tasks.push_back({Task, Group[Best], 0});
+    return true;
+  }
+};
+
+gang_planner::gang_planner(const capacity_account &Account,
+                           const scheduling_strategy &Strategy)
+    : Account(Account), Strategy(Strategy), All(1),
+      Regions(Account.workers().regionCount()),
+      Zones(Account.workers().zoneCount()),
+      Racks(Account.workers().racks().size()) {
+  std::span<const worker_node> Nodes = Account.workers().workers();
+  for (topology_index Index = 0; Index < Nodes.size(); ++Index) {
+    All.front().push_back(Index);
+    Regions[Nodes[Index].Region].push_back(Index);
+    Zones[Nodes[Index].Zone].push_back(Index);
+    Racks[Nodes[Index].Rack].push_back(Index);
+    Workers.push_back({Index});
+  }
+}
+
+std::span<const gang_planner::worker_group>
+gang_planner::groups(adjacency Within) const {
+  switch (Within) {
+  case adjacency::Any:
+    return All;
+  case adjacency::Region:
+    return Regions;
+  case adjacency::Zone:
+    return Zones;
+  case adjacency::Rack:
+    return Racks;
+  case adjacency::Worker:
+    return Workers;
+  }
+  return All;
+}
+
+std::vector<std::uint32_t>
+gang_planner::largestFirst(std::span<const resources> Needs) const {
+  std::vector<std::uint32_t> Order(Needs.size());
+  std::iota(Order.begin(), Order.end(), 0U);
+  std::ranges::stable_sort(Order, [&](std::uint32_t Left, std::uint32_t Right) {
+    return Needs[Left] > Needs[Right];
+  });
+  return Order;
+}
+
+bool gang_planner::mayFit(const capacity_offer &Offer,
+                          const plan_request &Request,
+                          const worker_group &Group) const {
+  std::int64_t Needed = 0;
+  for (const resources &Need : Request.Needs)
+    Needed += Need.Accelerators;
+  for (topology_index Worker : Group)
+    Needed -= std::popcount(Offer.Accelerators[Worker]);
+  return Needed <= 0;
+}
+
+std::optional<gang_plan> gang_planner::planGroup(
+    const capacity_offer &Offer, const plan_request &Request,
+    std::span<const std::uint32_t> Order, const worker_group &Group) const {
+  attempt_state State{*this, Offer, Request, {}, {}, {}};
+  State.Left.reserve(Group.size());
+  State.Host.reserve(Group.size());
+  for (topology_index Worker : Group) {
+    State.Left.push_back(Offer.Accelerators[Worker]);
+    State.Host.push_back(Offer.Host[Worker]);
+  }
+  for (std::uint32_t Task : Order) {
+    bool OnHost = Request.Needs[Task].Accelerators <= 0;
+    bool Placed = OnHost ? State.placeOnHost(Task, Group)
+                         : State.placeWithAccelerators(Task, Group);
+    if (!Placed)
+      return std::nullopt;
+  }
+  return std::move(State.Plan);
+}
+
+std::optional<gang_plan> gang_planner::plan(const capacity_offer &Offer,
+                                            const plan_request &Request) const {
+  std::vector<std::uint32_t> Order = largestFirst(Request.Needs);
+  std::optional<gang_plan> Best;
+  for (const worker_group &Group : groups(Request.Within)) {
+    if (!mayFit(Offer, Request, Group))
+      continue;
+    std::optional<gang_plan> Plan = planGroup(Offer, Request, Order, Group);
+    if (Plan && (!Best || Plan->Cost < Best->Cost))
+      Best = std::move(Plan);
+  }
+  return Best;
+}
+
+} // namespace geraniumpaddle
--- a/src/core/placement/internal/scheduler.cpp
+++ b/src/core/placement/internal/scheduler.cpp
@@ -1,22 +1,23 @@
 #include "core/placement/scheduler.h"
 
+#include "core/placement/internal/decision.h"
+#include "core/placement/internal/schedulingstrategy.h"
+
 namespace geraniumpaddle {
 
-scheduler::scheduler(objective Objective) : Objective(Objective) {}
+scheduler::scheduler(objective Objective) : Strategy(makeStrategy(Objective)) {}
 scheduler::~scheduler() = default;
 
-schedule scheduler::decide(const schedule_view &View, time_point) {
+schedule scheduler::decide(const schedule_view &View, time_point Now) {
   Proposals.clear();
   Explanations.clear();
-  for (const waiting_job &Job : View.Waiting)
-    Explanations.push_back({Job.Job,
-                            wait_reason::NoFreeCapacity,
-                            Job.Adjacency,
-                            unmet_constraint::None,
-                            {}});
+  decision Decision(View, Now, *Strategy, Estimator, Proposals, Explanations);
+  Decision.run();
   return {Proposals, Explanations};
 }
 
-void scheduler::observe(const run_observation &) {}
+void scheduler::observe(const run_observation &Observation) {
+  Estimator.observe(Observation);
+}
 
 } // namespace geraniumpaddle
--- a/src/core/placement/scheduler.h
+++ b/src/core/placement/scheduler.h
@@ -4,13 +4,17 @@
 #include "core/base/types/resources.h"
 #include "core/base/types/time.h"
 #include "core/placement/capacityaccount.h"
+#include "core/placement/runtimeestimator.h"
 #include "core/placement/types/schedule.h"
 
+#include <memory>
 #include <span>
 #include <vector>
 
 namespace geraniumpaddle {
 
+class scheduling_strategy;
+
 /// Proposes placements for waiting jobs. Each decision is a function of the
 /// view, the present time and the run times seen so far; a proposal that the
 /// fold rejects leaves nothing behind, so that several schedulers may propose
@@ -29,7 +33,8 @@
   void observe(const run_observation &Observation);
 
 private:
-  objective Objective;
+  std::unique_ptr<const scheduling_strategy> Strategy;
+  run_time_estimator Estimator;
   std::vector<placement_proposal> Proposals;
   std::vector<job_explanation> Explanations;
 };
--- a/src/core/placement/tests/capacityaccounttest.cpp
+++ b/src/core/placement/tests/capacityaccounttest.cpp
@@ -1,37 +1,14 @@
 #include "core/placement/capacityaccount.h"
+#include "core/placement/tests/placementfixtures.h"
 
 #include <CppUTest/TestHarness.h>
 
-#include <string>
+#include <vector>
 
 using namespace geraniumpaddle;
 
 namespace {
 
-constexpr resources WorkerCapacity{8, 128000, 256000};
-
-worker_info makeWorker(int Number, int WorkersPerRack) {
-  worker_info Worker;
-  Worker.Id = worker_id("w" + std::to_string(Number));
-  Worker.Region = region_id("r");
-  Worker.Zone = availability_zone_id("z");
-  Worker.Rack = rack_id("k" + std::to_string(Number / WorkersPerRack));
-  Worker.Capacity = WorkerCapacity;
-  return Worker;
-}
-
-capacity_account makeAccount(int Workers) {
-  capacity_account Account;
-  for (int Number = 0; Number < Workers; ++Number)
-    Account.registerWorker(makeWorker(Number, 3));
-  return Account;
-}
-
-customer_guarantees guarantees(const char *Customer, cell_level Level,
-                               int Count) {
-  return {customer_id(Customer), {{Level, Count}}, 0};
-}
-
 capacity_check claimOne(capacity_account &Account, int Token,
                         const char *Customer, const char *Worker,
                         accelerator_mask Mask, bool Guaranteed,
--- /dev/null
+++ b/src/core/placement/tests/schedulertest.cpp
@@ -0,0 +1,130 @@
+#include "core/placement/scheduler.h"
+#include "core/placement/tests/placementfixtures.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <memory>
+#include <vector>
+
+using namespace geraniumpaddle;
+
+namespace {
+
+/// A ledger in miniature: applies proposals as the fold does.
+struct schedule_fixture {
+  explicit schedule_fixture(int Workers) : Account(makeAccount(Workers)) {}
+
+  void wait(const char *Job, const char *Customer, std::vector<resources> Needs,
+            adjacency Adjacency = adjacency::Any, bool Urgent = false) {
+    Shapes.push_back(
+        std::make_unique<std::vector<resources>>(std::move(Needs)));
+    waiting_job Waiting;
+    Waiting.Job = job_id(Job);
+    Waiting.Customer = customer_id(Customer);
+    Waiting.Needs = *Shapes.back();
+    Waiting.Adjacency = Adjacency;
+    Waiting.Urgent = Urgent;
+    Waiting.DeclaredRunTime = std::chrono::hours{1};
+    Waiting.WaitingSince = Now;
+    Jobs.push_back(Waiting);
+  }
+
+  schedule decide() { return Scheduler.decide({Jobs, Running, Account}, Now); }
+
+  /// Accepts every proposal and forgets the waiting jobs.
+  void accept(const schedule &Schedule) {
+    for (const placement_proposal &Proposal : Schedule.Proposals) {
+      const waiting_job &Job =
+          *std::ranges::find(Jobs, Proposal.Job, &waiting_job::Job);
+      fencing_token Token{++LastToken};
+      CHECK(
+          capacity_check::Ok ==
+          Account.claim({Token, Job.Customer, Proposal.Assignments, Job.Needs},
+                        Proposal.Victims));
+      running_attempt Attempt;
+      Attempt.Job = Job.Job;
+      Attempt.Token = Token;
+      Attempt.Customer = Job.Customer;
+      Attempt.DeclaredRunTime = Job.DeclaredRunTime;
+      Attempt.StartedAt = Now;
+      Attempt.CheckpointAt = Now;
+      Running.push_back(Attempt);
+    }
+    Jobs.clear();
+  }
+
+  time_point Now{std::chrono::hours{100}};
+  capacity_account Account;
+  scheduler Scheduler{objective::CompletionTime};
+  std::vector<std::unique_ptr<std::vector<resources>>> Shapes;
+  std::vector<waiting_job> Jobs;
+  std::vector<running_attempt> Running;
+  std::uint64_t LastToken = 0;
+};
+
+std::vector<resources> gang(int Tasks, int Accelerators) {
+  return {static_cast<std::size_t>(Tasks), {Accelerators, 1000, 1000}};
+}
+
+} // namespace
+
+TEST_GROUP(Scheduler){};
+
+TEST(Scheduler, PlacesAGangWithinARack) {
+  schedule_fixture Fixture(6);
+  Fixture.wait("j", "a", gang(3, 8), adjacency::Rack);
+  schedule Schedule = Fixture.decide();
+  LONGS_EQUAL(1, Schedule.Proposals.size());
+  LONGS_EQUAL(3, Schedule.Proposals[0].Assignments.size());
+  CHECK(wait_reason::Proposed == Schedule.Explanations[0].Reason);
+  Fixture.accept(Schedule);
+}
+
+TEST(Scheduler, ReclaimsAGuaranteeFromBorrowers) {
+  schedule_fixture Fixture(2);
+  std::vector<customer_guarantees> All{guarantees("a", cell_level::Worker, 1)};
+  CHECK(capacity_check::Ok == Fixture.Account.setGuarantees(All));
+  Fixture.wait("j1", "b", gang(1, 8));
+  Fixture.wait("j2", "b", gang(2, 4));
+  Fixture.accept(Fixture.decide());
+  LONGS_EQUAL(2, Fixture.Running.size());
+  Fixture.wait("j3", "a", gang(1, 4), adjacency::Any, /*Urgent=*/true);
+  schedule Schedule = Fixture.decide();
+  LONGS_EQUAL(1, Schedule.Proposals.size());
+  LONGS_EQUAL(1, Schedule.Proposals[0].Victims.size());
+  CHECK(Schedule.Proposals[0].Assignments[0].Guaranteed);
+  Fixture.accept(Schedule);
+}
+
+TEST(Scheduler, NamesTheConstraintOfAJobThatNeverFits) {
+  schedule_fixture Fixture(3);
+  Fixture.wait("wide", "a", gang(1, 9));
+  Fixture.wait("many", "a", gang(4, 8));
+  Fixture.wait("near", "a", gang(2, 8), adjacency::Worker);
+  Fixture.wait("cores", "a", {{1, 1000000, 1}});
+  Fixture.wait("memory", "a", {{0, 1, 1000000}});
+  schedule Schedule = Fixture.decide();
+  LONGS_EQUAL(0, Schedule.Proposals.size());
+  std::vector<unmet_constraint> Unmet;
+  for (const job_explanation &Explanation : Schedule.Explanations)
+    Unmet.push_back(Explanation.Unmet);
+  CHECK((std::vector{
+            unmet_constraint::TaskAccelerators, unmet_constraint::GangSize,
+            unmet_constraint::GangAdjacency, unmet_constraint::TaskCores,
+            unmet_constraint::TaskMemory}) == Unmet);
+}
+
+TEST(Scheduler, KeepsCapacityForAStarvedGang) {
+  schedule_fixture Fixture(1);
+  Fixture.wait("small", "b", gang(1, 4));
+  Fixture.accept(Fixture.decide());
+  Fixture.wait("large", "a", gang(1, 8));
+  Fixture.Jobs.back().WaitingSince -= std::chrono::hours{12};
+  Fixture.Now += std::chrono::minutes{30};
+  Fixture.wait("late", "b", gang(1, 4));
+  schedule Schedule = Fixture.decide();
+  LONGS_EQUAL(0, Schedule.Proposals.size());
+  CHECK(wait_reason::ReservedForStarved == Schedule.Explanations[1].Reason);
+  CHECK(job_id("large") == Schedule.Explanations[1].ReservedFor);
+}
--- a/src/core/placement/types/schedule.h
+++ b/src/core/placement/types/schedule.h
@@ -37,6 +37,7 @@
   customer_id Customer;
   bool Borrowed = false;  ///< any task lies beyond its customer's guarantee
   bool Idempotent = true; ///< false: it could not run again if preempted
+  bool Urgent = false;
   std::chrono::seconds DeclaredRunTime{0};
   time_point StartedAt;
   time_point CheckpointAt; ///< last checkpoint; StartedAt if there is none
