--- a/src/core/routing/types/attemptsettings.h
+++ b/src/core/routing/types/attemptsettings.h
@@ -15,8 +15,8 @@
   /// How long the outcome of an attempt is remembered. Longer than the
   /// entries' router_settings::MaxTimeout and a margin for drift of clocks.
   duration Retention = std::chrono::seconds(90);
-  std::size_t MaxAnswerBytes = 16 * 1024 * 1024; ///< of all kept answers
-  std::size_t MaxRemembered = 65536;             ///< attempts
+  std::size_t MaxAnswerBytes = 16UL * 1024 * 1024; ///< of all kept answers
+  std::size_t MaxRemembered = 65536;               ///< attempts
   duration MaxTimeout = std::chrono::seconds(60);
 };
 
