Add the endpoint stand-in

Cause: process tests need a back end whose runs can be counted and whose answers can be late, lost or cut. Ruled out: the project's HTTP server, which rightly cannot send half a body. Change: gp_standin_endpoint over evhttp; slots, faults and the history of runs decided without sockets. Conclusion: usable by process tests.

--- /dev/null
+++ b/standins/endpoint/endpointmodel.cpp
@@ -0,0 +1,53 @@
+#include "standins/endpoint/endpointmodel.h"
+
+#include "core/base/error.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace geraniumpaddle::standins {
+
+endpoint_fault parseFault(std::string_view Name) {
+  using named_fault = std::pair<std::string_view, endpoint_fault>;
+  static constexpr std::array<named_fault, 7> Names = {{
+      {"none", endpoint_fault::None},
+      {"slow", endpoint_fault::Slow},
+      {"down", endpoint_fault::Down},
+      {"silent", endpoint_fault::Silent},
+      {"lose_answer", endpoint_fault::LoseAnswer},
+      {"half_body", endpoint_fault::HalfBody},
+      {"error_500", endpoint_fault::Error500},
+  }};
+  for (const auto &[Known, Fault] : Names) {
+    if (Known == Name)
+      return Fault;
+  }
+  throw invalid_argument_error("unknown fault: " + std::string(Name));
+}
+
+service_plan endpoint_model::begin(std::string_view Tag, duration Latency) {
+  if (Draining || InFlight >= Slots) {
+    ++Refused;
+    return {};
+  }
+  ++InFlight;
+  Peak = std::max(Peak, InFlight);
+  const duration Delay = Faults.Delay;
+  const endpoint_fault Fault = takeFault();
+  if (Fault != endpoint_fault::Silent)
+    ++Runs[std::string(Tag)];
+  if (Fault == endpoint_fault::Slow)
+    Latency += Delay;
+  return {true, Fault, Latency};
+}
+
+/// The fault of the next request; a counted one ends with its last request.
+endpoint_fault endpoint_model::takeFault() {
+  const endpoint_fault Fault = Faults.Fault;
+  if (Faults.Count > 0 && --Faults.Count == 0)
+    Faults = {};
+  return Fault;
+}
+
+} // namespace geraniumpaddle::standins
--- /dev/null
+++ b/standins/endpoint/main.cpp
@@ -0,0 +1,67 @@
+// An endpoint for tests and the demo: echoes requests within its slots.
+
+#include "core/base/error.h"
+#include "standins/endpoint/endpointserver.h"
+
+#include <event2/event.h>
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <cstdio>
+#include <exception>
+#include <fstream>
+#include <memory>
+
+DEFINE_string(listen, "127.0.0.1:0",
+              "ip:port to serve on; port 0 takes a free one");
+DEFINE_string(port_file, "", "file to write the port to");
+DEFINE_uint32(slots, 8, "requests served at once; more are answered with 503");
+DEFINE_uint32(max_connections, 64, "open connections");
+DEFINE_uint32(latency_ms, 10, "time of a request without ?ms=N");
+
+namespace geraniumpaddle::standins {
+namespace {
+
+void drainServer(int, short, void *Server) {
+  static_cast<endpoint_server *>(Server)->drain();
+}
+
+/// Written under another name first, so that a reader sees the whole number.
+void writePort(std::uint16_t Port) {
+  std::printf("%u\n", static_cast<unsigned>(Port));
+  std::fflush(stdout);
+  if (FLAGS_port_file.empty())
+    return;
+  const std::string Partial = FLAGS_port_file + ".part";
+  std::ofstream(Partial) << Port << '\n';
+  if (std::rename(Partial.c_str(), FLAGS_port_file.c_str()) != 0)
+    throw unavailable_error("cannot write " + FLAGS_port_file);
+}
+
+void run() {
+  std::signal(SIGPIPE, SIG_IGN);
+  const std::unique_ptr<event_base, decltype(&event_base_free)> Base(
+      event_base_new(), event_base_free);
+  endpoint_model Model(FLAGS_slots);
+  endpoint_server Server(Base.get(), FLAGS_listen, FLAGS_max_connections,
+                         std::chrono::milliseconds(FLAGS_latency_ms), Model);
+  const std::unique_ptr<event, decltype(&event_free)> Terminate(
+      evsignal_new(Base.get(), SIGTERM, drainServer, &Server), event_free);
+  evsignal_add(Terminate.get(), nullptr);
+  writePort(Server.port());
+  event_base_dispatch(Base.get());
+}
+
+} // namespace
+} // namespace geraniumpaddle::standins
+
+int main(int ArgumentCount, char **Arguments) {
+  gflags::ParseCommandLineFlags(&ArgumentCount, &Arguments, true);
+  try {
+    geraniumpaddle::standins::run();
+  } catch (const std::exception &Failure) {
+    std::fprintf(stderr, "gp_standin_endpoint: %s\n", Failure.what());
+    return 1;
+  }
+  return 0;
+}
