Free the slot of a silent request when its caller closes

Cause: a caller that gave up on a silent endpoint stand-in kept its slot for good; evhttp reads nothing while a request is open. Change: reading stays enabled for requests that are never answered.

--- a/standins/endpoint/endpointserver.cpp
+++ b/standins/endpoint/endpointserver.cpp
@@ -189,8 +189,11 @@
   auto &Slot = Running[Connection];
   Slot = std::make_unique<running_request>(
       running_request{this, Connection, Request, Plan.Fault, Answer});
-  if (Plan.Fault == endpoint_fault::Silent)
-    return; // holds its slot until the caller closes
+  if (Plan.Fault == endpoint_fault::Silent) {
+    // Holds its slot until the caller closes, which only a read can see.
+    bufferevent_enable(evhttp_connection_get_bufferevent(Connection), EV_READ);
+    return;
+  }
   Slot->Timer.reset(evtimer_new(Base, onLatencyOver, Slot.get()));
   const timeval Delay = toTimeval(Plan.Latency);
   evtimer_add(Slot->Timer.get(), &Delay);
