--- a/src/core/supervision/gangsupervisor.h
+++ b/src/core/supervision/gangsupervisor.h
@@ -60,6 +60,7 @@
   void onWorkerGone(const worker_gone &Event, time_point Now);
   void onAssignmentAnswered(const assignment_answered &Event, time_point Now);
   void onStopAnswered(const stop_answered &Event, time_point Now);
+  void onLapseUndecided(const lapse_undecided &Event, time_point Now);
   void onOwnershipChanged(const ownership_changed &Event, time_point Now);
   void onTimer(const supervision_timer_fired &Event, time_point Now);
 
--- a/src/core/supervision/internal/gangsupervisor.cpp
+++ b/src/core/supervision/internal/gangsupervisor.cpp
@@ -17,7 +17,8 @@
       &gang_supervisor::onStopWanted, &gang_supervisor::onOver,
       &gang_supervisor::onWorkerReturned, &gang_supervisor::onWorkerGone,
       &gang_supervisor::onAssignmentAnswered, &gang_supervisor::onStopAnswered,
-      &gang_supervisor::onOwnershipChanged, &gang_supervisor::onTimer>;
+      &gang_supervisor::onLapseUndecided, &gang_supervisor::onOwnershipChanged,
+      &gang_supervisor::onTimer>;
   Commands.clear();
   table::dispatch(*this, Event, Now);
   act(Now);
@@ -135,11 +136,19 @@
   }
 }
 
+void gang_supervisor::onLapseUndecided(const lapse_undecided &Event,
+                                       time_point) {
+  auto Found = Attempts.find(Event.Token);
+  if (Found != Attempts.end())
+    Found->second.LapseProposed = false;
+}
+
 /// The entry that looked after an attempt may have died before it was told.
 void gang_supervisor::onOwnershipChanged(const ownership_changed &,
                                          time_point Now) {
   for (auto &[Token, Attempt] : Attempts) {
     Attempt.Assigned = false;
+    Attempt.LapseProposed = false;
     Attempt.NextAt = Now;
   }
 }
--- a/src/core/supervision/types/supervisionmessages.h
+++ b/src/core/supervision/types/supervisionmessages.h
@@ -66,6 +66,11 @@
   bool Settled = false;
 };
 
+/// The log has not judged a propose_lapsed; it is to be repeated.
+struct lapse_undecided {
+  fencing_token Token{};
+};
+
 /// The entries that are alive have changed.
 struct ownership_changed {};
 
@@ -74,8 +79,8 @@
 using supervision_event =
     std::variant<attempt_placed, attempt_started, attempt_stop_wanted,
                  attempt_over, worker_returned, worker_gone,
-                 assignment_answered, stop_answered, ownership_changed,
-                 supervision_timer_fired>;
+                 assignment_answered, stop_answered, lapse_undecided,
+                 ownership_changed, supervision_timer_fired>;
 
 /// Tell the lead's agent its gang; answered by assignment_answered.
 struct send_assignment {
--- /dev/null
+++ b/src/daemon/processhost.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "logging/logging.h"
+#include "metrics/metrics.h"
+#include "peercodec/peercodec.h"
+#include "settings/types/settings.h"
+#include "transport/eventloop.h"
+#include "transport/httpclient.h"
+#include "transport/httpserver.h"
+#include "transport/peerclient.h"
+#include "transport/peerserver.h"
+#include "transport/traffic.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace geraniumpaddle {
+
+/// What every role is built on: the loop, the clients and the two servers.
+class process_host {
+public:
+  explicit process_host(const settings &Settings);
+
+  event_loop &loop() { return Loop; }
+  peer_client &peers() { return Peers; }
+  http_client &http() { return Http; }
+  metric_registry &metrics() { return Metrics; }
+  const peer_identity &identity() const { return Self; }
+
+  /// Binds both interfaces and prints their ports on standard output.
+  /// \throws bind_error
+  void listen(peer_handler Peer, http_handler Http);
+  std::string peerAddress() const;
+  std::string httpAddress() const;
+  /// Runs until stop(); \p Drain is called on SIGTERM and SIGINT.
+  void run(const std::function<void()> &Drain);
+  /// Stops listening and ends run() once the last answers are written out.
+  void stop();
+
+private:
+  void endWhenWritten(int DelaysLeft);
+  void registerTraffic();
+
+  const settings Settings;
+  event_loop Loop;
+  metric_registry Metrics;
+  traffic_counter Traffic;
+  peer_client Peers;
+  http_client Http;
+  peer_identity Self;
+  std::unique_ptr<peer_server> PeerServer;
+  std::unique_ptr<http_server> HttpServer;
+};
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/entry/entryrole.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "core/membership/entryrank.h"
+#include "entry/adminapi.h"
+#include "entry/agentdirectory.h"
+#include "entry/customerauth.h"
+#include "entry/entrymembers.h"
+#include "entry/gangdriver.h"
+#include "entry/livemembers.h"
+#include "entry/logdriver.h"
+#include "entry/requestgateway.h"
+#include "entry/schedulerdriver.h"
+#include "entry/stateserver.h"
+#include "logging/logging.h"
+#include "metrics/metrics.h"
+#include "platform/ilogservice.h"
+#include "settings/types/settings.h"
+#include "transport/ieventloop.h"
+#include "transport/ihttpserver.h"
+#include "transport/ipeerclient.h"
+#include "transport/ipeerserver.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace geraniumpaddle {
+
+/// What an entry needs from outside.
+struct entry_environment {
+  ievent_loop &Loop;
+  ipeer_client &Peers;
+  ilog_service &Log;
+  metric_registry &Metrics;
+};
+
+/// The role behind the balancer: folds the log, places jobs, watches agents,
+/// and routes the requests of callers.
+class entry_role final : public ientry_content, public ifold_observer {
+public:
+  /// \param Stopped called once a drain is over and the process may exit.
+  entry_role(const entry_environment &Environment, const settings &Settings,
+             const peer_identity &Self, std::function<void()> Stopped);
+
+  /// Begins once both interfaces are bound.
+  void start(std::string PeerAddress, std::string HttpAddress);
+  /// Fails the readiness check, serves on for the drain notice, then finishes
+  /// what it has accepted and calls Stopped.
+  void drain();
+
+  void handlePeer(const proto::PeerRequest &Request,
+                  const peer_responder &Respond);
+  void handleHttp(const http_request_view &Request,
+                  const std::shared_ptr<ihttp_responder> &Responder);
+
+  proto::EntryHeartbeat heartbeat(bool AcrossRegions) override;
+  void learnHeartbeat(const node_id &Entry,
+                      const proto::EntryHeartbeat &Heartbeat) override;
+  void entryLost(const node_id &Entry) override;
+  void membersChanged() override;
+
+  void onFolded(log_offset Offset, const record &Record,
+                const verdict &Verdict) override;
+  void onStateReplaced() override;
+  void onBatchFolded() override;
+
+private:
+  void onReady();
+  void announce();
+  void finishDrain();
+  bool ready() const { return Log.ready() && !Draining; }
+  void configureRouter();
+  proto::PeerResponse makeResponse(proto::Refusal Refusal) const;
+  void answerHeartbeat(const proto::PeerRequest &Request,
+                       const peer_responder &Respond);
+  void answerEntryHeartbeat(const proto::PeerRequest &Request,
+                            const peer_responder &Respond);
+  proto::EntryStatus status() const;
+  void registerMetrics();
+
+  entry_environment Environment;
+  const settings Settings;
+  const peer_identity Self;
+  std::function<void()> Stopped;
+  entry_announced Announcement;
+  bool Draining = false;
+  config_version RoutedVersion{};
+  entry_rank Rank;
+  live_members Members;
+  entry_members Entries;
+  log_driver Log;
+  customer_auth Auth;
+  request_gateway Requests;
+  agent_directory Agents;
+  scheduler_driver Scheduler;
+  gang_driver Gangs;
+  state_server StateServer;
+  admin_api Admin;
+  timer AnnounceRetry;
+  timer DrainTimer;
+  logger Logger{"entry"};
+};
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/entry/internal/entryrole.cpp
@@ -0,0 +1,316 @@
+#include "entry/entryrole.h"
+
+#include "codec/protoconvert.h"
+#include "core/base/error.h"
+#include "entry/httputil.h"
+
+#include <chrono>
+#include <utility>
+
+namespace geraniumpaddle {
+
+namespace {
+
+constexpr duration StepInDelay = std::chrono::seconds(1);
+constexpr duration AnnounceTimeout = std::chrono::seconds(10);
+constexpr duration AnnounceRetryInterval = std::chrono::seconds(1);
+constexpr duration DrainPoll = std::chrono::milliseconds(50);
+/// Drift and delivery margins of a lease, on top of its duration.
+constexpr duration LapseMargin = std::chrono::seconds(2);
+
+log_driver_settings logSettings(const settings &Settings) {
+  log_driver_settings Log;
+  Log.Appender.MaxQueued = static_cast<std::size_t>(Settings.AppendQueue);
+  Log.Follower.ReadWait = Settings.LogLongPoll;
+  Log.Snapshot.MaxTail = static_cast<std::uint64_t>(Settings.SnapshotRecords);
+  return Log;
+}
+
+router_settings routerSettings(const settings &Settings) {
+  router_settings Router;
+  Router.DefaultTimeout = Settings.RequestTimeout;
+  Router.QueueLimit = static_cast<std::size_t>(Settings.RequestQueue);
+  return Router;
+}
+
+liveness_settings livenessSettings(const settings &Settings) {
+  liveness_settings Liveness;
+  Liveness.MinInterval = Settings.HeartbeatInterval;
+  return Liveness;
+}
+
+supervision_settings supervisionSettings(const settings &Settings) {
+  supervision_settings Supervision;
+  Supervision.LapseAfter = Settings.LeaseDuration + LapseMargin;
+  return Supervision;
+}
+
+objective objectiveOf(const settings &Settings) {
+  return Settings.Objective == objective_setting::Fragmentation
+             ? objective::Fragmentation
+             : objective::CompletionTime;
+}
+
+http_response textResponse(int Code, std::string Body) {
+  return {Code, {{"Content-Type", "text/plain"}}, std::move(Body)};
+}
+
+} // namespace
+
+entry_role::entry_role(const entry_environment &Environment,
+                       const settings &Settings, const peer_identity &Self,
+                       std::function<void()> Stopped)
+    : Environment(Environment), Settings(Settings), Self(Self),
+      Stopped(std::move(Stopped)),
+      Rank(Self.Node, region_id(Settings.Region), StepInDelay),
+      Members(Rank, Self.Node),
+      Entries(Environment.Loop, Environment.Peers, Self, Rank,
+              region_id(Settings.Region), Settings.HeartbeatInterval,
+              Settings.Peers, *this),
+      Log(Environment.Loop, Environment.Log, Entries, Self,
+          logSettings(Settings)),
+      Auth(Settings.OperatorTokenHash),
+      Requests(Environment.Loop, Environment.Peers, Auth, Environment.Metrics,
+               routerSettings(Settings),
+               {Self.Node, Self.Incarnation, region_id(Settings.Region),
+                availability_zone_id(Settings.Zone)},
+               raw(Self.Incarnation)),
+      Agents(Environment.Loop, Environment.Peers, Log, Members, Self,
+             region_id(Settings.Region), livenessSettings(Settings),
+             [this](router_event Event) { Requests.learn(std::move(Event)); }),
+      Scheduler(Environment.Loop, Log, Rank, Self, objectiveOf(Settings)),
+      Gangs(Environment.Loop, Environment.Peers, Log, Members, Self,
+            supervisionSettings(Settings)),
+      StateServer(Log),
+      Admin(Environment.Loop, Log, Auth, Agents, Scheduler,
+            Settings.AppendDeadline, [this] { return status(); }),
+      AnnounceRetry(Environment.Loop), DrainTimer(Environment.Loop) {
+  Log.observe(Agents);
+  Log.observe(Gangs);
+  Log.observe(Scheduler);
+  Log.observe(*this);
+  registerMetrics();
+}
+
+void entry_role::start(std::string PeerAddress, std::string HttpAddress) {
+  Announcement = {Self.Node, region_id(Settings.Region),
+                  availability_zone_id(Settings.Zone), std::move(PeerAddress),
+                  std::move(HttpAddress)};
+  Log.start([this] { onReady(); });
+}
+
+void entry_role::onReady() {
+  configureRouter();
+  Entries.start(Log);
+  Agents.start();
+  Gangs.start();
+  Scheduler.start();
+  announce();
+}
+
+/// Repeated until the log has it: other entries and the agents learn of this
+/// entry from there.
+void entry_role::announce() {
+  Log.propose(actor_id(Self.Node.view()), Announcement, AnnounceTimeout,
+              [this](const proposal_answered &Answer) {
+                if (Answer.Outcome != proposal_outcome::Decided && !Draining)
+                  AnnounceRetry.start(AnnounceRetryInterval,
+                                      [this] { announce(); });
+              });
+}
+
+void entry_role::drain() {
+  if (Draining)
+    return;
+  Draining = true;
+  Logger.info("drain started");
+  if (Log.ready())
+    Entries.setDraining();
+  DrainTimer.start(Settings.DrainNotice, [this] {
+    Requests.drain();
+    Log.close();
+    finishDrain();
+  });
+}
+
+void entry_role::finishDrain() {
+  if (Requests.openRequests() > 0 || !Log.idle())
+    return DrainTimer.start(DrainPoll, [this] { finishDrain(); });
+  Logger.info("drain finished");
+  Stopped();
+}
+
+void entry_role::onFolded(log_offset, const record &, const verdict &) {}
+
+void entry_role::onStateReplaced() { configureRouter(); }
+
+void entry_role::onBatchFolded() {
+  if (Log.state().version() != RoutedVersion)
+    configureRouter();
+}
+
+void entry_role::configureRouter() {
+  RoutedVersion = Log.state().version();
+  customers_configured Event;
+  for (const customer_entry &Customer : Log.state().customers())
+    Event.Customers.push_back(Customer.Config);
+  Requests.learn(std::move(Event));
+}
+
+proto::PeerResponse entry_role::makeResponse(proto::Refusal Refusal) const {
+  proto::PeerResponse Response;
+  Response.set_incarnation(raw(Self.Incarnation));
+  Response.set_refusal(Refusal);
+  return Response;
+}
+
+void entry_role::handlePeer(const proto::PeerRequest &Request,
+                            const peer_responder &Respond) {
+  try {
+    switch (Request.body_case()) {
+    case proto::PeerRequest::kHeartbeat:
+      return answerHeartbeat(Request, Respond);
+    case proto::PeerRequest::kEntryHeartbeat:
+      return answerEntryHeartbeat(Request, Respond);
+    case proto::PeerRequest::kJobReport:
+      return Gangs.onReport(node_id(Request.node()), Request.job_report(),
+                            Respond);
+    case proto::PeerRequest::kFetchState:
+      return Respond(StateServer.fetch(Request.fetch_state()));
+    default:
+      break;
+    }
+  } catch (const malformed_message_error &Failure) {
+    Logger.warning(Failure.what());
+  }
+  Respond(makeResponse(proto::REFUSAL_INVALID));
+}
+
+void entry_role::answerHeartbeat(const proto::PeerRequest &Request,
+                                 const peer_responder &Respond) {
+  if (!Log.ready())
+    return Respond(makeResponse(proto::REFUSAL_NOT_READY));
+  proto::PeerResponse Response = makeResponse(proto::REFUSAL_NONE);
+  *Response.mutable_heartbeat() = Agents.onHeartbeat(
+      node_id(Request.node()), incarnation{Request.incarnation()},
+      Request.heartbeat());
+  Respond(std::move(Response));
+}
+
+void entry_role::answerEntryHeartbeat(const proto::PeerRequest &Request,
+                                      const peer_responder &Respond) {
+  if (Log.ready())
+    Entries.onHeartbeat(node_id(Request.node()),
+                        incarnation{Request.incarnation()},
+                        Request.entry_heartbeat());
+  proto::PeerResponse Response = makeResponse(proto::REFUSAL_NONE);
+  Response.mutable_entry_heartbeat()->set_folded(raw(Log.state().folded()));
+  Response.mutable_entry_heartbeat()->set_config_version(
+      raw(Log.state().version()));
+  Respond(std::move(Response));
+}
+
+proto::EntryHeartbeat entry_role::heartbeat(bool AcrossRegions) {
+  proto::EntryHeartbeat Out;
+  *Out.mutable_entry() = toProto(Announcement);
+  Out.set_folded(raw(Log.state().folded()));
+  Out.set_config_version(raw(Log.state().version()));
+  for (const customer_demand &Demand : Requests.demand()) {
+    proto::CustomerDemand &To = *Out.add_demand();
+    To.set_customer(Demand.Customer.str());
+    To.set_in_flight(Demand.InFlight);
+    To.set_rate_per_second(Demand.RatePerSecond);
+  }
+  if (AcrossRegions && Rank.ownsLink(region_id(Settings.Region)))
+    *Out.mutable_summary() = Agents.summary();
+  return Out;
+}
+
+void entry_role::learnHeartbeat(const node_id &Entry,
+                                const proto::EntryHeartbeat &Heartbeat) {
+  peer_demand_reported Event{Entry, {}};
+  for (const proto::CustomerDemand &Demand : Heartbeat.demand())
+    Event.Demand.push_back({customer_id(Demand.customer()), Demand.in_flight(),
+                            Demand.rate_per_second()});
+  Requests.learn(std::move(Event));
+  if (Heartbeat.has_summary())
+    Agents.learnSummary(Heartbeat.summary());
+}
+
+void entry_role::entryLost(const node_id &Entry) {
+  Requests.learn(peer_lost{Entry});
+}
+
+void entry_role::membersChanged() {
+  Log.setRank(static_cast<std::uint32_t>(Rank.rank()));
+  Gangs.membersChanged();
+}
+
+void entry_role::handleHttp(const http_request_view &Request,
+                            const std::shared_ptr<ihttp_responder> &Responder) {
+  if (Request.Path.starts_with(CallPrefix))
+    return Log.ready() ? Requests.handle(Request, Responder, Log.state())
+                       : Responder->respond(errorResponse(
+                             error_kind::Unavailable, "not_ready",
+                             "this entry is starting; nothing was run"));
+  if (Request.Path.starts_with("/v1/"))
+    return Admin.handle(Request, Responder);
+  if (Request.Path == "/healthz")
+    return Responder->respond(textResponse(200, "ok\n"));
+  if (Request.Path == "/readyz")
+    return Responder->respond(ready() ? textResponse(200, "ready\n")
+                                      : textResponse(503, "not ready\n"));
+  if (Request.Path == "/metrics")
+    return Responder->respond(textResponse(200, Environment.Metrics.render()));
+  Responder->respond(
+      errorResponse(error_kind::NotFound, "not_found", "no such page"));
+}
+
+proto::EntryStatus entry_role::status() const {
+  proto::EntryStatus Out;
+  Out.set_node(Self.Node.str());
+  Out.set_region(Settings.Region);
+  Out.set_zone(Settings.Zone);
+  Out.set_ready(ready());
+  Out.set_draining(Draining);
+  Out.set_folded(raw(Log.state().folded()));
+  Out.set_config_version(raw(Log.state().version()));
+  Out.set_log_reachable(Log.logReachable());
+  Out.set_agents_linked(static_cast<std::uint32_t>(Agents.linked()));
+  Out.set_jobs_waiting(
+      static_cast<std::uint32_t>(Log.state().waitingJobs().size()));
+  Out.set_jobs_running(
+      static_cast<std::uint32_t>(Log.state().runningAttempts().size()));
+  for (const entry_member &Entry : Log.state().entries())
+    *Out.add_entries() =
+        toProto(entry_announced{Entry.Node, Entry.Region, Entry.Zone,
+                                Entry.PeerAddress, Entry.HttpAddress});
+  for (const guarantee_shortfall &Short : Log.state().account().shortfalls())
+    Out.add_shortfalls(Short.Customer.str() + ": " +
+                       std::to_string(Short.Missing) + " cells missing");
+  return Out;
+}
+
+void entry_role::registerMetrics() {
+  auto Add = [this](std::string_view Name, std::string_view Help,
+                    std::function<double()> Read) {
+    gauge &Gauge = Environment.Metrics.getGauge(Name, Help);
+    Environment.Metrics.onRender(
+        [&Gauge, Read = std::move(Read)] { Gauge.set(Read()); });
+  };
+  Add("geraniumpaddle_log_folded_offset", "Offset of the last folded record.",
+      [this] { return static_cast<double>(raw(Log.state().folded())); });
+  Add("geraniumpaddle_config_version", "Configuration version in force.",
+      [this] { return static_cast<double>(raw(Log.state().version())); });
+  Add("geraniumpaddle_jobs_waiting", "Jobs that wait to be placed.",
+      [this] { return static_cast<double>(Log.state().waitingJobs().size()); });
+  Add("geraniumpaddle_jobs_running", "Attempts that hold capacity.", [this] {
+    return static_cast<double>(Log.state().runningAttempts().size());
+  });
+  Add("geraniumpaddle_append_queue", "Proposals not yet appended.",
+      [this] { return static_cast<double>(Log.queued()); });
+  Add("geraniumpaddle_agents_linked", "Agents whose heartbeats arrive.",
+      [this] { return static_cast<double>(Agents.linked()); });
+}
+
+} // namespace geraniumpaddle
--- a/src/peercodec/internal/gangcodec.cpp
+++ b/src/peercodec/internal/gangcodec.cpp
@@ -121,6 +121,7 @@
   Out.set_attempt(Assignment.Attempt);
   Out.set_non_idempotent(!Assignment.Idempotent);
   Out.set_command(Assignment.Command);
+  Out.set_started(Assignment.Started);
   for (const gang_task &Task : Assignment.Tasks)
     addTask(Task, *Out.add_tasks());
   for (const gang_member_info &Member : Assignment.Members) {
@@ -141,6 +142,7 @@
   Out.Attempt = Message.attempt();
   Out.Idempotent = !Message.non_idempotent();
   Out.Command = Message.command();
+  Out.Started = Message.started();
   Out.Tasks = tasksOf(Message.tasks());
   for (const proto::GangMember &Member : Message.members())
     Out.Members.push_back({worker_id(Member.worker()), Member.peer_address(),
