--- a/src/core/membership/types/livenessmessages.h
+++ b/src/core/membership/types/livenessmessages.h
@@ -48,7 +48,7 @@
   incarnation Incarnation{};
 };
 
-/// A suspected or lost node was heard again, in the same or a later run.
+/// A suspected node was heard again, in the same or a later run.
 struct node_recovered {
   node_id Node;
   incarnation Incarnation{};
