Judge silence by the heartbeat that is late, not by whole intervals

Cause: with 850 agents and intervals of 8.5 s, five intervals made 42 s until a loss was declared. Ruled out: more heartbeats, which the budget of control does not hold. Change: a node is suspected 1.5 s and lost 4 s after its heartbeat was due. A mass loss is judged by the nodes that were due in the same time, since with long intervals most nodes are not yet due when the first is overdue. Conclusion: detection time grows with the interval only once.

--- a/src/core/membership/internal/liveness.cpp
+++ b/src/core/membership/internal/liveness.cpp
@@ -40,7 +40,7 @@
   Node.State = node_state::Live;
   Node.HeardAt = Now;
   Node.Interval = std::max(Event.Interval, Settings.MinInterval);
-  schedule(Event.Node, Node, Now + silenceAllowed(Node, Settings.SuspectAfter));
+  schedule(Event.Node, Node, Now + Node.Interval + Settings.SuspectMargin);
 }
 
 void liveness::onLeft(const node_left &Event, time_point) {
@@ -74,14 +74,14 @@
   updateSelfSuspicion(Now);
   if (mayDeclare(Now))
     return lose(Id, Node);
-  schedule(Id, Node, Now + Node.Interval);
+  schedule(Id, Node, Now + Settings.MinInterval);
 }
 
 void liveness::suspect(const node_id &Id, node &Node) {
   Node.State = node_state::Suspected;
   ++Suspects;
   Commands.emplace_back(node_suspected{Id, Node.Incarnation});
-  schedule(Id, Node, Node.HeardAt + silenceAllowed(Node, Settings.LostAfter));
+  schedule(Id, Node, Node.HeardAt + Node.Interval + Settings.LostMargin);
 }
 
 void liveness::lose(const node_id &Id, const node &Node) {
@@ -103,20 +103,22 @@
   Due.emplace(At, Id);
 }
 
-duration liveness::silenceAllowed(const node &Node, double Intervals) const {
-  const double Micros = static_cast<double>(Node.Interval.count()) * Intervals;
-  return duration(static_cast<duration::rep>(Micros));
-}
-
-bool liveness::massLoss() const {
-  const double Share =
-      static_cast<double>(Nodes.size()) * Settings.MassLossShare;
-  return Suspects >= Settings.MassLossNodes &&
-         static_cast<double>(Suspects) >= Share;
+/// Compares the silent nodes with those heard within the time that lies between
+/// suspicion and loss. With long intervals only some nodes are due in it, on
+/// both sides alike.
+bool liveness::massLoss(time_point Now) const {
+  if (Suspects < Settings.MassLossNodes)
+    return false;
+  const time_point Since = Now - (Settings.LostMargin - Settings.SuspectMargin);
+  const auto Heard = std::ranges::count_if(Nodes, [Since](const auto &Entry) {
+    return Entry.second.HeardAt >= Since;
+  });
+  const double Counted = static_cast<double>(Suspects) + double(Heard);
+  return static_cast<double>(Suspects) >= Counted * Settings.MassLossShare;
 }
 
 void liveness::updateSelfSuspicion(time_point Now) {
-  const bool Suspected = massLoss();
+  const bool Suspected = massLoss(Now);
   if (Suspected == SelfSuspected)
     return;
   SelfSuspected = Suspected;
--- a/src/core/membership/liveness.h
+++ b/src/core/membership/liveness.h
@@ -51,8 +51,7 @@
   void lose(const node_id &Id, const node &Node);
   void forget(const node_id &Id);
   void schedule(const node_id &Id, node &Node, time_point At);
-  duration silenceAllowed(const node &Node, double Intervals) const;
-  bool massLoss() const;
+  bool massLoss(time_point Now) const;
   void updateSelfSuspicion(time_point Now);
   bool mayDeclare(time_point Now) const;
   void armWake();
--- a/src/core/membership/tests/livenesstest.cpp
+++ b/src/core/membership/tests/livenesstest.cpp
@@ -119,6 +119,18 @@
   LONGS_EQUAL(4, Nodes.Watch.nodes());
 }
 
+TEST(Liveness, HoldsBackAMassLossOfNodesWithLongIntervals) {
+  watched_nodes Nodes;
+  for (int I = 0; I < 85; ++I) {
+    Nodes.tell(heartbeat_received{node_id("far" + std::to_string(I)),
+                                  incarnation{1}, 8500ms});
+    Nodes.pass(100ms, 0);
+  }
+  Nodes.pass(60s, 0);
+  CHECK(Nodes.Watch.selfSuspected());
+  LONGS_EQUAL(85, Nodes.Watch.nodes());
+}
+
 TEST(Liveness, ExcusesSilenceWhileItWasPausedItself) {
   watched_nodes Nodes;
   Nodes.heartbeat(0);
@@ -142,6 +154,19 @@
   CHECK(Nodes.Seen.empty());
 }
 
+TEST(Liveness, NoticesSilenceSoonAfterALongIntervalToo) {
+  watched_nodes Nodes;
+  for (int I = 0; I < 5; ++I)
+    Nodes.heartbeat(I);
+  Nodes.tell(heartbeat_received{node_id("slow"), incarnation{1}, 8500ms});
+  Nodes.pass(9900ms, 5);
+  CHECK(Nodes.Seen.empty());
+  Nodes.pass(200ms, 5);
+  CHECK(Nodes.saw("suspect slow"));
+  Nodes.pass(2500ms, 5);
+  CHECK(Nodes.saw("lost slow"));
+}
+
 TEST(Liveness, SpreadsTheHeartbeatsOfManyNodes) {
   watched_nodes Nodes;
   CHECK(Nodes.Watch.heartbeatInterval() == duration(1s));
--- a/src/core/membership/types/livenessmessages.h
+++ b/src/core/membership/types/livenessmessages.h
@@ -13,10 +13,11 @@
 struct liveness_settings {
   duration MinInterval = std::chrono::seconds(1);
   double MaxHeartbeatsPerSecond = 100; ///< received from all nodes together
-  /// Silence in intervals after which a node is suspected, and lost.
-  double SuspectAfter = 2.5;
-  double LostAfter = 5;
-  /// Share of the nodes whose silence is taken for this node's own fault.
+  /// Silence beyond a missed heartbeat after which a node is suspected, and
+  /// lost. Links are TCP: a heartbeat that is due is late, not dropped.
+  duration SuspectMargin = std::chrono::milliseconds(1500);
+  duration LostMargin = std::chrono::seconds(4);
+  /// Share of the nodes due whose silence is taken for this node's own fault.
   double MassLossShare = 0.5;
   std::size_t MassLossNodes = 3; ///< fewer silent nodes are no mass loss
   /// How long a mass loss is held back while at least one node is heard.
