--- a/src/core/routing/attempttable.h
+++ b/src/core/routing/attempttable.h
@@ -88,12 +88,14 @@
   void reportKnown(call_handle Call, const attempt_id &Id,
                    const attempt &Known);
   bool forgotten(const attempt_id &Id) const;
+  void finishDrain(time_point Now);
   time_point nextWake() const;
 
   attempt_settings Settings;
   incarnation Self;
   bool Draining = false;
   bool DrainReported = false;
+  time_point QuietSince; ///< last answer, refusal or start of a drain
   std::uint32_t Running = 0;
   std::size_t AnswerBytes = 0;
   std::unordered_map<attempt_id, attempt> Attempts;
--- a/src/core/routing/internal/attempttable.cpp
+++ b/src/core/routing/internal/attempttable.cpp
@@ -136,8 +136,9 @@
   }
 }
 
-void attempt_table::onDrain(const agent_drain_started &, time_point) {
+void attempt_table::onDrain(const agent_drain_started &, time_point Now) {
   Draining = true;
+  QuietSince = Now;
 }
 
 void attempt_table::onTimer(const agent_timer_fired &, time_point) {
@@ -153,6 +154,7 @@
     reportKnown(Call, Id, Attempt);
   Attempt.Waiting = {};
   Settled.push_back({Now, Id});
+  QuietSince = Now;
   if (Phase == phase::Answered)
     keepAnswer(Id, Attempt);
   else
@@ -211,10 +213,7 @@
   expireQueued(Now);
   startQueued(Now);
   forgetOld(Now);
-  if (Draining && idle() && !DrainReported) {
-    DrainReported = true;
-    Commands.emplace_back(agent_drained{});
-  }
+  finishDrain(Now);
   const time_point Wake = nextWake();
   if (Wake < ArmedWake) {
     ArmedWake = Wake;
@@ -222,10 +221,20 @@
   }
 }
 
+void attempt_table::finishDrain(time_point Now) {
+  const bool Quiet = idle() && QuietSince + Settings.DrainLinger <= Now;
+  if (!Draining || DrainReported || !Quiet)
+    return;
+  DrainReported = true;
+  Commands.emplace_back(agent_drained{});
+}
+
 time_point attempt_table::nextWake() const {
   time_point Wake = time_point::max();
+  if (Draining && !DrainReported && idle())
+    Wake = QuietSince + Settings.DrainLinger;
   if (!Settled.empty())
-    Wake = Settled.front().At + Settings.Retention;
+    Wake = std::min(Wake, Settled.front().At + Settings.Retention);
   Queue.forEach([&](const attempt_id &Id) {
     Wake = std::min(Wake, Attempts.at(Id).Deadline);
   });
--- a/src/core/routing/tests/routingworld.cpp
+++ b/src/core/routing/tests/routingworld.cpp
@@ -97,6 +97,7 @@
 void routing_world::killAgent(std::size_t Index) {
   agent &Agent = Agents[Index];
   Agent.Alive = false;
+  Agent.AtEndpoint = 0;
   Agent.Wake = time_point::max();
   Agent.Requests.clear();
   Agent.Answers.clear();
@@ -118,6 +119,11 @@
 
 void routing_world::drainAgent(std::size_t Agent) {
   toTable(Agent, Agents[Agent].Run, agent_drain_started{});
+  after(OneWay, [this, Agent] {
+    for (std::size_t E = 0; E < Entries.size(); ++E)
+      toRouter(E, endpoint_load_reported{agentName(Agent), Agents[Agent].Run,
+                                         Agents[Agent].Table->load(), true});
+  });
 }
 
 void routing_world::silenceLink(std::size_t Entry, std::size_t Agent) {
@@ -302,8 +308,7 @@
     Agent.Requests.erase(Release->Attempt);
     Agent.Answers.erase(Release->Attempt);
   } else if (std::holds_alternative<agent_drained>(Command)) {
-    // The process exits once its last answers are written out.
-    after(OneWay, [this, Index] { killAgent(Index); });
+    killAgent(Index);
   } else if (const auto *Wake = std::get_if<agent_wake_at>(&Command)) {
     Agent.Wake = Wake->At;
   }
@@ -327,9 +332,9 @@
   const duration Takes =
       Fault == endpoint_fault::Stuck ? Command.Timeout : Service;
   after(Takes, [=, this] {
-    --Agents[Index].AtEndpoint;
     if (Agents[Index].Run != Run || !Agents[Index].Alive)
       return;
+    --Agents[Index].AtEndpoint;
     const bool Whole = Fault == endpoint_fault::None;
     if (Whole)
       Agents[Index].Answers[Id] = Request;
--- a/src/core/routing/types/attemptmessages.h
+++ b/src/core/routing/types/attemptmessages.h
@@ -77,7 +77,8 @@
   attempt_id Attempt;
 };
 
-/// A drain is over: nothing runs, nothing is queued.
+/// A drain is over: nothing runs, nothing is queued, and for the linger time
+/// nothing was refused or answered. The process may exit.
 struct agent_drained {};
 
 /// Send agent_timer_fired at this time; replaces the earlier one.
--- a/src/core/routing/types/attemptsettings.h
+++ b/src/core/routing/types/attemptsettings.h
@@ -18,6 +18,9 @@
   std::size_t MaxAnswerBytes = 16UL * 1024 * 1024; ///< of all kept answers
   std::size_t MaxRemembered = 65536;               ///< attempts
   duration MaxTimeout = std::chrono::seconds(60);
+  /// How long a draining agent stays after its last refusal or answer: entries
+  /// hear of the drain meanwhile, and may ask for an answer that was lost.
+  duration DrainLinger = std::chrono::seconds(1);
 };
 
 } // namespace geraniumpaddle
