--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -87,7 +87,9 @@
 private:
   struct family;
 
-  family &getFamily(std::string_view Name, std::string_view Help, int Type);
+  template <typename Type, typename... Arguments>
+  Type &getSeries(std::string_view Name, std::string_view Help,
+                  const metric_labels &Labels, const Arguments &...Rest);
 
   std::map<std::string, std::unique_ptr<family>, std::less<>> Families;
   std::vector<std::function<void()>> Updates;
--- a/src/transport/ihttpclient.h
+++ b/src/transport/ihttpclient.h
@@ -36,8 +36,8 @@
   std::string Address; ///< ip:port
   std::string Method;  ///< GET, POST, PUT, DELETE, ...
   std::string Target;  ///< path and query
-  std::vector<http_header> Headers;
-  std::string Body;
+  std::vector<http_header> Headers = {};
+  std::string Body = {};
   duration Timeout{};
   connection_reuse Reuse = connection_reuse::ByMethod;
   std::string Cause = "http"; ///< under which its bytes are counted
@@ -46,8 +46,8 @@
 struct http_result {
   call_status Status = call_status::NotSent;
   int Code = 0; ///< HTTP status; only if Completed
-  std::vector<http_header> Headers;
-  std::string Body;
+  std::vector<http_header> Headers = {};
+  std::string Body = {};
 
   bool ok() const {
     return Status == call_status::Completed && Code >= 200 && Code < 300;
--- a/src/transport/ihttpserver.h
+++ b/src/transport/ihttpserver.h
@@ -23,8 +23,8 @@
 
 struct http_response {
   int Code = 200;
-  std::vector<http_header> Headers;
-  std::string Body;
+  std::vector<http_header> Headers = {};
+  std::string Body = {};
 };
 
 /// Answers one request, at once or later. Destroying it unanswered sends 500.
--- /dev/null
+++ b/src/transport/internal/address.cpp
@@ -0,0 +1,48 @@
+#include "transport/address.h"
+
+#include <arpa/inet.h>
+#include <charconv>
+
+namespace geraniumpaddle {
+
+namespace {
+
+bool isIp(const std::string &Ip) {
+  in6_addr Number{};
+  const int Family = Ip.find(':') == std::string::npos ? AF_INET : AF_INET6;
+  return ::inet_pton(Family, Ip.c_str(), &Number) == 1;
+}
+
+bool parsePort(std::string_view Text, std::uint16_t &Port) {
+  const char *End = Text.data() + Text.size();
+  const auto [Rest, Failure] = std::from_chars(Text.data(), End, Port);
+  return !Text.empty() && Failure == std::errc() && Rest == End;
+}
+
+} // namespace
+
+std::string socket_address::str() const {
+  const std::string Number = isIpv6() ? "[" + Ip + "]" : Ip;
+  return Number + ":" + std::to_string(Port);
+}
+
+socket_address parseAddress(std::string_view Text) {
+  const auto Colon = Text.rfind(':');
+  socket_address Address;
+  if (Colon != std::string_view::npos) {
+    std::string_view Ip = Text.substr(0, Colon);
+    const bool Bracketed = Ip.starts_with('[') && Ip.ends_with(']');
+    if (Bracketed) {
+      Ip = Ip.substr(1, Ip.size() - 2);
+    }
+    Address.Ip = Ip;
+    if (Bracketed == Address.isIpv6() && isIp(Address.Ip) &&
+        parsePort(Text.substr(Colon + 1), Address.Port)) {
+      return Address;
+    }
+  }
+  throw invalid_argument_error("\"" + std::string(Text) +
+                               "\" is not an address of the form ip:port");
+}
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/transport/internal/eventloop.cpp
@@ -0,0 +1,171 @@
+#include "transport/eventloop.h"
+
+#include "core/base/error.h"
+#include "logging/logging.h"
+
+#include <event2/event.h>
+
+#include <csignal>
+#include <ctime>
+
+namespace geraniumpaddle {
+
+namespace {
+
+timeval toTimeval(duration Length) {
+  const auto Microseconds = std::max<duration::rep>(Length.count(), 0);
+  return {.tv_sec = Microseconds / 1'000'000,
+          .tv_usec = Microseconds % 1'000'000};
+}
+
+void logLibrary(int Severity, const char *Message) {
+  static const logger Log("libevent");
+  if (Severity >= EVENT_LOG_ERR) {
+    Log.error(Message);
+  } else {
+    Log.debug(Message);
+  }
+}
+
+} // namespace
+
+struct event_loop::timer_entry {
+  event_loop &Loop;
+  timer_id Id;
+  std::function<void()> Fire;
+  event *Event = nullptr;
+
+  ~timer_entry() {
+    if (Event != nullptr) {
+      event_free(Event);
+    }
+  }
+};
+
+struct event_loop::signal_entry {
+  event_loop &Loop;
+  std::function<void()> Handler;
+  event *Event = nullptr;
+
+  ~signal_entry() {
+    if (Event != nullptr) {
+      event_free(Event);
+    }
+  }
+};
+
+event_loop::event_loop() {
+  event_set_log_callback(&logLibrary);
+  std::signal(SIGPIPE, SIG_IGN);
+  // The default clock of libevent is coarse: timers would fire early.
+  event_config *Config = event_config_new();
+  if (Config != nullptr) {
+    event_config_set_flag(Config, EVENT_BASE_FLAG_PRECISE_TIMER);
+    Base = event_base_new_with_config(Config);
+    event_config_free(Config);
+  }
+  if (Base == nullptr) {
+    throw unavailable_error("no event queue");
+  }
+}
+
+event_loop::~event_loop() {
+  Timers.clear();
+  Signals.clear();
+  event_base_free(Base);
+}
+
+time_point event_loop::now() const {
+  if (!TurnTime) {
+    timespec Now{};
+    clock_gettime(CLOCK_MONOTONIC, &Now);
+    TurnTime =
+        time_point(duration(Now.tv_sec * 1'000'000 + Now.tv_nsec / 1'000));
+  }
+  return *TurnTime;
+}
+
+wall_time event_loop::wallNow() const {
+  return std::chrono::time_point_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now());
+}
+
+timer_id event_loop::startTimer(duration After, std::function<void()> Fire) {
+  const timer_id Id{++LastTimer};
+  auto Entry = std::make_unique<timer_entry>(*this, Id, std::move(Fire));
+  Entry->Event = evtimer_new(Base, &event_loop::onTimer, Entry.get());
+  const timeval Wait = toTimeval(After);
+  if (Entry->Event == nullptr || evtimer_add(Entry->Event, &Wait) != 0) {
+    throw unavailable_error("no timer");
+  }
+  Timers.emplace(Id, std::move(Entry));
+  return Id;
+}
+
+void event_loop::cancelTimer(timer_id Timer) { Timers.erase(Timer); }
+
+void event_loop::onTimer(int, short, void *Context) {
+  const auto *Entry = static_cast<timer_entry *>(Context);
+  Entry->Loop.fire(Entry->Id);
+}
+
+void event_loop::fire(timer_id Timer) {
+  auto Node = Timers.extract(Timer);
+  const auto Call = std::move(Node.mapped()->Fire);
+  Node = {};
+  invoke(Call);
+}
+
+void event_loop::onSignal(int Signal, std::function<void()> Handler) {
+  auto Entry = std::make_unique<signal_entry>(*this, std::move(Handler));
+  Entry->Event =
+      evsignal_new(Base, Signal, &event_loop::onSignalEvent, Entry.get());
+  if (Entry->Event == nullptr || evsignal_add(Entry->Event, nullptr) != 0) {
+    throw unavailable_error("no signal handler");
+  }
+  Signals[Signal] = std::move(Entry);
+}
+
+void event_loop::onSignalEvent(int, short, void *Context) {
+  const auto *Entry = static_cast<signal_entry *>(Context);
+  Entry->Loop.invoke(Entry->Handler);
+}
+
+void event_loop::turn() {
+  TurnTime.reset();
+  event_base_loop(Base, EVLOOP_ONCE | EVLOOP_NO_EXIT_ON_EMPTY);
+  TurnTime.reset();
+  if (Failure) {
+    std::rethrow_exception(std::exchange(Failure, nullptr));
+  }
+}
+
+void event_loop::run() {
+  while (!Stopping) {
+    turn();
+  }
+  Stopping = false;
+}
+
+void event_loop::stop() {
+  Stopping = true;
+  event_base_loopbreak(Base);
+}
+
+void event_loop::runOnce(duration Wait) {
+  bool Expired = false;
+  const timer_id Limit = startTimer(Wait, [&Expired] { Expired = true; });
+  turn();
+  if (!Expired) {
+    cancelTimer(Limit);
+  }
+}
+
+void event_loop::fail(std::exception_ptr NewFailure) {
+  if (!Failure) {
+    Failure = std::move(NewFailure);
+  }
+  event_base_loopbreak(Base);
+}
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/transport/internal/httpclient.cpp
@@ -0,0 +1,309 @@
+#include "transport/httpclient.h"
+
+#include "core/base/error.h"
+#include "transport/internal/httpconnection.h"
+#include "transport/internal/httpmethod.h"
+#include "transport/timer.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace geraniumpaddle {
+
+namespace {
+
+struct pool;
+
+struct open_call {
+  open_call(event_loop &Loop, http_call_id Id, http_call Call,
+            std::function<void(const http_result &)> Done)
+      : Id(Id), Call(std::move(Call)), Done(std::move(Done)), Limit(Loop) {}
+
+  http_call_id Id;
+  http_call Call;
+  std::function<void(const http_result &)> Done;
+  timer Limit;
+  pool *Pool = nullptr;
+  http_connection *Connection = nullptr; ///< null while queued
+};
+
+struct pooled_connection {
+  explicit pooled_connection(event_loop &Loop) : KeepIdle(Loop) {}
+
+  std::unique_ptr<http_connection> Connection;
+  open_call *Call = nullptr; ///< null while idle
+  timer KeepIdle;
+};
+
+/// The connections to one address and the calls that wait for one.
+struct pool {
+  socket_address Address;
+  std::vector<std::unique_ptr<pooled_connection>> Connections;
+  std::deque<http_call_id> Queue;
+};
+
+struct changed_connection {
+  pool *Pool;
+  const http_connection *Connection;
+};
+
+bool mayReuse(const http_call &Call) {
+  switch (Call.Reuse) {
+  case connection_reuse::Always:
+    return true;
+  case connection_reuse::Never:
+    return false;
+  case connection_reuse::ByMethod:
+    return findMethod(Call.Method)->Idempotent;
+  }
+  return false;
+}
+
+} // namespace
+
+class http_client::impl {
+public:
+  impl(event_loop &Loop, const http_client_limits &Limits,
+       traffic_counter &Traffic);
+
+  http_call_id send(http_call Call,
+                    std::function<void(const http_result &)> Done);
+  void cancel(http_call_id Id);
+
+private:
+  pool &poolOf(const socket_address &Address);
+  void dispatch(pool &Pool);
+  pooled_connection *takeConnection(pool &Pool, bool Reuse);
+  pooled_connection *openConnection(pool &Pool);
+  void startCall(pooled_connection &Connection, open_call &Call);
+  void timeOut(open_call &Call);
+  void finish(open_call &Call, const http_result &Result);
+  void drop(pool &Pool, const http_connection &Connection);
+  void dropClosed(pool &Pool);
+  void changed(pool &Pool, const http_connection &Connection);
+  void processChanged();
+  void process(pool &Pool, pooled_connection &Connection);
+  void keep(pool &Pool, pooled_connection &Connection);
+
+  event_loop &Loop;
+  http_client_limits Limits;
+  traffic_counter &Traffic;
+  std::uint64_t LastCall = 0;
+  std::map<std::string, pool> Pools;
+  std::unordered_map<http_call_id, std::unique_ptr<open_call>> Calls;
+  std::deque<changed_connection> Changed;
+  event_ptr Process;
+};
+
+http_client::impl::impl(event_loop &Loop, const http_client_limits &Limits,
+                        traffic_counter &Traffic)
+    : Loop(Loop), Limits(Limits), Traffic(Traffic),
+      Process(event_new(
+          Loop.base(), -1, 0,
+          [](int, short, void *Self) {
+            auto *Client = static_cast<impl *>(Self);
+            Client->Loop.invoke([Client] { Client->processChanged(); });
+          },
+          this)) {
+  if (!Process) {
+    throw unavailable_error("no HTTP client");
+  }
+}
+
+pool &http_client::impl::poolOf(const socket_address &Address) {
+  auto &Pool = Pools[Address.str()];
+  Pool.Address = Address;
+  return Pool;
+}
+
+http_call_id
+http_client::impl::send(http_call Call,
+                        std::function<void(const http_result &)> Done) {
+  const auto Address = parseAddress(Call.Address);
+  if (!findMethod(Call.Method)) {
+    throw invalid_argument_error("unknown HTTP method \"" + Call.Method + "\"");
+  }
+  const http_call_id Id{++LastCall};
+  auto Owned =
+      std::make_unique<open_call>(Loop, Id, std::move(Call), std::move(Done));
+  open_call &Open = *Owned;
+  Open.Pool = &poolOf(Address);
+  Calls.emplace(Id, std::move(Owned));
+  if (Open.Pool->Queue.size() >= Limits.MaxQueuedPerAddress) {
+    Open.Limit.start(duration::zero(), [this, &Open] { finish(Open, {}); });
+    return Id;
+  }
+  Open.Limit.start(Open.Call.Timeout, [this, &Open] { timeOut(Open); });
+  Open.Pool->Queue.push_back(Id);
+  dispatch(*Open.Pool);
+  return Id;
+}
+
+void http_client::impl::dispatch(pool &Pool) {
+  while (!Pool.Queue.empty()) {
+    const auto Found = Calls.find(Pool.Queue.front());
+    if (Found != Calls.end()) {
+      open_call &Call = *Found->second;
+      auto *Connection = takeConnection(Pool, mayReuse(Call.Call));
+      if (Connection == nullptr) {
+        return;
+      }
+      startCall(*Connection, Call);
+    }
+    Pool.Queue.pop_front();
+  }
+}
+
+void http_client::impl::dropClosed(pool &Pool) {
+  std::vector<const http_connection *> Closed;
+  for (const auto &Each : Pool.Connections) {
+    if (Each->Call == nullptr && !Each->Connection->usable()) {
+      Closed.push_back(Each->Connection.get());
+    }
+  }
+  for (const auto *Connection : Closed) {
+    drop(Pool, *Connection);
+  }
+}
+
+pooled_connection *http_client::impl::takeConnection(pool &Pool, bool Reuse) {
+  dropClosed(Pool);
+  auto &Connections = Pool.Connections;
+  const auto Idle =
+      std::find_if(Connections.begin(), Connections.end(),
+                   [](const auto &Each) { return Each->Call == nullptr; });
+  if (Reuse && Idle != Connections.end()) {
+    (*Idle)->KeepIdle.cancel();
+    return Idle->get();
+  }
+  if (Connections.size() < Limits.MaxConnectionsPerAddress) {
+    return openConnection(Pool);
+  }
+  if (Idle != Connections.end()) {
+    drop(Pool, *(*Idle)->Connection);
+    return openConnection(Pool);
+  }
+  return nullptr;
+}
+
+pooled_connection *http_client::impl::openConnection(pool &Pool) {
+  auto Owned = std::make_unique<pooled_connection>(Loop);
+  Owned->Connection = std::make_unique<http_connection>(
+      Loop, Pool.Address, Limits,
+      [this, &Pool](const http_connection &Each) { changed(Pool, Each); });
+  Pool.Connections.push_back(std::move(Owned));
+  return Pool.Connections.back().get();
+}
+
+void http_client::impl::startCall(pooled_connection &Connection,
+                                  open_call &Call) {
+  Connection.Call = &Call;
+  Call.Connection = Connection.Connection.get();
+  Connection.Connection->start(Call.Call);
+}
+
+void http_client::impl::timeOut(open_call &Call) {
+  http_result Result;
+  pool &Pool = *Call.Pool;
+  if (Call.Connection != nullptr) {
+    http_connection &Connection = *Call.Connection;
+    Result = Connection.finished() ? Connection.result() : Result;
+    if (!Connection.finished() && !Connection.nothingWritten()) {
+      Result.Status = call_status::TimedOut;
+    }
+  }
+  finish(Call, Result);
+  dispatch(Pool);
+}
+
+void http_client::impl::finish(open_call &Call, const http_result &Result) {
+  if (const auto *Connection = Call.Connection) {
+    Traffic.add(Call.Call.Address, Call.Call.Cause, Connection->bytesIn(),
+                Connection->bytesOut());
+    drop(*Call.Pool, *Connection);
+  }
+  const auto Owned = std::move(Calls.extract(Call.Id).mapped());
+  Owned->Limit.cancel();
+  Owned->Done(Result);
+}
+
+void http_client::impl::cancel(http_call_id Id) {
+  const auto Node = Calls.extract(Id);
+  if (!Node.empty() && Node.mapped()->Connection != nullptr) {
+    pool &Pool = *Node.mapped()->Pool;
+    drop(Pool, *Node.mapped()->Connection);
+    dispatch(Pool);
+  }
+}
+
+void http_client::impl::drop(pool &Pool, const http_connection &Connection) {
+  std::erase_if(Changed, [&](const changed_connection &Each) {
+    return Each.Connection == &Connection;
+  });
+  std::erase_if(Pool.Connections, [&](const auto &Each) {
+    return Each->Connection.get() == &Connection;
+  });
+}
+
+// Runs below evhttp, which still uses the connection.
+void http_client::impl::changed(pool &Pool, const http_connection &Connection) {
+  Changed.push_back({&Pool, &Connection});
+  event_active(Process.get(), EV_TIMEOUT, 1);
+}
+
+void http_client::impl::processChanged() {
+  while (!Changed.empty()) {
+    const changed_connection Next = Changed.front();
+    Changed.pop_front();
+    const auto &Connections = Next.Pool->Connections;
+    const auto Found = std::find_if(
+        Connections.begin(), Connections.end(), [&](const auto &Each) {
+          return Each->Connection.get() == Next.Connection;
+        });
+    process(*Next.Pool, **Found);
+  }
+}
+
+void http_client::impl::process(pool &Pool, pooled_connection &Connection) {
+  open_call *Call = std::exchange(Connection.Call, nullptr);
+  if (Call == nullptr) {
+    drop(Pool, *Connection.Connection);
+    return;
+  }
+  const auto Result = std::move(Connection.Connection->result());
+  Traffic.add(Call->Call.Address, Call->Call.Cause,
+              Connection.Connection->bytesIn(),
+              Connection.Connection->bytesOut());
+  Call->Connection = nullptr;
+  keep(Pool, Connection);
+  finish(*Call, Result);
+  dispatch(Pool);
+}
+
+void http_client::impl::keep(pool &Pool, pooled_connection &Connection) {
+  const http_connection &Raw = *Connection.Connection;
+  if (!Raw.usable()) {
+    drop(Pool, Raw);
+    return;
+  }
+  Connection.KeepIdle.start(Limits.KeepIdle,
+                            [this, &Pool, &Raw] { drop(Pool, Raw); });
+}
+
+http_client::http_client(event_loop &Loop, const http_client_limits &Limits,
+                         traffic_counter &Traffic)
+    : Impl(std::make_unique<impl>(Loop, Limits, Traffic)) {}
+
+http_client::~http_client() = default;
+
+http_call_id http_client::send(http_call Call,
+                               std::function<void(const http_result &)> Done) {
+  return Impl->send(std::move(Call), std::move(Done));
+}
+
+void http_client::cancel(http_call_id Call) { Impl->cancel(Call); }
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/transport/internal/httpheaders.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "transport/ihttpclient.h"
+
+#include <event2/event.h>
+#include <event2/http.h>
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+struct evbuffer;
+struct evkeyvalq;
+
+namespace geraniumpaddle {
+
+/// True if \p Left and \p Right are the same header name.
+bool equalNames(std::string_view Left, std::string_view Right);
+
+/// \returns the value of the first header \p Name, or null.
+const std::string *findHeader(std::span<const http_header> Headers,
+                              std::string_view Name);
+
+std::vector<http_header> copyHeaders(const evkeyvalq &Headers);
+
+/// Adds \p Headers but for those that frame a message, which are set from the
+/// body. Malformed ones are left out.
+void addHeaders(evkeyvalq &Target, std::span<const http_header> Headers);
+
+std::string copyBody(evbuffer &Buffer);
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/transport/internal/httpmethod.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <event2/event.h>
+#include <event2/http.h>
+
+#include <optional>
+#include <string_view>
+
+namespace geraniumpaddle {
+
+/// What RFC 9110 and evhttp say about a method.
+struct http_method {
+  std::string_view Name;
+  evhttp_cmd_type Command;
+  bool Idempotent;
+  bool HasBody; ///< evhttp reads a body of it
+};
+
+/// \returns nothing for a method that evhttp does not know.
+std::optional<http_method> findMethod(std::string_view Name);
+std::optional<http_method> findMethod(evhttp_cmd_type Command);
+
+/// All methods, as a mask for evhttp.
+ev_uint16_t allMethods();
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/transport/internal/httpserver.cpp
@@ -0,0 +1,403 @@
+#include "transport/httpserver.h"
+
+#include "logging/logging.h"
+#include "transport/address.h"
+#include "transport/internal/evptr.h"
+#include "transport/internal/httpheaders.h"
+#include "transport/internal/httpmethod.h"
+
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unordered_map>
+#include <vector>
+
+namespace geraniumpaddle {
+
+namespace {
+
+/// One request whose answer has not been written out. Owned by its connection.
+struct exchange {
+  evhttp_request *Request;
+  event_ptr Watch; ///< waits for an end-of-stream of the caller
+  std::function<void()> Gone;
+  bool Answered = false;
+};
+
+struct free_uri_text {
+  void operator()(char *Text) const { free(Text); }
+};
+
+std::string decodedPath(const evhttp_request *Request) {
+  const evhttp_uri *Uri = evhttp_request_get_evhttp_uri(Request);
+  const char *Path = Uri == nullptr ? nullptr : evhttp_uri_get_path(Uri);
+  if (Path == nullptr || *Path == '\0') {
+    return "/";
+  }
+  std::size_t Size = 0;
+  const std::unique_ptr<char, free_uri_text> Text(
+      evhttp_uridecode(Path, /*decode_plus=*/0, &Size));
+  return {Text.get(), Size};
+}
+
+std::string_view queryOf(const evhttp_request *Request) {
+  const evhttp_uri *Uri = evhttp_request_get_evhttp_uri(Request);
+  const char *Query = Uri == nullptr ? nullptr : evhttp_uri_get_query(Uri);
+  return Query == nullptr ? std::string_view() : std::string_view(Query);
+}
+
+/// evhttp would read the body of such a request as the next request.
+bool isFramingAmbiguous(const http_method &Method,
+                        std::span<const http_header> Headers) {
+  const std::string *Length = findHeader(Headers, "Content-Length");
+  const bool Chunked = findHeader(Headers, "Transfer-Encoding") != nullptr;
+  if (!Method.HasBody) {
+    return Chunked || (Length != nullptr && *Length != "0");
+  }
+  const auto Lengths = std::count_if(
+      Headers.begin(), Headers.end(), [](const http_header &Header) {
+        return equalNames(Header.Name, "Content-Length");
+      });
+  return (Chunked && Length != nullptr) || Lengths > 1;
+}
+
+std::uint16_t boundPort(int Descriptor) {
+  sockaddr_storage Address{};
+  socklen_t Size = sizeof Address;
+  ::getsockname(Descriptor, reinterpret_cast<sockaddr *>(&Address), &Size);
+  return ntohs(Address.ss_family == AF_INET6
+                   ? reinterpret_cast<sockaddr_in6 &>(Address).sin6_port
+                   : reinterpret_cast<sockaddr_in &>(Address).sin_port);
+}
+
+} // namespace
+
+class http_server::impl {
+public:
+  impl(event_loop &Loop, const socket_address &Address,
+       const http_server_limits &Limits, http_handler Handler);
+  ~impl();
+
+  void stopAccepting();
+  void answer(exchange &Exchange, const http_response &Response);
+
+  std::uint16_t Port = 0;
+  std::size_t OpenRequests = 0;
+
+  std::size_t openConnections() const { return Connections.size(); }
+
+private:
+  struct connection {
+    impl &Server;
+    evhttp_connection *Raw;
+    std::shared_ptr<exchange> Current;
+  };
+
+  class responder;
+
+  static bufferevent *onAccept(event_base *Base, void *Self);
+  static void onRequest(evhttp_request *Request, void *Self);
+  static void onClosed(evhttp_connection *Raw, void *Context);
+  static void onAnswered(evhttp_request *Request, void *Context);
+  static void onReadable(int Descriptor, short, void *Context);
+
+  void registerAccepted();
+  void closed(connection &Connection);
+  void handle(connection &Connection, evhttp_request *Request);
+  void watchCaller(connection &Connection, exchange &Exchange);
+  void finishExchange(connection &Connection);
+  static void callerGone(exchange &Exchange);
+  void updateListener();
+
+  event_loop &Loop;
+  http_server_limits Limits;
+  http_handler Handler;
+  logger Log{"http_server"};
+  evhttp_bound_socket *Bound = nullptr;
+  bool Stopped = false;
+  bool Destroying = false;
+  std::vector<bufferevent *> Accepted;
+  std::unordered_map<evhttp_connection *, std::unique_ptr<connection>>
+      Connections;
+  event_ptr Register;
+  evhttp_ptr Http;
+};
+
+class http_server::impl::responder final : public ihttp_responder {
+public:
+  responder(impl &Server, std::weak_ptr<exchange> Exchange)
+      : Server(Server), Exchange(std::move(Exchange)) {}
+  ~responder() override { respond({.Code = HTTP_INTERNAL}); }
+  responder(const responder &) = delete;
+  responder &operator=(const responder &) = delete;
+
+  void respond(http_response Response) override {
+    const auto Open = Exchange.lock();
+    if (Open && !Open->Answered) {
+      Server.answer(*Open, Response);
+    }
+  }
+
+  void onCallerGone(std::function<void()> Gone) override {
+    const auto Open = Exchange.lock();
+    if (Open && !Open->Answered) {
+      Open->Gone = std::move(Gone);
+    }
+  }
+
+private:
+  impl &Server; // outlives every exchange
+  std::weak_ptr<exchange> Exchange;
+};
+
+http_server::impl::impl(event_loop &Loop, const socket_address &Address,
+                        const http_server_limits &Limits, http_handler Handler)
+    : Loop(Loop), Limits(Limits), Handler(std::move(Handler)),
+      Http(evhttp_new(Loop.base())) {
+  Register.reset(event_new(
+      Loop.base(), -1, 0,
+      [](int, short, void *Self) {
+        static_cast<impl *>(Self)->registerAccepted();
+      },
+      this));
+  if (!Http || !Register) {
+    throw unavailable_error("no HTTP server");
+  }
+  evhttp_set_max_headers_size(Http.get(),
+                              static_cast<ev_ssize_t>(Limits.MaxHeaderBytes));
+  evhttp_set_max_body_size(Http.get(),
+                           static_cast<ev_ssize_t>(Limits.MaxBodyBytes));
+  evhttp_set_timeout(Http.get(), static_cast<int>(Limits.IdleTimeout.count()));
+  evhttp_set_default_content_type(Http.get(), nullptr);
+  evhttp_set_allowed_methods(Http.get(), allMethods());
+  evhttp_set_bevcb(Http.get(), &impl::onAccept, this);
+  evhttp_set_gencb(Http.get(), &impl::onRequest, this);
+  Bound = evhttp_bind_socket_with_handle(Http.get(), Address.Ip.c_str(),
+                                         Address.Port);
+  if (Bound == nullptr) {
+    throw bind_error(Address);
+  }
+  Port = boundPort(evhttp_bound_socket_get_fd(Bound));
+}
+
+http_server::impl::~impl() {
+  Destroying = true;
+  Http.reset();
+}
+
+void http_server::impl::stopAccepting() {
+  if (!Stopped) {
+    Stopped = true;
+    evhttp_del_accept_socket(Http.get(), Bound);
+  }
+}
+
+// evhttp tells of a new connection before it is set up, and of its end only
+// through a callback set on it. So the callback is set a little later in the
+// same turn, before the connection can have an event.
+bufferevent *http_server::impl::onAccept(event_base *Base, void *Self) {
+  auto *Server = static_cast<impl *>(Self);
+  bufferevent *Buffer = bufferevent_socket_new(Base, -1, 0);
+  if (Buffer != nullptr) {
+    Server->Accepted.push_back(Buffer);
+    event_active(Server->Register.get(), EV_TIMEOUT, 1);
+    Server->updateListener();
+  }
+  return Buffer;
+}
+
+void http_server::impl::registerAccepted() {
+  for (bufferevent *Buffer : std::exchange(Accepted, {})) {
+    void *Context = nullptr;
+    bufferevent_getcb(Buffer, nullptr, nullptr, nullptr, &Context);
+    auto *Raw = static_cast<evhttp_connection *>(Context);
+    if (Raw == nullptr) {
+      continue;
+    }
+    const int NoDelay = 1;
+    ::setsockopt(bufferevent_getfd(Buffer), IPPROTO_TCP, TCP_NODELAY, &NoDelay,
+                 sizeof NoDelay);
+    auto Connection = std::make_unique<connection>(*this, Raw, nullptr);
+    evhttp_connection_set_closecb(Raw, &impl::onClosed, Connection.get());
+    Connections.emplace(Raw, std::move(Connection));
+  }
+  updateListener();
+}
+
+void http_server::impl::updateListener() {
+  if (Stopped || Bound == nullptr) {
+    return;
+  }
+  evconnlistener *Listener = evhttp_bound_socket_get_listener(Bound);
+  if (Connections.size() + Accepted.size() >= Limits.MaxConnections) {
+    evconnlistener_disable(Listener);
+  } else {
+    evconnlistener_enable(Listener);
+  }
+}
+
+void http_server::impl::onClosed(evhttp_connection *, void *Context) {
+  auto &Connection = *static_cast<connection *>(Context);
+  Connection.Server.closed(Connection);
+}
+
+void http_server::impl::closed(connection &Connection) {
+  const auto Open = std::move(Connection.Current);
+  Connections.erase(Connection.Raw);
+  if (Open) {
+    --OpenRequests;
+  }
+  if (Destroying) {
+    return;
+  }
+  updateListener();
+  if (Open && !Open->Answered) {
+    Open->Answered = true;
+    // evhttp has let go of a request that it closed the connection under.
+    if (Open->Request != nullptr &&
+        evhttp_request_get_connection(Open->Request) == nullptr) {
+      evhttp_request_free(Open->Request);
+    }
+    callerGone(*Open);
+  }
+}
+
+void http_server::impl::callerGone(exchange &Exchange) {
+  if (const auto Call = std::exchange(Exchange.Gone, nullptr)) {
+    Call();
+  }
+}
+
+void http_server::impl::onRequest(evhttp_request *Request, void *Self) {
+  auto *Server = static_cast<impl *>(Self);
+  auto *Raw = evhttp_request_get_connection(Request);
+  const auto Found = Server->Connections.find(Raw);
+  if (Found == Server->Connections.end()) {
+    evhttp_send_error(Request, HTTP_SERVUNAVAIL, nullptr);
+    return;
+  }
+  Server->Loop.invoke([&] { Server->handle(*Found->second, Request); });
+}
+
+void http_server::impl::handle(connection &Connection,
+                               evhttp_request *Request) {
+  const auto Open = std::make_shared<exchange>(Request, nullptr, nullptr);
+  Connection.Current = Open;
+  ++OpenRequests;
+  const auto Responder = std::make_shared<responder>(*this, Open);
+  const auto Method = findMethod(evhttp_request_get_command(Request));
+  const auto Headers = copyHeaders(*evhttp_request_get_input_headers(Request));
+  if (!Method || isFramingAmbiguous(*Method, Headers)) {
+    Responder->respond(
+        {.Code = HTTP_BADREQUEST, .Headers = {{"Connection", "close"}}});
+    return;
+  }
+  watchCaller(Connection, *Open);
+  const std::string Path = decodedPath(Request);
+  const std::string Body = copyBody(*evhttp_request_get_input_buffer(Request));
+  char *RemoteIp = nullptr;
+  ev_uint16_t RemotePort = 0;
+  evhttp_connection_get_peer(Connection.Raw, &RemoteIp, &RemotePort);
+  const std::string Remote =
+      socket_address{RemoteIp == nullptr ? "" : RemoteIp, RemotePort}.str();
+  try {
+    Handler({.Method = Method->Name,
+             .Path = Path,
+             .Query = queryOf(Request),
+             .Headers = Headers,
+             .Body = Body,
+             .RemoteAddress = Remote},
+            Responder);
+  } catch (const std::exception &Failure) {
+    Log.error(Failure.what());
+    Responder->respond({.Code = HTTP_INTERNAL});
+  }
+}
+
+// evhttp does not read while a request is handled, and a read by it then is an
+// error. The watch only looks at what the socket holds.
+void http_server::impl::watchCaller(connection &Connection,
+                                    exchange &Exchange) {
+  const int Descriptor =
+      bufferevent_getfd(evhttp_connection_get_bufferevent(Connection.Raw));
+  Exchange.Watch.reset(event_new(Loop.base(), Descriptor, EV_READ,
+                                 &impl::onReadable, &Connection));
+  if (Exchange.Watch) {
+    event_add(Exchange.Watch.get(), nullptr);
+  }
+}
+
+void http_server::impl::onReadable(int Descriptor, short, void *Context) {
+  auto &Connection = *static_cast<connection *>(Context);
+  char Byte = 0;
+  const auto Size = ::recv(Descriptor, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  const bool Reset = Size < 0 && errno != EAGAIN && errno != EINTR;
+  if (Size > 0) {
+    return; // pipelined data hides the end of the stream
+  }
+  impl &Server = Connection.Server;
+  if (Size == 0) {
+    const auto Open = Connection.Current;
+    Server.Loop.invoke([&] { callerGone(*Open); });
+  } else if (Reset) {
+    // Frees the request with the connection.
+    Connection.Current->Request = nullptr;
+    Server.Loop.invoke([&] { evhttp_connection_free(Connection.Raw); });
+  } else {
+    event_add(Connection.Current->Watch.get(), nullptr);
+  }
+}
+
+void http_server::impl::answer(exchange &Exchange,
+                               const http_response &Response) {
+  Exchange.Answered = true;
+  Exchange.Watch.reset();
+  Exchange.Gone = nullptr;
+  evhttp_request *Request = Exchange.Request;
+  evkeyvalq *Headers = evhttp_request_get_output_headers(Request);
+  addHeaders(*Headers, Response.Headers);
+  if (Stopped) {
+    evhttp_remove_header(Headers, "Connection");
+    evhttp_add_header(Headers, "Connection", "close");
+  }
+  evbuffer *Body = evhttp_request_get_output_buffer(Request);
+  evbuffer_add(Body, Response.Body.data(), Response.Body.size());
+  auto *Raw = evhttp_request_get_connection(Request);
+  evhttp_request_set_on_complete_cb(Request, &impl::onAnswered,
+                                    Connections.at(Raw).get());
+  evhttp_send_reply(Request, Response.Code, nullptr, nullptr);
+}
+
+void http_server::impl::onAnswered(evhttp_request *, void *Context) {
+  auto &Connection = *static_cast<connection *>(Context);
+  Connection.Server.finishExchange(Connection);
+}
+
+void http_server::impl::finishExchange(connection &Connection) {
+  Connection.Current.reset();
+  --OpenRequests;
+}
+
+http_server::http_server(event_loop &Loop, std::string_view Listen,
+                         const http_server_limits &Limits, http_handler Handler)
+    : Impl(std::make_unique<impl>(Loop, parseAddress(Listen), Limits,
+                                  std::move(Handler))) {}
+
+http_server::~http_server() = default;
+
+std::uint16_t http_server::port() const { return Impl->Port; }
+
+void http_server::stopAccepting() { Impl->stopAccepting(); }
+
+std::size_t http_server::openRequests() const { return Impl->OpenRequests; }
+
+std::size_t http_server::openConnections() const {
+  return Impl->openConnections();
+}
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/transport/tests/eventlooptest.cpp
@@ -0,0 +1,138 @@
+#include "transport/address.h"
+#include "transport/mailbox.h"
+#include "transport/tests/looptest.h"
+#include "transport/timer.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <csignal>
+#include <stdexcept>
+#include <thread>
+#include <vector>
+
+using namespace geraniumpaddle;
+using namespace std::chrono_literals;
+
+TEST_GROUP(EventLoop) { test::test_loop Test; };
+
+TEST(EventLoop, FiresTimersInTheOrderOfTheirTimesAndNotEarly) {
+  std::vector<int> Fired;
+  const time_point Start = Test.Loop.now();
+  time_point Last = Start;
+  Test.Loop.startTimer(20ms, [&] {
+    Fired.push_back(2);
+    Last = Test.Loop.now();
+  });
+  Test.Loop.startTimer(5ms, [&] { Fired.push_back(1); });
+  CHECK(Test.until([&] { return Fired.size() == 2; }));
+  CHECK((Fired == std::vector{1, 2}));
+  CHECK(Last - Start >= 20ms);
+}
+
+TEST(EventLoop, CancelsATimer) {
+  bool Fired = false;
+  bool Later = false;
+  const timer_id Cancelled = Test.Loop.startTimer(1ms, [&] { Fired = true; });
+  Test.Loop.startTimer(10ms, [&] { Later = true; });
+  Test.Loop.cancelTimer(Cancelled);
+  CHECK(Test.until([&] { return Later; }));
+  CHECK_FALSE(Fired);
+}
+
+TEST(EventLoop, TimeStandsStillWithinATurn) {
+  time_point First;
+  time_point Second;
+  Test.Loop.startTimer(0ms, [&] {
+    First = Test.Loop.now();
+    std::this_thread::sleep_for(2ms);
+    Second = Test.Loop.now();
+  });
+  CHECK(Test.until([&] { return Second != time_point(); }));
+  CHECK(First == Second);
+}
+
+TEST(EventLoop, RunReturnsAfterStop) {
+  Test.Loop.startTimer(1ms, [&] { Test.Loop.stop(); });
+  Test.Loop.run();
+}
+
+TEST(EventLoop, RunThrowsWhatACallbackThrew) {
+  Test.Loop.startTimer(1ms, [] { throw std::logic_error("broken"); });
+  CHECK_THROWS(std::logic_error, Test.Loop.run());
+}
+
+TEST(EventLoop, HandsSignalsToTheLoop) {
+  int Count = 0;
+  Test.Loop.onSignal(SIGUSR1, [&] { ++Count; });
+  ::raise(SIGUSR1);
+  CHECK(Test.until([&] { return Count == 1; }));
+}
+
+TEST(EventLoop, ATimerIsCancelledWithItsOwner) {
+  bool Fired = false;
+  bool Later = false;
+  {
+    timer Owned(Test.Loop);
+    Owned.start(1ms, [&] { Fired = true; });
+  }
+  Test.Loop.startTimer(10ms, [&] { Later = true; });
+  CHECK(Test.until([&] { return Later; }));
+  CHECK_FALSE(Fired);
+}
+
+TEST_GROUP(Mailbox) { test::test_loop Test; };
+
+TEST(Mailbox, RunsMessagesInTheOrderOfPostingOnTheLoop) {
+  constexpr int Messages = 1000;
+  mailbox Inbox(Test.Loop);
+  std::vector<int> Seen;
+  const auto LoopThread = std::this_thread::get_id();
+  bool OnLoop = true;
+  std::thread Poster([&, Sender = Inbox.address()] {
+    for (int Index = 0; Index < Messages; ++Index) {
+      Sender.post([&, Index] {
+        OnLoop = OnLoop && std::this_thread::get_id() == LoopThread;
+        Seen.push_back(Index);
+      });
+    }
+  });
+  CHECK(Test.until([&] { return Seen.size() == Messages; }));
+  Poster.join();
+  CHECK(OnLoop);
+  for (int Index = 0; Index < Messages; ++Index) {
+    LONGS_EQUAL(Index, Seen[Index]);
+  }
+}
+
+TEST(Mailbox, DestroysQueuedMessagesWhenItCloses) {
+  const auto Token = std::make_shared<int>(1);
+  mailbox Inbox(Test.Loop);
+  const auto Sender = Inbox.address();
+  CHECK(Sender.post([Token] {}));
+  LONGS_EQUAL(2, Token.use_count());
+  Inbox.close();
+  LONGS_EQUAL(1, Token.use_count());
+  CHECK_FALSE(Sender.post([Token] {}));
+}
+
+TEST(Mailbox, AMessageMayDestroyTheMailbox) {
+  auto Inbox = std::make_unique<mailbox>(Test.Loop);
+  bool Second = false;
+  const auto Sender = Inbox->address();
+  Sender.post([&] { Inbox.reset(); });
+  Sender.post([&] { Second = true; });
+  CHECK(Test.until([&] { return !Inbox; }));
+  CHECK_FALSE(Second);
+}
+
+TEST_GROUP(Address){};
+
+TEST(Address, AcceptsNumbersOnly) {
+  STRCMP_EQUAL("10.0.0.1:80", parseAddress("10.0.0.1:80").str().c_str());
+  STRCMP_EQUAL("[::1]:80", parseAddress("[::1]:80").str().c_str());
+  for (const char *Text :
+       {"", "localhost:80", "10.0.0.1", "10.0.0.1:", "10.0.0.1:65536",
+        "10.0.0.1:8x", "::1:80", "[10.0.0.1]:80", "10.0.0:80"}) {
+    CHECK_THROWS(invalid_argument_error, parseAddress(Text));
+  }
+}
--- /dev/null
+++ b/src/transport/tests/peertest.cpp
@@ -0,0 +1,263 @@
+#include "transport/address.h"
+#include "transport/peerclient.h"
+#include "transport/peerserver.h"
+#include "transport/tests/looptest.h"
+#include "transport/tests/rawsocket.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace geraniumpaddle;
+using namespace std::chrono_literals;
+using test::loopback;
+
+namespace {
+
+constexpr std::size_t Megabyte = 1024 * 1024;
+
+/// A server that echoes bodies unless told to keep calls, and a client.
+class peer_pair {
+public:
+  explicit peer_pair(event_loop &Loop,
+                     const peer_client_settings &Settings = {})
+      : Server(std::make_unique<peer_server>(
+            Loop, "127.0.0.1:0", peer_server_settings(),
+            [this](const proto::PeerRequest &Request,
+                   const peer_responder &Respond) {
+              ++Handled;
+              Handle(Request, Respond);
+            },
+            ServerTraffic)),
+        Client(std::make_unique<peer_client>(Loop, Settings, ClientTraffic)),
+        Address(loopback(Server->port())) {}
+
+  static proto::PeerRequest delivery(std::string Body) {
+    proto::PeerRequest Request;
+    Request.mutable_deliver()->set_body(std::move(Body));
+    return Request;
+  }
+
+  void call(std::string Body = "question", duration Timeout = 5s) {
+    Client->call(
+        Address, delivery(std::move(Body)), Timeout,
+        [this](const peer_result &Result) { Results.push_back(Result); });
+  }
+
+  void keepCalls() {
+    Handle = [this](const auto &, const auto &Respond) {
+      Kept.push_back(Respond);
+    };
+  }
+
+  int Handled = 0;
+  std::function<void(const proto::PeerRequest &, const peer_responder &)>
+      Handle = [](const auto &Request, const auto &Respond) {
+        proto::PeerResponse Response;
+        Response.mutable_attempt()->mutable_answer()->set_body(
+            Request.deliver().body());
+        Respond(Response);
+      };
+  std::vector<peer_responder> Kept;
+  std::vector<peer_result> Results;
+  traffic_counter ServerTraffic;
+  traffic_counter ClientTraffic;
+  std::unique_ptr<peer_server> Server;
+  std::unique_ptr<peer_client> Client;
+  std::string Address;
+};
+
+} // namespace
+
+TEST_GROUP(Peer) {
+  test::test_loop Test;
+
+  bool answered(const peer_pair &Pair, std::size_t Count = 1) {
+    return Test.until([&] { return Pair.Results.size() == Count; });
+  }
+};
+
+TEST(Peer, CarriesALargeBodyWholeAndCountsItsBytes) {
+  peer_pair Pair(Test.Loop);
+  const std::string Body(Megabyte, 'x');
+  Pair.call(Body);
+  CHECK(answered(Pair));
+  CHECK(Pair.Results.front().Status == call_status::Completed);
+  CHECK(Pair.Results.front().Response.attempt().answer().body() == Body);
+  const auto &Sent = Pair.ClientTraffic.counts().at({"", "deliver"});
+  const auto &Served = Pair.ServerTraffic.counts().at({"", "deliver"});
+  CHECK(Sent.BytesOut > Megabyte && Sent.BytesIn > Megabyte);
+  LONGS_EQUAL(Sent.BytesOut, Served.BytesIn);
+  LONGS_EQUAL(Sent.BytesIn, Served.BytesOut);
+}
+
+TEST(Peer, AnswersMayComeLateAndInAnyOrder) {
+  peer_pair Pair(Test.Loop);
+  std::vector<std::pair<std::string, peer_responder>> Kept;
+  Pair.Handle = [&](const auto &Request, const auto &Respond) {
+    Kept.emplace_back(Request.deliver().body(), Respond);
+  };
+  std::vector<std::pair<std::string, std::string>> Answers;
+  for (const char *Body : {"a", "b", "c"}) {
+    Pair.Client->call(Pair.Address, peer_pair::delivery(Body), 5s,
+                      [&, Body](const peer_result &Result) {
+                        Answers.emplace_back(
+                            Body, Result.Response.attempt().answer().body());
+                      });
+  }
+  CHECK(Test.until([&] { return Kept.size() == 3; }));
+  for (auto Each = Kept.rbegin(); Each != Kept.rend(); ++Each) {
+    proto::PeerResponse Response;
+    Response.mutable_attempt()->mutable_answer()->set_body(Each->first);
+    Each->second(Response);
+  }
+  CHECK(Test.until([&] { return Answers.size() == 3; }));
+  for (const auto &[Question, Answer] : Answers) {
+    STRCMP_EQUAL(Question.c_str(), Answer.c_str());
+  }
+}
+
+TEST(Peer, OnlyTheFirstAnswerCounts) {
+  peer_pair Pair(Test.Loop);
+  Pair.Handle = [](const auto &, const auto &Respond) {
+    proto::PeerResponse Response;
+    Response.set_incarnation(1);
+    Respond(Response);
+    Response.set_incarnation(2);
+    Respond(Response);
+  };
+  Pair.call();
+  CHECK(answered(Pair));
+  LONGS_EQUAL(1, Pair.Results.front().Response.incarnation());
+}
+
+TEST(Peer, ACallWithoutAnswerTimesOut) {
+  peer_pair Pair(Test.Loop);
+  Pair.keepCalls();
+  Pair.call("question", 200ms);
+  CHECK(answered(Pair));
+  CHECK(Pair.Results.front().Status == call_status::TimedOut);
+  Pair.Kept.clear();
+  CHECK(Test.until([&] { return Pair.Server->openCalls() == 0; }));
+}
+
+TEST(Peer, FailuresOfTheHandlerAreLost) {
+  const std::vector<decltype(peer_pair::Handle)> Handlers{
+      [](const auto &, const auto &) {},
+      [](const auto &, const auto &) {
+        throw invalid_argument_error("broken");
+      }};
+  for (const auto &Handler : Handlers) {
+    peer_pair Pair(Test.Loop);
+    Pair.Handle = Handler;
+    Pair.call();
+    CHECK(answered(Pair));
+    CHECK(Pair.Results.front().Status == call_status::Lost);
+  }
+}
+
+TEST(Peer, ACallBeyondTheBoundIsNotSent) {
+  peer_pair Pair(Test.Loop, {.MaxCallsInFlight = 1});
+  Pair.keepCalls();
+  Pair.call();
+  Pair.call();
+  CHECK(answered(Pair));
+  CHECK(Pair.Results.front().Status == call_status::NotSent);
+}
+
+TEST(Peer, ACallWhoseServerEndsIsLost) {
+  peer_pair Pair(Test.Loop);
+  Pair.keepCalls();
+  Pair.call();
+  CHECK(Test.until([&] { return Pair.Kept.size() == 1; }));
+  Pair.Server.reset();
+  Pair.Kept.front()({});
+  CHECK(answered(Pair));
+  CHECK(Pair.Results.front().Status == call_status::Lost);
+}
+
+TEST(Peer, AClientMayEndWithCallsOpen) {
+  peer_pair Pair(Test.Loop);
+  Pair.keepCalls();
+  Pair.call();
+  CHECK(Test.until([&] { return Pair.Kept.size() == 1; }));
+  Pair.Client.reset();
+  Pair.Kept.clear();
+  CHECK(Test.until([&] { return Pair.Server->openCalls() == 0; }));
+  CHECK(Pair.Results.empty());
+}
+
+TEST(Peer, StoppingRefusesNewCallsAndServesOpenOnes) {
+  peer_pair Pair(Test.Loop);
+  Pair.keepCalls();
+  Pair.call();
+  CHECK(Test.until([&] { return Pair.Kept.size() == 1; }));
+  Pair.Server->stopAccepting();
+  Pair.call();
+  CHECK(answered(Pair));
+  LONGS_EQUAL(proto::REFUSAL_DRAINING, Pair.Results.front().Response.refusal());
+  CHECK(Test.until([&] { return Pair.Server->openCalls() == 1; }));
+  proto::PeerResponse Response;
+  Response.set_incarnation(7);
+  Pair.Kept.front()(Response);
+  CHECK(answered(Pair, 2));
+  LONGS_EQUAL(7, Pair.Results.back().Response.incarnation());
+  CHECK(Test.until([&] { return Pair.Server->openCalls() == 0; }));
+  LONGS_EQUAL(1, Pair.Handled);
+}
+
+TEST(Peer, ReconnectReplacesASilentConnection) {
+  peer_pair Pair(Test.Loop);
+  test::silent_proxy Proxy(Test.Loop, Pair.Address);
+  Pair.Address = loopback(Proxy.port());
+  Pair.call();
+  CHECK(answered(Pair));
+  Proxy.silenceOpenConnections();
+  Pair.call("into the silence", 400ms);
+  Pair.Client->reconnect(Pair.Address);
+  Pair.call("over the new connection");
+  CHECK(answered(Pair, 2));
+  CHECK(Pair.Results.back().Status == call_status::Completed);
+  LONGS_EQUAL(2, Proxy.accepted());
+  CHECK(answered(Pair, 3));
+  CHECK(Pair.Results.back().Status == call_status::TimedOut);
+}
+
+TEST(Peer, ACallInFlightEndsOverTheOldConnectionAfterReconnect) {
+  peer_pair Pair(Test.Loop);
+  Pair.keepCalls();
+  Pair.call();
+  CHECK(Test.until([&] { return Pair.Kept.size() == 1; }));
+  Pair.Client->reconnect(Pair.Address);
+  Pair.Kept.front()({});
+  CHECK(answered(Pair));
+  CHECK(Pair.Results.front().Status == call_status::Completed);
+}
+
+TEST(Peer, ConnectsAgainAfterTheServerWasReplaced) {
+  peer_pair Pair(Test.Loop);
+  Pair.call();
+  CHECK(answered(Pair));
+  const auto Port = Pair.Server->port();
+  Pair.Server.reset();
+  Pair.Server = std::make_unique<peer_server>(
+      Test.Loop, loopback(Port), peer_server_settings(),
+      [](const auto &, const auto &Respond) { Respond({}); },
+      Pair.ServerTraffic);
+  std::size_t Calls = 1;
+  CHECK(Test.until([&] {
+    if (Pair.Results.size() == Calls &&
+        Pair.Results.back().Response.has_attempt()) {
+      Pair.call();
+      ++Calls;
+    }
+    return Pair.Results.size() == Calls &&
+           Pair.Results.back().Status == call_status::Completed &&
+           !Pair.Results.back().Response.has_attempt();
+  }));
+}
+
+TEST(Peer, RefusesAPortThatIsTaken) {
+  peer_pair Pair(Test.Loop);
+  CHECK_THROWS(bind_error,
+               peer_server(Test.Loop, Pair.Address, peer_server_settings(),
+                           nullptr, Pair.ServerTraffic));
+}
--- /dev/null
+++ b/src/transport/tests/rawsocket.cpp
@@ -0,0 +1,168 @@
+#include "transport/tests/rawsocket.h"
+
+#include "transport/address.h"
+#include "transport/tests/looptest.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+
+namespace geraniumpaddle::test {
+
+namespace {
+
+sockaddr_in loopbackAddress(std::uint16_t Port) {
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(Port);
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return Address;
+}
+
+} // namespace
+
+raw_connection::raw_connection(event_loop &Loop, int Descriptor)
+    : Buffer(bufferevent_socket_new(Loop.base(), Descriptor,
+                                    BEV_OPT_CLOSE_ON_FREE)) {
+  setUp();
+}
+
+raw_connection::raw_connection(event_loop &Loop, std::string_view Address)
+    : Buffer(bufferevent_socket_new(Loop.base(), -1, BEV_OPT_CLOSE_ON_FREE)) {
+  setUp();
+  sockaddr_in Target = loopbackAddress(parseAddress(Address).Port);
+  bufferevent_socket_connect(Buffer, reinterpret_cast<sockaddr *>(&Target),
+                             sizeof Target);
+}
+
+raw_connection::~raw_connection() {
+  if (Buffer != nullptr) {
+    bufferevent_free(Buffer);
+  }
+}
+
+void raw_connection::setUp() {
+  bufferevent_setcb(
+      Buffer,
+      [](bufferevent *Buffer, void *Self) {
+        auto *Connection = static_cast<raw_connection *>(Self);
+        evbuffer *Input = bufferevent_get_input(Buffer);
+        const std::size_t Size = evbuffer_get_length(Input);
+        const std::size_t Old = Connection->Received.size();
+        Connection->Received.resize(Old + Size);
+        evbuffer_remove(Input, Connection->Received.data() + Old, Size);
+        if (Connection->OnReceived) {
+          Connection->OnReceived();
+        }
+      },
+      [](bufferevent *, void *Self) {
+        auto *Connection = static_cast<raw_connection *>(Self);
+        if (Connection->ClosePending) {
+          bufferevent_free(std::exchange(Connection->Buffer, nullptr));
+        }
+      },
+      [](bufferevent *, short What, void *Self) {
+        if ((What & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+          static_cast<raw_connection *>(Self)->Ended = true;
+        }
+      },
+      this);
+  bufferevent_enable(Buffer, EV_READ | EV_WRITE);
+}
+
+void raw_connection::send(std::string_view Bytes) {
+  if (Buffer != nullptr) {
+    bufferevent_write(Buffer, Bytes.data(), Bytes.size());
+  }
+}
+
+void raw_connection::finishSending() {
+  ::shutdown(bufferevent_getfd(Buffer), SHUT_WR);
+}
+
+void raw_connection::closeWhenWritten() { ClosePending = true; }
+
+void raw_connection::reset() {
+  const linger Abort{.l_onoff = 1, .l_linger = 0};
+  ::setsockopt(bufferevent_getfd(Buffer), SOL_SOCKET, SO_LINGER, &Abort,
+               sizeof Abort);
+  bufferevent_free(std::exchange(Buffer, nullptr));
+}
+
+void raw_connection::goSilent() {
+  OnReceived = nullptr;
+  bufferevent_disable(Buffer, EV_READ | EV_WRITE);
+}
+
+raw_listener::raw_listener(event_loop &Loop, accept_function Accepted)
+    : Loop(Loop), Accepted(std::move(Accepted)) {
+  sockaddr_in Address = loopbackAddress(0);
+  Listener = evconnlistener_new_bind(
+      Loop.base(),
+      [](evconnlistener *, int Descriptor, sockaddr *, int, void *Self) {
+        auto *Owner = static_cast<raw_listener *>(Self);
+        Owner->Accepted(
+            std::make_unique<raw_connection>(Owner->Loop, Descriptor));
+      },
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+      reinterpret_cast<sockaddr *>(&Address), sizeof Address);
+}
+
+raw_listener::~raw_listener() { evconnlistener_free(Listener); }
+
+std::uint16_t raw_listener::port() const {
+  sockaddr_in Address{};
+  socklen_t Size = sizeof Address;
+  ::getsockname(evconnlistener_get_fd(Listener),
+                reinterpret_cast<sockaddr *>(&Address), &Size);
+  return ntohs(Address.sin_port);
+}
+
+canned_server::canned_server(event_loop &Loop, std::string Answer, after Then)
+    : Answer(std::move(Answer)), Then(Then),
+      Listener(Loop, [this](std::unique_ptr<raw_connection> Accepted) {
+        raw_connection &Connection = *Accepted;
+        Connections.push_back(std::move(Accepted));
+        Connection.OnReceived = [this, &Connection] { answer(Connection); };
+      }) {}
+
+void canned_server::answer(raw_connection &Connection) {
+  if (Then == after::Reset) {
+    Connection.OnReceived = nullptr;
+    Connection.reset();
+    return;
+  }
+  if (Then == after::Close) {
+    Connection.closeWhenWritten();
+  }
+  Connection.send(Answer);
+}
+
+silent_proxy::silent_proxy(event_loop &Loop, std::string Target)
+    : Loop(Loop), Target(std::move(Target)),
+      Listener(Loop, [this](std::unique_ptr<raw_connection> Accepted) {
+        auto Pair = std::make_unique<pair>();
+        Pair->Caller = std::move(Accepted);
+        Pair->Target =
+            std::make_unique<raw_connection>(this->Loop, this->Target);
+        const auto Pass = [](raw_connection &From, raw_connection &To) {
+          From.OnReceived = [&From, &To] {
+            To.send(std::exchange(From.Received, {}));
+          };
+        };
+        Pass(*Pair->Caller, *Pair->Target);
+        Pass(*Pair->Target, *Pair->Caller);
+        Pairs.push_back(std::move(Pair));
+      }) {}
+
+void silent_proxy::silenceOpenConnections() {
+  for (const auto &Pair : Pairs) {
+    Pair->Caller->goSilent();
+    Pair->Target->goSilent();
+  }
+}
+
+} // namespace geraniumpaddle::test
