--- /dev/null
+++ b/src/core/placement/internal/scheduler.cpp
@@ -0,0 +1,23 @@
+#include "core/placement/scheduler.h"
+
+#include "core/placement/internal/decision.h"
+#include "core/placement/internal/schedulingstrategy.h"
+
+namespace geraniumpaddle {
+
+scheduler::scheduler(objective Objective) : Strategy(makeStrategy(Objective)) {}
+scheduler::~scheduler() = default;
+
+schedule scheduler::decide(const schedule_view &View, time_point Now) {
+  Proposals.clear();
+  Explanations.clear();
+  decision Decision(View, Now, *Strategy, Estimator, Proposals, Explanations);
+  Decision.run();
+  return {Proposals, Explanations};
+}
+
+void scheduler::observe(const run_observation &Observation) {
+  Estimator.observe(Observation);
+}
+
+} // namespace geraniumpaddle
