Peer client: the loop opens the connections, gRPC gets them open

Cause: a caller may be told "not run" only with proof, and gRPC does not tell whether a failed call had been given to a connection. Ruled out: ClientContext::peer() (set only with the answer), the error text of the pick (not a contract), channel state polling (misses short connections). Change: tcp_connector opens the socket, CreateCustomInsecureChannelFromFd wraps it. Refused and unanswered connections are NotSent; everything later is Lost or TimedOut. gRPC's resolution, balancing, retries and reconnects have no part in a call any more. A connection that the peer closed is seen before the next call by the state of the socket.

--- a/src/transport/internal/grpcarguments.cpp
+++ b/src/transport/internal/grpcarguments.cpp
@@ -20,20 +20,11 @@
   Arguments.SetResourceQuota(Quota);
   Arguments.SetMaxReceiveMessageSize(Settings.MaxMessageBytes);
   Arguments.SetMaxSendMessageSize(Settings.MaxMessageBytes);
-  Arguments.SetLoadBalancingPolicyName("pick_first");
   Arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
   Arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
   Arguments.SetInt(GRPC_ARG_SERVICE_CONFIG_DISABLE_RESOLUTION, 1);
   Arguments.SetInt(GRPC_ARG_ENABLE_CHANNELZ, 0);
   Arguments.SetInt(GRPC_ARG_MAX_CHANNEL_TRACE_EVENT_MEMORY_PER_NODE, 0);
-  // Otherwise channels to one address share a connection.
-  Arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
-  Arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS,
-                   milliseconds(Settings.MinReconnectBackoff));
-  Arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS,
-                   milliseconds(Settings.MaxReconnectBackoff));
-  Arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS,
-                   milliseconds(Settings.MaxReconnectBackoff));
   Arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS,
                    milliseconds(Settings.KeepaliveTime));
   Arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS,
--- a/src/transport/internal/peerclient.cpp
+++ b/src/transport/internal/peerclient.cpp
@@ -2,53 +2,36 @@
 
 #include "transport/address.h"
 #include "transport/internal/grpcarguments.h"
+#include "transport/internal/peerlink.h"
 #include "transport/mailbox.h"
 
-#include "peer.grpc.pb.h"
-
 #include <grpcpp/grpcpp.h>
 
 #include <map>
 #include <unordered_set>
+#include <vector>
 
 namespace geraniumpaddle {
 
 namespace {
 
-// Channels to replaced processes are let go after this time.
+// Connections to replaced processes are let go after this time.
 constexpr std::chrono::minutes UnusedLinkLife{10};
 // How long the destructor waits for gRPC to end the calls that it cancelled.
 constexpr std::chrono::seconds CancelWait{1};
 
-/// The target has another form than the address that gRPC gives for the peer
-/// of a call, so that the two can be told apart.
-std::string targetOf(const socket_address &Address) {
-  const std::string Port = ":" + std::to_string(Address.Port);
-  return Address.isIpv6() ? "ipv6:///%5B" + Address.Ip + "%5D" + Port
-                          : "ipv4:///" + Address.Ip + Port;
-}
-
-/// One channel, which holds at most one connection.
-struct peer_link {
-  peer_link(const socket_address &Address,
-            const grpc::ChannelArguments &Arguments)
-      : Target(targetOf(Address)),
-        Stub(proto::Peer::NewStub(grpc::CreateCustomChannel(
-            Target, grpc::InsecureChannelCredentials(), Arguments))) {}
-
-  const std::string Target;
-  const std::unique_ptr<proto::Peer::Stub> Stub;
-  time_point LastUse{};
-};
+/// One call. Once it was given to gRPC, its callback there owns it too.
+struct open_call : std::enable_shared_from_this<open_call> {
+  explicit open_call(event_loop &Loop) : ConnectLimit(Loop) {}
 
-/// One call. The callback of gRPC owns it until the call has ended.
-struct open_call {
   std::shared_ptr<peer_link> Link;
   std::string Address;
   grpc::ClientContext Context;
   proto::PeerRequest Request;
   peer_result Result;
   std::function<void(const peer_result &)> Done;
+  timer ConnectLimit;
+  bool Started = false;
 };
 
 call_status statusOf(const grpc::Status &Status) {
@@ -60,6 +43,11 @@
              : call_status::Lost;
 }
 
+gpr_timespec deadlineAfter(duration Timeout) {
+  return gpr_time_add(gpr_now(GPR_CLOCK_MONOTONIC),
+                      gpr_time_from_micros(Timeout.count(), GPR_TIMESPAN));
+}
+
 } // namespace
 
 class peer_client::impl {
@@ -73,18 +61,22 @@
   void reconnect(std::string_view Address);
 
 private:
+  using call_ptr = std::shared_ptr<open_call>;
+
   std::shared_ptr<peer_link> linkTo(const socket_address &Address);
   void dropUnusedLinks();
-  void start(const std::shared_ptr<open_call> &Call);
-  void ended(const std::shared_ptr<open_call> &Call,
-             const grpc::Status &Status);
+  void connected(const peer_link &Link);
+  void start(const call_ptr &Call);
+  void ended(const call_ptr &Call, const grpc::Status &Status);
+  void finish(const call_ptr &Call, call_status Status);
+  void forget(const std::shared_ptr<peer_link> &Link);
 
   event_loop &Loop;
   peer_client_settings Settings;
   traffic_counter &Traffic;
   grpc::ResourceQuota Quota{"peer_client"};
   std::map<std::string, std::shared_ptr<peer_link>> Links;
-  std::unordered_set<std::shared_ptr<open_call>> Calls;
+  std::unordered_set<call_ptr> Calls;
   mailbox Inbox;
 };
 
@@ -95,6 +87,7 @@
 }
 
 peer_client::impl::~impl() {
+  std::erase_if(Calls, [](const call_ptr &Call) { return !Call->Started; });
   for (const auto &Call : Calls) {
     Call->Done = nullptr;
     Call->Context.TryCancel();
@@ -106,9 +99,10 @@
 std::shared_ptr<peer_link>
 peer_client::impl::linkTo(const socket_address &Address) {
   auto &Link = Links[Address.str()];
-  if (!Link) {
-    Link =
-        std::make_shared<peer_link>(Address, channelArguments(Settings, Quota));
+  if (!Link || !Link->usable()) {
+    Link = std::make_shared<peer_link>(
+        Loop, Address, Settings, channelArguments(Settings, Quota),
+        [this](const peer_link &Changed) { connected(Changed); });
     Link->LastUse = Loop.now();
     const auto Created = Link;
     dropUnusedLinks();
@@ -133,40 +127,73 @@
     Inbox.address().post([Done = std::move(Done)] { Done({}); });
     return;
   }
-  const auto Call = std::make_shared<open_call>();
-  Call->Link = linkTo(Parsed);
+  const auto Call = std::make_shared<open_call>(Loop);
   Call->Address = Address;
   Call->Request = Request;
   Call->Done = std::move(Done);
-  Call->Context.set_deadline(
-      gpr_time_add(gpr_now(GPR_CLOCK_MONOTONIC),
-                   gpr_time_from_micros(Timeout.count(), GPR_TIMESPAN)));
+  Call->Context.set_deadline(deadlineAfter(Timeout));
+  Call->Link = linkTo(Parsed);
   Calls.insert(Call);
-  start(Call);
+  if (Call->Link->status() == peer_link::state::Connected) {
+    start(Call);
+  } else {
+    Call->ConnectLimit.start(Timeout, [this, Raw = Call.get()] {
+      finish(Raw->shared_from_this(), call_status::NotSent);
+    });
+  }
+}
+
+void peer_client::impl::connected(const peer_link &Link) {
+  std::vector<call_ptr> Waiting;
+  for (const auto &Call : Calls) {
+    if (Call->Link.get() == &Link) {
+      Waiting.push_back(Call);
+    }
+  }
+  for (const auto &Call : Waiting) {
+    if (Link.status() == peer_link::state::Connected) {
+      start(Call);
+    } else {
+      finish(Call, call_status::NotSent);
+    }
+  }
 }
 
-void peer_client::impl::start(const std::shared_ptr<open_call> &Call) {
+void peer_client::impl::start(const call_ptr &Call) {
+  Call->ConnectLimit.cancel();
+  Call->Started = true;
   // The callback runs on a thread of gRPC.
-  Call->Link->Stub->async()->Exchange(
+  Call->Link->stub().async()->Exchange(
       &Call->Context, &Call->Request, &Call->Result.Response,
       [this, Call, Inbox = Inbox.address()](const grpc::Status &Status) {
         Inbox.post([this, Call, Status] { ended(Call, Status); });
       });
 }
 
-void peer_client::impl::ended(const std::shared_ptr<open_call> &Call,
+void peer_client::impl::ended(const call_ptr &Call,
                               const grpc::Status &Status) {
-  Calls.erase(Call);
-  Call->Result.Status = statusOf(Status);
-  const bool Sent = Call->Result.Status != call_status::NotSent;
+  if (Status.error_code() == grpc::StatusCode::UNAVAILABLE) {
+    forget(Call->Link);
+  }
   Traffic.add(Call->Address, causeOf(Call->Request),
               Call->Result.Response.ByteSizeLong(),
-              Sent ? Call->Request.ByteSizeLong() : 0);
-  if (Call->Done) {
-    Call->Done(Call->Result);
+              Call->Request.ByteSizeLong());
+  finish(Call, statusOf(Status));
+}
+
+void peer_client::impl::finish(const call_ptr &Call, call_status Status) {
+  Call->ConnectLimit.cancel();
+  Calls.erase(Call);
+  Call->Result.Status = Status;
+  if (const auto Done = std::move(Call->Done)) {
+    Done(Call->Result);
   }
 }
 
+void peer_client::impl::forget(const std::shared_ptr<peer_link> &Link) {
+  std::erase_if(Links, [&](const auto &Entry) { return Entry.second == Link; });
+}
+
 void peer_client::impl::reconnect(std::string_view Address) {
   Links.erase(parseAddress(Address).str());
 }
--- /dev/null
+++ b/src/transport/internal/peerlink.cpp
@@ -0,0 +1,43 @@
+#include "transport/internal/peerlink.h"
+
+#include <grpcpp/create_channel_posix.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace geraniumpaddle {
+
+peer_link::peer_link(event_loop &Loop, const socket_address &Address,
+                     const peer_client_settings &Settings,
+                     grpc::ChannelArguments Arguments, changed_callback Changed)
+    : Authority(Address.str()), Settings(Settings),
+      Arguments(std::move(Arguments)), Changed(std::move(Changed)),
+      Connector(std::make_unique<tcp_connector>(
+          Loop, Address, Settings.ConnectTimeout,
+          [this](unique_socket Result) { connected(std::move(Result)); })) {}
+
+void peer_link::connected(unique_socket NewSocket) {
+  const auto Ended = std::move(Connector);
+  Status = state::Failed;
+  if (NewSocket) {
+    // The kernel gives up unacknowledged bytes as early as gRPC its pings.
+    const auto UserTimeout = static_cast<unsigned>(
+        std::chrono::milliseconds(Settings.KeepaliveTimeout).count());
+    ::setsockopt(NewSocket.get(), IPPROTO_TCP, TCP_USER_TIMEOUT, &UserTimeout,
+                 sizeof UserTimeout);
+    Socket = NewSocket.duplicate();
+    Stub = proto::Peer::NewStub(grpc::CreateCustomInsecureChannelFromFd(
+        Authority, NewSocket.release(), Arguments));
+    Status = state::Connected;
+  }
+  const auto Call = std::move(Changed);
+  Call(*this);
+}
+
+bool peer_link::usable() const {
+  return Status == state::Connecting ||
+         (Status == state::Connected && Socket.established());
+}
+
+} // namespace geraniumpaddle
--- a/src/transport/peerclient.h
+++ b/src/transport/peerclient.h
@@ -11,18 +11,19 @@
 struct peer_client_settings {
   int MaxMessageBytes = 16 * 1024 * 1024;
   std::size_t MaxCallsInFlight = 16 * 1024; ///< beyond it calls are NotSent
-  std::chrono::milliseconds MinReconnectBackoff{100};
-  std::chrono::milliseconds MaxReconnectBackoff{2000};
+  std::chrono::milliseconds ConnectTimeout{2000};
   std::chrono::seconds KeepaliveTime{30};
   std::chrono::seconds KeepaliveTimeout{10};
   std::size_t BufferBytes = 64 * 1024 * 1024; ///< quota of the gRPC library
 };
 
-/// Client of the Peer service over gRPC; one connection per address.
+/// Client of the Peer service over gRPC; one connection per address, which is
+/// opened when a call needs it.
 ///
-/// Name resolution, balancing, retries, service config and proxies are off.
-/// NotSent is said only if the call was never given to a connection; every
-/// other failure is Lost, or TimedOut if the time limit passed.
+/// NotSent is said only if there was no connection: a call is given to gRPC
+/// after that. From then on a failure is TimedOut if the time limit passed,
+/// else Lost. gRPC gets open connections, so its name resolution, balancing,
+/// retries, reconnects and proxies have no part in a call.
 class peer_client final : public ipeer_client {
 public:
   peer_client(event_loop &Loop, const peer_client_settings &Settings,
--- a/src/transport/tests/rawsocket.cpp
+++ b/src/transport/tests/rawsocket.cpp
@@ -9,6 +9,7 @@
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace geraniumpaddle::test {
 
@@ -121,6 +122,27 @@
   return ntohs(Address.sin_port);
 }
 
+full_listener::full_listener() : Listener(::socket(AF_INET, SOCK_STREAM, 0)) {
+  constexpr int Fillers = 3; // the kernel queues one more than asked for
+  sockaddr_in Address = loopbackAddress(0);
+  socklen_t Size = sizeof Address;
+  ::bind(Listener, reinterpret_cast<sockaddr *>(&Address), Size);
+  ::listen(Listener, 0);
+  ::getsockname(Listener, reinterpret_cast<sockaddr *>(&Address), &Size);
+  Port = ntohs(Address.sin_port);
+  for (int Index = 0; Index < Fillers; ++Index) {
+    Callers.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+    ::connect(Callers.back(), reinterpret_cast<sockaddr *>(&Address), Size);
+  }
+}
+
+full_listener::~full_listener() {
+  for (const int Caller : Callers) {
+    ::close(Caller);
+  }
+  ::close(Listener);
+}
+
 canned_server::canned_server(event_loop &Loop, std::string Answer, after Then)
     : Answer(std::move(Answer)), Then(Then),
       Listener(Loop, [this](std::unique_ptr<raw_connection> Accepted) {
--- a/src/transport/tests/rawsocket.h
+++ b/src/transport/tests/rawsocket.h
@@ -61,6 +61,22 @@
   evconnlistener *Listener;
 };
 
+/// A port whose queue of connections is full: further ones get no answer.
+class full_listener {
+public:
+  full_listener();
+  ~full_listener();
+  full_listener(const full_listener &) = delete;
+  full_listener &operator=(const full_listener &) = delete;
+
+  std::uint16_t port() const { return Port; }
+
+private:
+  int Listener;
+  std::vector<int> Callers;
+  std::uint16_t Port = 0;
+};
+
 /// Answers what arrives on each connection with fixed bytes.
 class canned_server {
 public:
