--- /dev/null
+++ b/src/cli/internal/apiclient.cpp
@@ -0,0 +1,112 @@
+#include "cli/apiclient.h"
+
+#include "cli/exitcodes.h"
+
+#include "api.pb.h"
+
+#include <google/protobuf/util/json_util.h>
+#include <optional>
+#include <utility>
+
+namespace geraniumpaddle {
+
+namespace {
+
+constexpr duration LoopTurn = std::chrono::seconds(1);
+
+bool parse(const std::string &Body, google::protobuf::Message &Out) {
+  google::protobuf::util::JsonParseOptions Options;
+  Options.ignore_unknown_fields = true;
+  return google::protobuf::util::JsonStringToMessage(Body, &Out, Options).ok();
+}
+
+std::string print(const google::protobuf::Message &Body) {
+  std::string Text;
+  google::protobuf::util::MessageToJsonString(Body, &Text).IgnoreError();
+  return Text;
+}
+
+[[noreturn]] void throwFailure(const http_result &Result) {
+  proto::ApiError Error;
+  if (!parse(Result.Body, Error) || Error.kind().empty())
+    throw api_failure(error_kind::Internal, "unreadable",
+                      "the entry answered " + std::to_string(Result.Code));
+  throw api_failure(kindOf(Error.kind()), Error.reason(), Error.message());
+}
+
+} // namespace
+
+api_client::api_client(event_loop &Loop, ihttp_client &Http,
+                       std::vector<std::string> Entries,
+                       api_credentials Credentials, duration Timeout)
+    : Loop(Loop), Http(Http), Entries(std::move(Entries)),
+      Credentials(std::move(Credentials)), Timeout(Timeout) {}
+
+std::vector<http_header> api_client::ownHeaders() const {
+  std::vector<http_header> Headers;
+  if (!Credentials.Token.empty())
+    Headers.push_back({"Authorization", "Bearer " + Credentials.Token});
+  if (!Credentials.Customer.empty())
+    Headers.push_back({"X-Customer", Credentials.Customer});
+  if (!Credentials.Actor.empty())
+    Headers.push_back({"X-Actor", Credentials.Actor});
+  return Headers;
+}
+
+http_result api_client::callOnce(const std::string &Entry,
+                                 const std::string &Method,
+                                 const std::string &Target,
+                                 std::vector<http_header> Headers,
+                                 const std::string &Body) {
+  std::optional<http_result> Answer;
+  Http.send({Entry, Method, Target, std::move(Headers), Body, Timeout},
+            [&](const http_result &Result) { Answer = Result; });
+  while (!Answer)
+    Loop.runOnce(LoopTurn);
+  return *Answer;
+}
+
+void api_client::get(const std::string &Target,
+                     google::protobuf::Message &Out) {
+  send("GET", Target, nullptr, Out);
+}
+
+void api_client::send(const std::string &Method, const std::string &Target,
+                      const google::protobuf::Message *Body,
+                      google::protobuf::Message &Out) {
+  std::string Text = Body ? print(*Body) : std::string();
+  bool MayHaveActed = false;
+  for (const std::string &Entry : Entries) {
+    http_result Result = callOnce(Entry, Method, Target, ownHeaders(), Text);
+    if (Result.ok() && parse(Result.Body, Out))
+      return;
+    if (Result.Status == call_status::Completed)
+      throwFailure(Result);
+    MayHaveActed |= Result.Status != call_status::NotSent;
+  }
+  if (MayHaveActed && Method != "GET")
+    throw api_failure(error_kind::Undetermined, "no_answer",
+                      "no entry answered; the change may have been made");
+  throw api_failure(error_kind::Unavailable, "no_entry",
+                    "no entry can be reached");
+}
+
+http_result api_client::request(const std::string &Method,
+                                const std::string &Target,
+                                std::vector<http_header> Headers,
+                                std::string Body) {
+  for (http_header &Header : ownHeaders())
+    Headers.push_back(std::move(Header));
+  for (const std::string &Entry : Entries) {
+    http_result Result = callOnce(Entry, Method, Target, Headers, Body);
+    if (Result.Status == call_status::Completed)
+      return Result;
+    if (Result.Status != call_status::NotSent)
+      throw api_failure(error_kind::Undetermined, "no_answer",
+                        "the entry did not answer; the request may have run");
+  }
+  throw api_failure(error_kind::Unavailable, "no_entry",
+                    "no entry can be reached; nothing was run");
+}
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/cli/sheetcommands.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "cli/apiclient.h"
+#include "core/sheet/sheet.h"
+
+#include "api.pb.h"
+
+#include <ostream>
+#include <string>
+
+namespace geraniumpaddle {
+
+/// Largest sheet that the tool reads is that of the codec.
+/// \throws not_found_error, malformed_message_error
+parsed_sheet readSheetFile(const std::string &Path);
+
+/// The entry's configuration as the sheet is compared with it.
+class fetched_configuration {
+public:
+  /// \throws malformed_message_error
+  explicit fetched_configuration(const proto::CustomerList &List);
+  current_configuration view() const;
+
+private:
+  config_version Version{};
+  log_offset LastSheet{};
+  std::vector<customer_entry> Customers;
+  std::vector<removed_customer> Removed;
+};
+
+/// Prints every bad row with line, column, value and reason.
+void printSheetErrors(std::span<const sheet_error> Errors, std::ostream &Out);
+void printDifference(const sheet_difference &Difference, std::ostream &Out);
+/// The change as the interface takes it.
+proto::ChangeCustomers toMessage(const customers_changed &Change);
+
+} // namespace geraniumpaddle
