--- a/src/codec/internal/protoconvert.cpp
+++ b/src/codec/internal/protoconvert.cpp
@@ -31,15 +31,19 @@
           checkCount("memory_mb", Message.memory_mb())};
 }
 
+proto::Guarantee toProto(const guarantee &Guarantee) {
+  proto::Guarantee Message;
+  Message.set_level(static_cast<proto::CellLevel>(Guarantee.Level));
+  Message.set_count(Guarantee.Count);
+  return Message;
+}
+
 proto::CustomerConfig toProto(const customer_config &Config) {
   proto::CustomerConfig Message;
   Message.set_id(Config.Id.str());
   Message.set_display_name(Config.DisplayName);
-  for (const guarantee &Guarantee : Config.Guarantees) {
-    proto::Guarantee *Added = Message.add_guarantees();
-    Added->set_level(static_cast<proto::CellLevel>(Guarantee.Level));
-    Added->set_count(Guarantee.Count);
-  }
+  for (const guarantee &Guarantee : Config.Guarantees)
+    *Message.add_guarantees() = toProto(Guarantee);
   proto::RequestLimits *Limits = Message.mutable_limits();
   Limits->set_rate_per_second(Config.Limits.RatePerSecond);
   Limits->set_burst(Config.Limits.Burst);
--- a/src/codec/protoconvert.h
+++ b/src/codec/protoconvert.h
@@ -13,6 +13,7 @@
 // field and throw malformed_message_error that names the one at fault, as a
 // path from the message on ("spec.tasks[3].accelerators").
 
+proto::Guarantee toProto(const guarantee &Guarantee);
 proto::CustomerConfig toProto(const customer_config &Config);
 proto::EntryAnnounced toProto(const entry_announced &Entry);
 proto::WorkerInfo toProto(const worker_info &Worker);
--- a/src/core/base/types/time.h
+++ b/src/core/base/types/time.h
@@ -9,8 +9,8 @@
   using rep = std::chrono::microseconds::rep;
   using period = std::chrono::microseconds::period;
   using duration = std::chrono::microseconds;
-  static constexpr bool is_steady =
-      true; // NOLINT(readability-identifier-naming)
+  // NOLINTNEXTLINE(readability-identifier-naming): the standard's name
+  static constexpr bool is_steady = true;
 };
 
 using duration = std::chrono::microseconds;
--- a/src/core/ledger/snapshot.h
+++ b/src/core/ledger/snapshot.h
@@ -71,8 +71,6 @@
   partial &partialFor(const producer &Producer, log_offset Offset,
                       const snapshot_chunk &Chunk);
   chunk_result complete(const partial &Whole);
-  void drop(const partial &Part);
-  void dropOld();
 
   std::vector<partial> Partial;
   std::optional<assembled_snapshot> Newest;
@@ -87,6 +85,8 @@
   duration MaxAge = std::chrono::minutes(10);
   /// How long each live entry of higher rank waits for the lower ones.
   duration RankDelay = std::chrono::seconds(5);
+  /// Earliest repetition of a snapshot that was not read back.
+  duration RepeatDelay = std::chrono::seconds(30);
 };
 
 /// What the decision to publish depends on.
@@ -102,6 +102,9 @@
 /// Decides when this entry publishes a snapshot.
 class snapshot_policy {
 public:
+  /// A shorter tail, in records, never calls for a snapshot.
+  static constexpr std::uint64_t MinTail = 1'000;
+
   explicit snapshot_policy(snapshot_settings Settings);
 
   /// True if a snapshot is to be published now.
--- /dev/null
+++ b/src/core/ledger/tests/ledgerproperties.cpp
@@ -0,0 +1,143 @@
+#include "core/ledger/tests/randomlog.h"
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace geraniumpaddle;
+
+namespace {
+
+/// A log of random length, folded into \p Ledger record by record.
+template <typename Visitor>
+void foldRandomLog(ledger &Ledger, Visitor AfterEach) {
+  constexpr int MaxRecords = 400;
+  auto Seeds =
+      *rc::gen::resize(MaxRecords, rc::gen::container<std::vector<record_seed>>(
+                                       rc::gen::arbitrary<record_seed>()));
+  random_log Log(Ledger);
+  for (const record_seed &Seed : Seeds) {
+    record Record = Log.make(Seed);
+    verdict Verdict = Ledger.apply(next(Ledger.folded()), Record);
+    AfterEach(Record, Verdict);
+  }
+}
+
+/// True if two attempts hold the same accelerator.
+bool sharesAccelerators(const ledger &Ledger) {
+  std::vector<std::pair<worker_id, accelerator_mask>> Held;
+  for (const job_entry *Job : Ledger.runningAttempts())
+    for (const task_assignment &Assignment : Job->Assignments) {
+      for (const auto &[Worker, Mask] : Held)
+        if (Worker == Assignment.Worker &&
+            (Mask & Assignment.Accelerators) != 0)
+          return true;
+      Held.emplace_back(Assignment.Worker, Assignment.Accelerators);
+    }
+  return false;
+}
+
+int missingCells(const ledger &Ledger) {
+  int Missing = 0;
+  for (const guarantee_shortfall &Shortfall : Ledger.account().shortfalls())
+    Missing += Shortfall.Missing;
+  return Missing;
+}
+
+} // namespace
+
+TEST_GROUP(LedgerProperties){};
+
+TEST(LedgerProperties, RestoringAndFoldingTheTailEqualsFoldingEverything) {
+  bool Passed = rc::check([] {
+    ledger Whole;
+    std::vector<record> Log;
+    foldRandomLog(Whole, [&Log](const record &Record, const verdict &) {
+      Log.push_back(Record);
+    });
+    auto Cut = *rc::gen::inRange<std::size_t>(0, Log.size() + 1);
+    ledger Head;
+    for (std::size_t Index = 0; Index < Cut; ++Index)
+      Head.apply(next(Head.folded()), Log[Index]);
+    ledger Restored(Head.image());
+    for (std::size_t Index = Cut; Index < Log.size(); ++Index)
+      Restored.apply(next(Restored.folded()), Log[Index]);
+    RC_ASSERT(Restored.image() == Whole.image());
+  });
+  CHECK(Passed);
+}
+
+TEST(LedgerProperties, VersionsRiseByOneAndOneOfRacingOperatorsWins) {
+  bool Passed = rc::check([] {
+    ledger Ledger;
+    config_version Last{};
+    std::vector<config_version> WonBases;
+    foldRandomLog(Ledger, [&](const record &Record, const verdict &Verdict) {
+      const auto *Change = std::get_if<customers_changed>(&Record.Body);
+      const bool Won = Change != nullptr && Verdict.accepted();
+      RC_ASSERT(raw(Ledger.version()) == raw(Last) + (Won ? 1 : 0));
+      Last = Ledger.version();
+      if (!Won)
+        return;
+      RC_ASSERT(std::find(WonBases.begin(), WonBases.end(), Change->Base) ==
+                WonBases.end());
+      WonBases.push_back(Change->Base);
+    });
+  });
+  CHECK(Passed);
+}
+
+TEST(LedgerProperties, CapacityIsHeldOnceAndGuaranteesStayWhole) {
+  bool Passed = rc::check([] {
+    ledger Ledger;
+    int MissingBefore = 0;
+    foldRandomLog(Ledger, [&](const record &Record, const verdict &Verdict) {
+      RC_ASSERT(!sharesAccelerators(Ledger));
+      const int Missing = missingCells(Ledger);
+      const bool LosesWorkers =
+          std::holds_alternative<worker_state_changed>(Record.Body) ||
+          std::holds_alternative<worker_registered>(Record.Body);
+      RC_ASSERT(LosesWorkers || Missing <= MissingBefore);
+      RC_ASSERT(Verdict.accepted() || Missing == MissingBefore);
+      MissingBefore = Missing;
+    });
+  });
+  CHECK(Passed);
+}
+
+TEST(LedgerProperties, ANonIdempotentJobStartsAtMostOnce) {
+  bool Passed = rc::check([] {
+    ledger Ledger;
+    std::vector<std::pair<job_id, fencing_token>> Started;
+    foldRandomLog(Ledger, [&](const record &Record, const verdict &Verdict) {
+      const auto *Start = std::get_if<job_started>(&Record.Body);
+      if (Start == nullptr || !Verdict.accepted() ||
+          Ledger.job(Start->Job)->Spec.Idempotent)
+        return;
+      for (const auto &[Job, Token] : Started)
+        RC_ASSERT(Job != Start->Job || Token == Start->Token);
+      Started.emplace_back(Start->Job, Start->Token);
+    });
+  });
+  CHECK(Passed);
+}
+
+TEST(LedgerProperties, RepeatsOfTheWholeLogChangeNothing) {
+  bool Passed = rc::check([] {
+    ledger Ledger;
+    std::vector<record> Log;
+    foldRandomLog(Ledger, [&Log](const record &Record, const verdict &) {
+      Log.push_back(Record);
+    });
+    ledger_image Before = Ledger.image();
+    for (const record &Record : Log)
+      RC_ASSERT(!Ledger.apply(next(Ledger.folded()), Record).accepted());
+    RC_ASSERT(Ledger.image().Jobs == Before.Jobs);
+    RC_ASSERT(Ledger.image().Customers == Before.Customers);
+    RC_ASSERT(Ledger.image().Workers == Before.Workers);
+    RC_ASSERT(Ledger.image().Capacity == Before.Capacity);
+  });
+  CHECK(Passed);
+}
--- a/src/core/ledger/tests/recordbuilder.h
+++ b/src/core/ledger/tests/recordbuilder.h
@@ -91,10 +91,10 @@
 }
 
 /// Places the tasks in order, each on its (worker, mask).
-inline job_placed
-placement(std::string_view Job, std::uint32_t Attempt,
-          std::vector<std::pair<std::string_view, accelerator_mask>> Places,
-          std::vector<fencing_token> Victims = {}, bool Guaranteed = false) {
+inline job_placed placement(
+    std::string_view Job, std::uint32_t Attempt,
+    const std::vector<std::pair<std::string_view, accelerator_mask>> &Places,
+    std::vector<fencing_token> Victims = {}, bool Guaranteed = false) {
   job_placed Placement;
   Placement.Job = job_id(Job);
   Placement.Attempt = Attempt;
