Worker stand-in: tasks under leases, faults on demand, history of runs

Cause: process tests need a worker that enforces leases itself and can be slow, down, silent, or lose an answer after acting. Ruled out: the project's own HTTP server here, because an answer cannot be lost through it on purpose; plain evhttp closes the connection instead.

--- /dev/null
+++ b/standins/worker/main.cpp
@@ -0,0 +1,86 @@
+// A worker for tests and the demo: runs pretended tasks under leases.
+
+#include "core/base/error.h"
+#include "standins/worker/workerserver.h"
+
+#include <event2/event.h>
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <cstdio>
+#include <exception>
+#include <fstream>
+#include <memory>
+
+DEFINE_string(listen, "127.0.0.1:0",
+              "ip:port to serve on; port 0 takes a free one");
+DEFINE_string(port_file, "", "file to write the port to");
+DEFINE_string(worker, "w1", "name of the worker");
+DEFINE_int32(accelerators, 8, "accelerators of the worker");
+DEFINE_int64(milli_cores, 128000, "thousandths of cores of the worker");
+DEFINE_int64(memory_mb, 262144, "memory of the worker in MB");
+
+namespace geraniumpaddle::standins {
+namespace {
+
+constexpr int MaxAccelerators = 32; // bits of accelerator_mask
+
+struct listen_address {
+  std::string Ip;
+  std::uint16_t Port = 0;
+};
+
+listen_address parseListen(const std::string &Text) {
+  const std::size_t Colon = Text.rfind(':');
+  if (Colon == std::string::npos)
+    throw invalid_argument_error("--listen is not ip:port: " + Text);
+  const int Port = std::atoi(Text.c_str() + Colon + 1);
+  return {Text.substr(0, Colon), static_cast<std::uint16_t>(Port)};
+}
+
+void stopLoop(int, short, void *Base) {
+  event_base_loopbreak(static_cast<event_base *>(Base));
+}
+
+/// Written under another name first, so that a reader sees the whole number.
+void writePort(std::uint16_t Port) {
+  std::printf("%u\n", static_cast<unsigned>(Port));
+  std::fflush(stdout);
+  if (FLAGS_port_file.empty())
+    return;
+  const std::string Partial = FLAGS_port_file + ".part";
+  std::ofstream(Partial) << Port << '\n';
+  if (std::rename(Partial.c_str(), FLAGS_port_file.c_str()) != 0)
+    throw unavailable_error("cannot write " + FLAGS_port_file);
+}
+
+void run() {
+  if (FLAGS_accelerators < 0 || FLAGS_accelerators > MaxAccelerators)
+    throw invalid_argument_error("--accelerators is not in 0..32");
+  std::signal(SIGPIPE, SIG_IGN);
+  const listen_address Listen = parseListen(FLAGS_listen);
+  const std::unique_ptr<event_base, decltype(&event_base_free)> Base(
+      event_base_new(), event_base_free);
+  const std::unique_ptr<event, decltype(&event_free)> Terminate(
+      evsignal_new(Base.get(), SIGTERM, stopLoop, Base.get()), event_free);
+  evsignal_add(Terminate.get(), nullptr);
+  worker_interface Interface(
+      FLAGS_worker, {FLAGS_accelerators, FLAGS_milli_cores, FLAGS_memory_mb});
+  worker_server Server(Base.get(), Listen.Ip, Listen.Port, Interface);
+  writePort(Server.port());
+  event_base_dispatch(Base.get());
+}
+
+} // namespace
+} // namespace geraniumpaddle::standins
+
+int main(int ArgumentCount, char **Arguments) {
+  gflags::ParseCommandLineFlags(&ArgumentCount, &Arguments, true);
+  try {
+    geraniumpaddle::standins::run();
+  } catch (const std::exception &Error) {
+    std::fprintf(stderr, "gp_standin_worker: %s\n", Error.what());
+    return 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/standins/worker/workerserver.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "standins/worker/faults.h"
+#include "standins/worker/workerinterface.h"
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+
+struct event;
+struct event_base;
+struct evhttp;
+struct evhttp_connection;
+struct evhttp_request;
+
+namespace geraniumpaddle::standins {
+
+/// Serves a worker_interface over HTTP, with faults on demand: POST /faults,
+/// GET /history; every other path is a worker call.
+class worker_server {
+public:
+  /// \param Port 0 takes a free one.
+  /// \throws unavailable_error if the address cannot be bound.
+  worker_server(event_base *Base, const std::string &Address,
+                std::uint16_t Port, worker_interface &Interface);
+  ~worker_server();
+  worker_server(const worker_server &) = delete;
+  worker_server &operator=(const worker_server &) = delete;
+
+  std::uint16_t port() const { return Port; }
+
+private:
+  struct delayed_answer;
+
+  static void onRequest(evhttp_request *Request, void *Context);
+  static void onClosed(evhttp_connection *Connection, void *Context);
+  static void onDelayOver(int, short, void *Context);
+  static void onHangUp(int, short, void *Context);
+  static void onTimer(int, short, void *Context);
+
+  void serve(evhttp_request *Request);
+  void serveControl(evhttp_request *Request, std::string_view Path,
+                    std::string_view Body);
+  void serveCall(evhttp_request *Request, std::string_view Path,
+                 std::string_view Body);
+  void setFaults(evhttp_request *Request, std::string_view Body);
+  void sendLater(evhttp_request *Request, json_answer Answer, duration Delay,
+                 bool HangUp);
+  void send(evhttp_request *Request, const json_answer &Answer);
+  void armTimer();
+
+  event_base *Base;
+  worker_interface &Interface;
+  evhttp *Http;
+  event *Timer;
+  std::uint16_t Port = 0;
+  fault_plan Faults;
+  /// Connections whose request has not been answered.
+  std::set<evhttp_connection *> Unanswered;
+};
+
+} // namespace geraniumpaddle::standins
