--- a/src/core/gang/internal/heldattempt.cpp
+++ b/src/core/gang/internal/heldattempt.cpp
@@ -243,8 +243,7 @@
       Task->Checkpoint = checkpoint_step::Done;
     return;
   case worker_calls::kind::Stop:
-    if (Refused && Task->OpenGrants == 0)
-      end(*Task, task_state::Stopped, "unknown to the worker");
+    // Whether it has stopped is told by the task's state only.
     return;
   }
   // A grant that got no answer may have reached the worker as late as now.
--- a/src/core/gang/types/gangevents.h
+++ b/src/core/gang/types/gangevents.h
@@ -74,9 +74,11 @@
   std::string Detail;
 };
 
+/// A call that was not sent counts as Unanswered: it is repeated, while a start
+/// that is refused fails the task.
 enum class worker_answer : std::uint8_t {
   Answered,
-  Refused,    ///< the worker answered that it did not act
+  Refused,    ///< the worker answered that it will not act
   Unanswered, ///< it may or may not have acted
 };
 
