Log service: HTTP adapter and stand-in

Cause: the fold reads and appends through the platform's log. Change: http_log_service maps HTTP answers to closed results (table in its header); anything that says neither yes nor no is Lost. gp_standin_log keeps records in memory with long-poll reads, retention, a rate limit and faults on demand. ihttp_responder gains abort(), which closes without an answer.

--- a/src/transport/ihttpserver.h
+++ b/src/transport/ihttpserver.h
@@ -35,6 +35,8 @@
   /// The first call sends; later calls and calls after the caller has gone
   /// have no effect.
   virtual void respond(http_response Response) = 0;
+  /// Closes the connection instead of answering.
+  virtual void abort() = 0;
   /// \p Gone is called at most once, if the caller closes before the answer.
   virtual void onCallerGone(std::function<void()> Gone) = 0;
 };
--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -85,6 +85,7 @@
 
   void stopAccepting();
   void answer(exchange &Exchange, const http_response &Response);
+  void abort(exchange &Exchange);
 
   std::uint16_t Port = 0;
   std::size_t OpenRequests = 0;
@@ -107,6 +108,7 @@
   static void onReadable(int Descriptor, short, void *Context);
 
   void registerAccepted();
+  void closeAborted();
   void closed(connection &Connection);
   void handle(connection &Connection, evhttp_request *Request);
   void watchCaller(connection &Connection, exchange &Exchange);
@@ -125,6 +127,8 @@
   std::unordered_map<evhttp_connection *, std::unique_ptr<connection>>
       Connections;
   event_ptr Register;
+  std::vector<evhttp_connection *> Aborted;
+  event_ptr CloseAborted;
   evhttp_ptr Http;
 };
 
@@ -143,6 +147,13 @@
     }
   }
 
+  void abort() override {
+    const auto Open = Exchange.lock();
+    if (Open && !Open->Answered) {
+      Server.abort(*Open);
+    }
+  }
+
   void onCallerGone(std::function<void()> Gone) override {
     const auto Open = Exchange.lock();
     if (Open && !Open->Answered) {
@@ -165,7 +176,11 @@
         static_cast<impl *>(Self)->registerAccepted();
       },
       this));
-  if (!Http || !Register) {
+  CloseAborted.reset(event_new(
+      Loop.base(), -1, 0,
+      [](int, short, void *Self) { static_cast<impl *>(Self)->closeAborted(); },
+      this));
+  if (!Http || !Register || !CloseAborted) {
     throw unavailable_error("no HTTP server");
   }
   evhttp_set_max_headers_size(Http.get(),
@@ -373,6 +388,21 @@
   evhttp_send_reply(Request, Response.Code, nullptr, nullptr);
 }
 
+// evhttp may be in the middle of handing the request over.
+void http_server::impl::abort(exchange &Exchange) {
+  Exchange.Answered = true;
+  Exchange.Watch.reset();
+  Exchange.Gone = nullptr;
+  Aborted.push_back(evhttp_request_get_connection(Exchange.Request));
+  event_active(CloseAborted.get(), EV_TIMEOUT, 1);
+}
+
+void http_server::impl::closeAborted() {
+  for (evhttp_connection *Raw : std::exchange(Aborted, {})) {
+    evhttp_connection_free(Raw);
+  }
+}
+
 void http_server::impl::onAnswered(evhttp_request *, void *Context) {
   auto &Connection = *static_cast<connection *>(Context);
   Connection.Server.finishExchange(Connection);
--- /dev/null
+++ b/standins/logservice/main.cpp
@@ -0,0 +1,64 @@
+// The platform's log service for tests and the demo: keeps records in memory.
+
+#include "core/base/error.h"
+#include "logging/logging.h"
+#include "standins/logservice/logserver.h"
+#include "transport/eventloop.h"
+
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <cstdio>
+#include <exception>
+#include <fstream>
+
+DEFINE_string(listen, "127.0.0.1:0",
+              "ip:port to serve on; port 0 takes a free one");
+DEFINE_string(port_file, "", "file to write the port to");
+DEFINE_uint64(retain_records, 1'000'000, "records that are kept at most");
+DEFINE_uint64(retain_seconds, 86'400, "time for which records are kept");
+DEFINE_uint32(max_appends_per_second, 300, "more are answered with 429");
+
+namespace geraniumpaddle::standins {
+namespace {
+
+/// Written under another name first, so that a reader sees the whole number.
+void writePort(std::uint16_t Port) {
+  std::printf("%u\n", static_cast<unsigned>(Port));
+  std::fflush(stdout);
+  if (FLAGS_port_file.empty()) {
+    return;
+  }
+  const std::string Partial = FLAGS_port_file + ".part";
+  std::ofstream(Partial) << Port << '\n';
+  if (std::rename(Partial.c_str(), FLAGS_port_file.c_str()) != 0) {
+    throw unavailable_error("cannot write " + FLAGS_port_file);
+  }
+}
+
+void run() {
+  startLogging({});
+  event_loop Loop;
+  log_server Server(Loop, FLAGS_listen,
+                    {.RetainRecords = FLAGS_retain_records,
+                     .RetainTime = std::chrono::seconds(FLAGS_retain_seconds),
+                     .MaxAppendsPerSecond = FLAGS_max_appends_per_second});
+  Loop.onSignal(SIGTERM, [&Loop] { Loop.stop(); });
+  Loop.onSignal(SIGINT, [&Loop] { Loop.stop(); });
+  writePort(Server.port());
+  Loop.run();
+}
+
+} // namespace
+} // namespace geraniumpaddle::standins
+
+int main(int ArgumentCount, char **Arguments) {
+  gflags::ParseCommandLineFlags(&ArgumentCount, &Arguments, true);
+  try {
+    geraniumpaddle::standins::run();
+  } catch (const std::exception &Failure) {
+    std::fprintf(stderr, "gp_standin_log: %s\n", Failure.what());
+    return 1;
+  }
+  return 0;
+}
