--- a/src/cli/internal/apiclient.cpp
+++ b/src/cli/internal/apiclient.cpp
@@ -1,10 +1,10 @@
 #include "cli/apiclient.h"
 
 #include "cli/exitcodes.h"
+#include "codec/protojson.h"
 
 #include "api.pb.h"
 
-#include <google/protobuf/util/json_util.h>
 #include <optional>
 #include <utility>
 
@@ -14,21 +14,9 @@
 
 constexpr duration LoopTurn = std::chrono::seconds(1);
 
-bool parse(const std::string &Body, google::protobuf::Message &Out) {
-  google::protobuf::util::JsonParseOptions Options;
-  Options.ignore_unknown_fields = true;
-  return google::protobuf::util::JsonStringToMessage(Body, &Out, Options).ok();
-}
-
-std::string print(const google::protobuf::Message &Body) {
-  std::string Text;
-  google::protobuf::util::MessageToJsonString(Body, &Text).IgnoreError();
-  return Text;
-}
-
 [[noreturn]] void throwFailure(const http_result &Result) {
   proto::ApiError Error;
-  if (!parse(Result.Body, Error) || Error.kind().empty())
+  if (!tryParseJson(Result.Body, Error) || Error.kind().empty())
     throw api_failure(error_kind::Internal, "unreadable",
                       "the entry answered " + std::to_string(Result.Code));
   throw api_failure(kindOf(Error.kind()), Error.reason(), Error.message());
@@ -74,11 +62,11 @@
 void api_client::send(const std::string &Method, const std::string &Target,
                       const google::protobuf::Message *Body,
                       google::protobuf::Message &Out) {
-  std::string Text = Body ? print(*Body) : std::string();
+  std::string Text = Body ? printJson(*Body) : std::string();
   bool MayHaveActed = false;
   for (const std::string &Entry : Entries) {
     http_result Result = callOnce(Entry, Method, Target, ownHeaders(), Text);
-    if (Result.ok() && parse(Result.Body, Out))
+    if (Result.ok() && tryParseJson(Result.Body, Out))
       return;
     if (Result.Status == call_status::Completed)
       throwFailure(Result);
--- a/src/cli/internal/commandline.cpp
+++ b/src/cli/internal/commandline.cpp
@@ -3,6 +3,7 @@
 #include "cli/exitcodes.h"
 #include "cli/sheetcommands.h"
 #include "cli/tableprinter.h"
+#include "codec/protojson.h"
 #include "codec/tokenhash.h"
 
 #include "api.pb.h"
@@ -10,7 +11,6 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
-#include <google/protobuf/util/json_util.h>
 
 namespace geraniumpaddle {
 
@@ -183,13 +183,7 @@
 bool command_line::printJson(const google::protobuf::Message &Body) {
   if (Options.Output != output_format::Json)
     return false;
-  google::protobuf::util::JsonPrintOptions Print;
-  Print.add_whitespace = true;
-  Print.always_print_primitive_fields = true;
-  Print.preserve_proto_field_names = true;
-  std::string Text;
-  google::protobuf::util::MessageToJsonString(Body, &Text, Print).IgnoreError();
-  Out << Text;
+  Out << geraniumpaddle::printJson(Body, json_layout::Indented);
   return true;
 }
 
--- a/src/entry/httputil.h
+++ b/src/entry/httputil.h
@@ -23,10 +23,6 @@
 
 /// A message as JSON.
 http_response jsonResponse(int Code, const google::protobuf::Message &Body);
-/// Reads a JSON body; unknown fields are errors.
-/// \throws malformed_message_error
-void parseJson(std::string_view Body, google::protobuf::Message &Out);
-
 /// HTTP status of an error of that kind.
 int statusOf(error_kind Kind);
 /// An ApiError as JSON. \param Reason finer than the kind, e.g. a rejection.
--- a/src/entry/internal/adminapi.cpp
+++ b/src/entry/internal/adminapi.cpp
@@ -1,6 +1,7 @@
 #include "entry/adminapi.h"
 
 #include "codec/protoconvert.h"
+#include "codec/protojson.h"
 #include "entry/apimessages.h"
 #include "entry/httputil.h"
 
--- a/src/entry/internal/httputil.cpp
+++ b/src/entry/internal/httputil.cpp
@@ -1,10 +1,11 @@
 #include "entry/httputil.h"
 
+#include "codec/protojson.h"
+
 #include "api.pb.h"
 
 #include <algorithm>
 #include <cctype>
-#include <google/protobuf/util/json_util.h>
 
 namespace geraniumpaddle {
 
@@ -75,22 +76,7 @@
 }
 
 http_response jsonResponse(int Code, const google::protobuf::Message &Body) {
-  google::protobuf::util::JsonPrintOptions Options;
-  Options.always_print_primitive_fields = true;
-  Options.preserve_proto_field_names = true;
-  std::string Text;
-  auto Status =
-      google::protobuf::util::MessageToJsonString(Body, &Text, Options);
-  if (!Status.ok())
-    throw internal_error("a message does not print as JSON");
-  return {Code, {{"Content-Type", "application/json"}}, Text + "\n"};
-}
-
-void parseJson(std::string_view Body, google::protobuf::Message &Out) {
-  auto Status = google::protobuf::util::JsonStringToMessage(
-      google::protobuf::StringPiece(Body.data(), Body.size()), &Out);
-  if (!Status.ok())
-    throw malformed_message_error(std::string(Status.message()));
+  return {Code, {{"Content-Type", "application/json"}}, printJson(Body) + "\n"};
 }
 
 int statusOf(error_kind Kind) {
