--- a/src/core/sheet/sheet.h
+++ b/src/core/sheet/sheet.h
@@ -30,6 +30,7 @@
   DuplicateCustomer,
   NotANumber,
   NotAnInteger,
+  AmbiguousNumber, ///< "1.000" is a thousand to some and one to others
   Negative,
   TooLarge,
   TextTooLong,
@@ -62,8 +63,11 @@
   bool ok() const { return Errors.empty(); }
 };
 
-/// Reads \p Rows, the first of which names the columns. Order of columns is
-/// free; trailing empty rows are passed over; numbers may use a decimal comma.
+/// Reads \p Rows, the first of which names the columns: `customer`,
+/// `display_name`, `guarantee_one` to `guarantee_eight`, `guarantee_worker`,
+/// `guarantee_rack`, `rate_per_second`, `burst`, `in_flight` and
+/// `max_accelerators`, each of them once and in any order. Empty rows are
+/// passed over; an empty guarantee is none; a rate may have a decimal comma.
 parsed_sheet parseSheet(std::span<const sheet_row> Rows);
 
 enum class customer_field : std::uint8_t {
