--- a/src/core/placement/internal/capacityaccount.cpp
+++ b/src/core/placement/internal/capacityaccount.cpp
@@ -26,12 +26,18 @@
     for (const cell_key &Key : cellsOn(*Known))
       demote(Key);
   }
+  topology_index Rack =
+      Topology.putRack(Worker.Region, Worker.Zone, Worker.Rack);
+  auto RackCell = Bindings.find({cell_level::Rack, Rack, 0});
+  if (RackCell != Bindings.end())
+    countBound(RackCell->first, RackCell->second, -1);
   topology_index Index = Topology.put(Worker);
   if (Index == Slots.size())
     Slots.push_back({});
-  topology_index Rack = Topology.worker(Index).Rack;
-  if (Bindings.contains({cell_level::Rack, Rack, 0}))
+  if (RackCell != Bindings.end()) {
     Slots[Index].Bound = Topology.worker(Index).Accelerators;
+    countBound(RackCell->first, RackCell->second, 1);
+  }
   if (OldRack && *OldRack != Rack)
     refreshRack(*OldRack);
   refreshRack(Rack);
--- a/src/core/placement/internal/capacityimage.cpp
+++ b/src/core/placement/internal/capacityimage.cpp
@@ -5,6 +5,8 @@
 
 capacity_image capacity_account::image() const {
   capacity_image Image;
+  for (const rack_node &Rack : Topology.racks())
+    Image.Racks.push_back({Rack.RegionId, Rack.ZoneId, Rack.Id});
   for (topology_index Index = 0; Index < Slots.size(); ++Index)
     Image.Workers.push_back({Topology.worker(Index).Info, Slots[Index].Usable});
   for (const customer_slot &Customer : Customers)
@@ -30,6 +32,11 @@
 
 capacity_account capacity_account::fromImage(const capacity_image &Image) {
   capacity_account Account;
+  for (const rack_image &Rack : Image.Racks) {
+    topology_index Index =
+        Account.Topology.putRack(Rack.Region, Rack.Zone, Rack.Rack);
+    Account.refreshRack(Index);
+  }
   for (const worker_image &Worker : Image.Workers)
     Account.registerWorker(Worker.Info);
   for (const customer_guarantees &Config : Image.Customers)
--- a/src/core/placement/internal/decision.cpp
+++ b/src/core/placement/internal/decision.cpp
@@ -38,32 +38,54 @@
   LatestEnd.assign(Workers, 0);
   Reserved.assign(Workers, false);
   Explanations.resize(View.Waiting.size());
+  measureRacks();
   priceAttempts();
   for (const candidate &Job : ranked())
     decideJob(Job);
 }
 
+void decision::measureRacks() {
+  for (const rack_node &Rack : Scratch.workers().racks()) {
+    std::int32_t InRack = 0;
+    for (topology_index Worker : Rack.Workers) {
+      std::int32_t Size =
+          std::popcount(Scratch.workers().worker(Worker).Accelerators);
+      LargestWorker = std::max(LargestWorker, Size);
+      InRack += Size;
+    }
+    LargestRack = std::max(LargestRack, InRack);
+  }
+}
+
 void decision::priceAttempts() {
-  for (const running_attempt &Attempt : View.Running) {
-    auto Held = Scratch.attempts().find(Attempt.Token);
-    if (Held == Scratch.attempts().end())
-      continue;
-    double Left =
+  for (const running_attempt &Attempt : View.Running)
+    RunningByToken[Attempt.Token] = &Attempt;
+  for (const auto &[Token, Held] : Scratch.attempts())
+    priceAttempt(Token, Held);
+}
+
+void decision::priceAttempt(fencing_token Token,
+                            const capacity_account::held_attempt &Held) {
+  double Left = RestartSeconds;
+  double Lost = RestartSeconds;
+  double Factor = 1;
+  // An attempt that the view does not tell of has just been accepted.
+  if (auto Found = RunningByToken.find(Token); Found != RunningByToken.end()) {
+    const running_attempt &Attempt = *Found->second;
+    Left =
         toSeconds(Estimator.remaining(Attempt.Customer, Attempt.DeclaredRunTime,
                                       wholeSeconds(Now - Attempt.StartedAt)));
-    RemainingSeconds[Attempt.Token] = Left;
-    double Accelerators = 0;
-    for (const auto &Task : Held->second.Tasks) {
-      Accelerators += std::popcount(Task.Accelerators);
-      LatestEnd[Task.Worker] = std::max(LatestEnd[Task.Worker], Left);
-    }
-    if (!Held->second.Borrowed || Held->second.Guaranteed)
-      continue;
-    double Lost =
-        std::max(0.0, toSeconds(Now - Attempt.CheckpointAt)) + RestartSeconds;
-    Prices[Attempt.Token] =
-        Lost * Accelerators * (Attempt.Idempotent ? 1 : NonIdempotentFactor);
+    Lost += std::max(0.0, toSeconds(Now - Attempt.CheckpointAt));
+    Factor = Attempt.Idempotent ? 1 : NonIdempotentFactor;
+  }
+  RemainingSeconds[Token] = Left;
+  double Accelerators = 0;
+  for (const auto &Task : Held.Tasks) {
+    Accelerators += std::popcount(Task.Accelerators);
+    LatestEnd[Task.Worker] = std::max(LatestEnd[Task.Worker], Left);
   }
+  if (Held.Borrowed)
+    Prices[Token] = Lost * Accelerators * Factor;
 }
 
 decision::candidate decision::describe(std::size_t Position) const {
@@ -145,7 +167,7 @@
     Explanation.Reason = wait_reason::ReservedForStarved;
     Explanation.ReservedFor = ReservedFor;
   } else if (Customer && !Scratch.customer(*Customer).Guarantees.empty() &&
-             guaranteeLeft(*Customer, ownCells(*Customer)) < Job.Accelerators)
+             guaranteeLeft(guaranteedCells(*Customer)) < Job.Accelerators)
     Explanation.Reason = wait_reason::GuaranteeInUse;
   return Explanation;
 }
--- a/src/core/placement/internal/decision.h
+++ b/src/core/placement/internal/decision.h
@@ -36,10 +36,11 @@
     job_facts Facts;
     double Rank = 0;
   };
-  /// Where guaranteed tasks of one customer may go.
-  enum class cell_choice : std::uint8_t { Any, BoundWorkers, OwnCells };
 
+  void measureRacks();
   void priceAttempts();
+  void priceAttempt(fencing_token Token,
+                    const capacity_account::held_attempt &Held);
   std::vector<candidate> ranked() const;
   candidate describe(std::size_t Position) const;
   void decideJob(const candidate &Job);
@@ -57,11 +58,10 @@
 
   plan_request request(const candidate &Job) const;
   capacity_offer freeOffer() const;
-  std::vector<accelerator_mask> ownCells(customer_index Customer) const;
-  std::int32_t guaranteeLeft(customer_index Customer,
-                             std::span<const accelerator_mask> Own) const;
-  capacity_offer guaranteedOffer(std::span<const accelerator_mask> Own,
-                                 bool Preempting, cell_choice Choice) const;
+  guaranteed_cells guaranteedCells(customer_index Customer) const;
+  std::int32_t guaranteeLeft(const guaranteed_cells &Cells) const;
+  capacity_offer guaranteedOffer(const guaranteed_cells &Cells,
+                                 bool Preempting) const;
   bool commit(const candidate &Job, const gang_plan &Plan, bool Guaranteed);
   bool victimsFitElsewhere(const candidate &Job, const gang_plan &Plan) const;
   void fillAssignments(const gang_plan &Plan, bool Guaranteed);
@@ -75,8 +75,11 @@
 
   capacity_account Scratch;
   gang_planner Planner;
-  victim_prices Prices;          ///< of borrowed attempts
-  std::vector<double> LatestEnd; ///< by worker, seconds from now
+  std::map<fencing_token, const running_attempt *> RunningByToken;
+  victim_prices Prices;           ///< of borrowed attempts
+  std::int32_t LargestWorker = 0; ///< accelerators
+  std::int32_t LargestRack = 0;   ///< accelerators
+  std::vector<double> LatestEnd;  ///< by worker, seconds from now
   std::map<fencing_token, double> RemainingSeconds;
   std::vector<bool> Reserved; ///< by worker
   job_id ReservedFor;
--- a/src/core/placement/internal/decisionplacing.cpp
+++ b/src/core/placement/internal/decisionplacing.cpp
@@ -6,6 +6,14 @@
 
 namespace geraniumpaddle {
 
+namespace {
+
+/// Weights of splitting unbound cells: beside the other costs, and above all.
+constexpr double LooseCellWeight = 3;
+constexpr double TightCellWeight = 1e9;
+
+} // namespace
+
 capacity_offer decision::freeOffer() const {
   std::size_t Workers = Scratch.workers().workers().size();
   capacity_offer Offer;
@@ -19,64 +27,47 @@
   return Offer;
 }
 
-std::vector<accelerator_mask>
-decision::ownCells(customer_index Customer) const {
-  std::vector<accelerator_mask> Own(Scratch.workers().workers().size(), 0);
+guaranteed_cells decision::guaranteedCells(customer_index Customer) const {
+  guaranteed_cells Cells;
+  Cells.Own.assign(Scratch.workers().workers().size(), 0);
   for (const auto &[Key, Owner] : Scratch.boundCells()) {
     if (Owner != Customer)
       continue;
     for (topology_index Worker : Scratch.cellWorkers(Key))
-      Own[Worker] |= Scratch.cellMask(Key, Worker);
+      Cells.Own[Worker] |= Scratch.cellMask(Key, Worker);
+  }
+  for (int Step = 0; Step < CellLevels; ++Step) {
+    auto Level = static_cast<cell_level>(Step);
+    Cells.Unbound[indexOf(Level)] = Scratch.unbound(Customer, Level);
   }
-  return Own;
+  return Cells;
 }
 
-std::int32_t
-decision::guaranteeLeft(customer_index Customer,
-                        std::span<const accelerator_mask> Own) const {
-  std::int32_t LargestWorker = 0;
-  std::int32_t LargestRack = 0;
-  for (const rack_node &Rack : Scratch.workers().racks()) {
-    std::int32_t InRack = 0;
-    for (topology_index Worker : Rack.Workers) {
-      std::int32_t Size =
-          std::popcount(Scratch.workers().worker(Worker).Accelerators);
-      LargestWorker = std::max(LargestWorker, Size);
-      InRack += Size;
-    }
-    LargestRack = std::max(LargestRack, InRack);
-  }
+std::int32_t decision::guaranteeLeft(const guaranteed_cells &Cells) const {
   std::int32_t Left = 0;
   for (int Step = 0; Step < CellLevels; ++Step) {
     auto Level = static_cast<cell_level>(Step);
     std::int32_t Size = Level == cell_level::Rack     ? LargestRack
                         : Level == cell_level::Worker ? LargestWorker
                                                       : buddySize(Level);
-    Left += Size * Scratch.unbound(Customer, Level);
+    Left += Size * Cells.Unbound[indexOf(Level)];
   }
-  for (topology_index Worker = 0; Worker < Own.size(); ++Worker)
-    Left += std::popcount(Own[Worker] & Scratch.preemptibleMask(Worker));
+  for (topology_index Worker = 0; Worker < Cells.Own.size(); ++Worker)
+    Left += std::popcount(Cells.Own[Worker] & Scratch.preemptibleMask(Worker));
   return Left;
 }
 
-capacity_offer decision::guaranteedOffer(std::span<const accelerator_mask> Own,
-                                         bool Preempting,
-                                         cell_choice Choice) const {
+capacity_offer decision::guaranteedOffer(const guaranteed_cells &Cells,
+                                         bool Preempting) const {
   capacity_offer Offer = freeOffer();
-  Offer.Dear.resize(Own.size());
+  Offer.Cells = &Cells;
   if (Preempting)
     Offer.Prices = &Prices;
-  for (topology_index Worker = 0; Worker < Own.size(); ++Worker) {
+  for (topology_index Worker = 0; Worker < Cells.Own.size(); ++Worker) {
     accelerator_mask &Mask = Offer.Accelerators[Worker];
-    accelerator_mask Bound = Scratch.boundMask(Worker);
     if (Preempting)
       Mask = Scratch.preemptibleMask(Worker);
-    Mask &= ~Bound | Own[Worker];
-    if (Choice == cell_choice::OwnCells)
-      Mask &= Own[Worker];
-    if (Choice == cell_choice::BoundWorkers && Bound == 0)
-      Mask = 0;
-    Offer.Dear[Worker] = ~Own[Worker];
+    Mask &= ~Scratch.boundMask(Worker) | Cells.Own[Worker];
   }
   return Offer;
 }
@@ -85,14 +76,16 @@
   std::optional<customer_index> Customer = Scratch.find(Job.Job->Customer);
   if (!Customer || Job.Accelerators == 0)
     return false;
-  std::vector<accelerator_mask> Own = ownCells(*Customer);
-  if (guaranteeLeft(*Customer, Own) < Job.Accelerators)
+  guaranteed_cells Cells = guaranteedCells(*Customer);
+  if (guaranteeLeft(Cells) < Job.Accelerators)
     return false;
-  for (cell_choice Choice :
-       {cell_choice::Any, cell_choice::BoundWorkers, cell_choice::OwnCells}) {
-    capacity_offer Offer = guaranteedOffer(Own, Preempting, Choice);
+  capacity_offer Offer = guaranteedOffer(Cells, Preempting);
+  for (double Weight : {LooseCellWeight, TightCellWeight}) {
+    Offer.CellWeight = Weight;
     std::optional<gang_plan> Plan = Planner.plan(Offer, request(Job));
-    if (Plan && commit(Job, *Plan, /*Guaranteed=*/true))
+    if (!Plan)
+      return false;
+    if (commit(Job, *Plan, /*Guaranteed=*/true))
       return true;
   }
   return false;
--- a/src/core/placement/internal/gangplanner.cpp
+++ b/src/core/placement/internal/gangplanner.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-/// Cost of an accelerator that the offer calls dear.
-constexpr double DearCost = 3;
 /// Cost of one accelerator second of lost work.
 constexpr double VictimCostPerSecond = 1.0 / 60;
 
@@ -80,6 +78,7 @@
   const plan_request &Request;
   std::vector<accelerator_mask> Left; ///< by position in the group
   std::vector<resources> Host;        ///< by position in the group
+  std::optional<cell_simulation> Cells;
   gang_plan Plan;
 
   bool chosen(fencing_token Token) const {
@@ -104,8 +103,9 @@
     return Sum;
   }
 
-  double cost(topology_index Worker, accelerator_mask Before,
-              accelerator_mask Mask, int Split, bool Scattered) const {
+  double cost(topology_index Worker, std::size_t Position,
+              accelerator_mask Before, accelerator_mask Mask, int Split,
+              bool Scattered) const {
     worker_fit Fit;
     Fit.Accelerators = std::popcount(Mask);
     Fit.FreeBefore = std::popcount(Before);
@@ -117,15 +117,15 @@
       Fit.LifetimeGapSeconds =
           std::max(0.0, Request.EstimatedSeconds - Offer.LatestEnd[Worker]);
     double Cost = Planner.Strategy.fitCost(Fit);
-    if (!Offer.Dear.empty())
-      Cost += DearCost * std::popcount(Mask & Offer.Dear[Worker]);
+    if (Cells)
+      Cost += Offer.CellWeight * Cells->cost(Position, Mask);
     if (Offer.Prices != nullptr)
       Cost += VictimCostPerSecond * price(Worker, Mask);
     return Cost;
   }
 
-  void consider(topology_index Worker, accelerator_mask Before, int Count,
-                choice &Best) const {
+  void consider(topology_index Worker, std::size_t Position,
+                accelerator_mask Before, int Count, choice &Best) const {
     int Size = static_cast<int>(std::bit_ceil(static_cast<unsigned>(Count)));
     bool Found = false;
     for (int First = 0; First < MaxAcceleratorsPerWorker; First += Size) {
@@ -134,15 +134,15 @@
         continue;
       Found = true;
       accelerator_mask Mask = lowest(Inside, Count);
-      double Cost =
-          cost(Worker, Before, Mask, splitLevels(Before, First, Size), false);
+      double Cost = cost(Worker, Position, Before, Mask,
+                         splitLevels(Before, First, Size), false);
       if (Cost < Best.Cost)
         Best = {Cost, Worker, Mask};
     }
     if (Found || std::popcount(Before) < Count)
       return;
     accelerator_mask Mask = lowest(Before, Count);
-    double Cost = cost(Worker, Before, Mask, 0, true);
+    double Cost = cost(Worker, Position, Before, Mask, 0, true);
     if (Cost < Best.Cost)
       Best = {Cost, Worker, Mask};
   }
@@ -160,13 +160,15 @@
       if (std::popcount(Left[Position]) < Count)
         continue;
       double Before = Best.Cost;
-      consider(Group[Position], Left[Position], Count, Best);
+      consider(Group[Position], Position, Left[Position], Count, Best);
       if (Best.Cost < Before)
         BestPosition = Position;
     }
     if (Best.Accelerators == 0)
       return false;
     take(Best.Worker, Best.Accelerators);
+    if (Cells)
+      Cells->take(BestPosition, Best.Accelerators);
     Left[BestPosition] &= ~Best.Accelerators;
     Plan.Cost += Best.Cost;
     Plan.Tasks.push_back({Task, Best.Worker, Best.Accelerators});
@@ -262,7 +264,9 @@
 std::optional<gang_plan> gang_planner::planGroup(
     const capacity_offer &Offer, const plan_request &Request,
     std::span<const std::uint32_t> Order, const worker_group &Group) const {
-  attempt_state State{*this, Offer, Request, {}, {}, {}};
+  attempt_state State{*this, Offer, Request, {}, {}, {}, {}};
+  if (Offer.Cells != nullptr)
+    State.Cells.emplace(Account, *Offer.Cells, Group);
   State.Left.reserve(Group.size());
   State.Host.reserve(Group.size());
   for (topology_index Worker : Group) {
--- a/src/core/placement/internal/gangplanner.h
+++ b/src/core/placement/internal/gangplanner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/placement/capacityaccount.h"
+#include "core/placement/internal/cellsimulation.h"
 #include "core/placement/internal/schedulingstrategy.h"
 
 #include <map>
@@ -17,8 +18,10 @@
 struct capacity_offer {
   std::vector<accelerator_mask> Accelerators;
   std::vector<resources> Host;
-  /// Accelerators that cost extra, e.g. because a cell has to be bound.
-  std::vector<accelerator_mask> Dear;
+  /// Cells that the gang has to lie in; null for a borrowing gang.
+  const guaranteed_cells *Cells = nullptr;
+  /// Weight of binding a cell out of a larger one.
+  double CellWeight = 0;
   /// Expected seconds until the last attempt on the worker ends.
   std::span<const double> LatestEnd;
   /// Prices of attempts that may be preempted; null if none may.
--- a/src/core/placement/internal/topology.cpp
+++ b/src/core/placement/internal/topology.cpp
@@ -41,26 +41,26 @@
 
 } // namespace
 
-topology_index topology::rackOf(const worker_info &Worker) {
-  topology_index Region = intern(Regions, Worker.Region);
-  topology_index Zone = intern(Zones, zone_key{Worker.Region, Worker.Zone});
-  topology_index Rack =
-      intern(RackIndex, rack_key{Worker.Region, Worker.Zone, Worker.Rack});
-  if (Rack == Racks.size())
-    Racks.push_back({Worker.Rack, Zone, Region, {}});
-  return Rack;
+topology_index topology::putRack(const region_id &Region,
+                                 const availability_zone_id &Zone,
+                                 const rack_id &Rack) {
+  topology_index RegionAt = intern(Regions, Region);
+  topology_index ZoneAt = intern(Zones, zone_key{Region, Zone});
+  topology_index RackAt = intern(RackIndex, rack_key{Region, Zone, Rack});
+  if (RackAt == Racks.size())
+    Racks.push_back({Rack, Zone, Region, ZoneAt, RegionAt, {}});
+  return RackAt;
 }
 
 topology_index topology::put(const worker_info &Worker) {
   topology_index Index = intern(WorkerIndex, Worker.Id);
-  topology_index Rack = rackOf(Worker);
-  if (Index == Workers.size()) {
+  topology_index Rack = putRack(Worker.Region, Worker.Zone, Worker.Rack);
+  if (Index == Workers.size())
     Workers.push_back({});
-    Racks[Rack].Workers.push_back(Index);
-  } else if (Workers[Index].Rack != Rack) {
+  else
     std::erase(Racks[Workers[Index].Rack].Workers, Index);
-    Racks[Rack].Workers.push_back(Index);
-  }
+  std::vector<topology_index> &InRack = Racks[Rack].Workers;
+  InRack.insert(std::ranges::lower_bound(InRack, Index), Index);
   worker_node &Node = Workers[Index];
   Node.Info = Worker;
   Node.Rack = Rack;
--- a/src/core/placement/topology.h
+++ b/src/core/placement/topology.h
@@ -41,9 +41,11 @@
 /// A rack, named within its zone.
 struct rack_node {
   rack_id Id;
+  availability_zone_id ZoneId;
+  region_id RegionId;
   topology_index Zone = 0;
   topology_index Region = 0;
-  std::vector<topology_index> Workers;
+  std::vector<topology_index> Workers; ///< ascending
 
   friend bool operator==(const rack_node &, const rack_node &) = default;
 };
@@ -51,6 +53,9 @@
 /// The registered workers and where they stand: region, zone, rack, worker.
 class topology {
 public:
+  /// Adds a rack without workers, unless it is known; returns its position.
+  topology_index putRack(const region_id &Region,
+                         const availability_zone_id &Zone, const rack_id &Rack);
   /// Adds \p Worker or replaces its description; returns its position.
   topology_index put(const worker_info &Worker);
 
@@ -70,8 +75,6 @@
   using zone_key = std::tuple<region_id, availability_zone_id>;
   using rack_key = std::tuple<region_id, availability_zone_id, rack_id>;
 
-  topology_index rackOf(const worker_info &Worker);
-
   std::vector<worker_node> Workers;
   std::vector<rack_node> Racks;
   std::map<worker_id, topology_index> WorkerIndex;
--- a/src/core/placement/types/capacityimage.h
+++ b/src/core/placement/types/capacityimage.h
@@ -26,6 +26,15 @@
   friend auto operator<=>(const worker_image &, const worker_image &) = default;
 };
 
+/// A rack that was ever named; it may hold no workers any more.
+struct rack_image {
+  region_id Region;
+  availability_zone_id Zone;
+  rack_id Rack;
+
+  friend auto operator<=>(const rack_image &, const rack_image &) = default;
+};
+
 /// Capacity that one attempt holds.
 struct attempt_image {
   fencing_token Token{};
@@ -51,6 +60,7 @@
 
 /// Full state of a capacity account as plain data, for snapshots.
 struct capacity_image {
+  std::vector<rack_image> Racks;     ///< in order of first appearance
   std::vector<worker_image> Workers; ///< in order of registration
   std::vector<customer_guarantees> Customers;
   std::vector<attempt_image> Attempts; ///< by token
