--- a/src/core/placement/internal/decision.h
+++ b/src/core/placement/internal/decision.h
@@ -2,7 +2,7 @@
 
 #include "core/placement/capacityaccount.h"
 #include "core/placement/internal/gangplanner.h"
-#include "core/placement/internal/schedulingstrategy.h"
+#include "core/placement/schedulingstrategy.h"
 #include "core/placement/runtimeestimator.h"
 #include "core/placement/types/schedule.h"
 
--- a/src/core/placement/internal/gangplanner.h
+++ b/src/core/placement/internal/gangplanner.h
@@ -2,7 +2,7 @@
 
 #include "core/placement/capacityaccount.h"
 #include "core/placement/internal/cellsimulation.h"
-#include "core/placement/internal/schedulingstrategy.h"
+#include "core/placement/schedulingstrategy.h"
 
 #include <map>
 #include <optional>
--- a/src/core/placement/internal/scheduler.cpp
+++ b/src/core/placement/internal/scheduler.cpp
@@ -1,11 +1,14 @@
 #include "core/placement/scheduler.h"
 
 #include "core/placement/internal/decision.h"
-#include "core/placement/internal/schedulingstrategy.h"
+
+#include <utility>
 
 namespace geraniumpaddle {
 
 scheduler::scheduler(objective Objective) : Strategy(makeStrategy(Objective)) {}
+scheduler::scheduler(std::unique_ptr<const scheduling_strategy> Strategy)
+    : Strategy(std::move(Strategy)) {}
 scheduler::~scheduler() = default;
 
 schedule scheduler::decide(const schedule_view &View, time_point Now) {
--- a/src/core/placement/internal/schedulingstrategy.cpp
+++ b/src/core/placement/internal/schedulingstrategy.cpp
@@ -1,4 +1,4 @@
-#include "core/placement/internal/schedulingstrategy.h"
+#include "core/placement/schedulingstrategy.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/placement/scheduler.h
+++ b/src/core/placement/scheduler.h
@@ -5,6 +5,7 @@
 #include "core/base/types/time.h"
 #include "core/placement/capacityaccount.h"
 #include "core/placement/runtimeestimator.h"
+#include "core/placement/schedulingstrategy.h"
 #include "core/placement/types/schedule.h"
 
 #include <memory>
@@ -13,8 +14,6 @@
 
 namespace geraniumpaddle {
 
-class scheduling_strategy;
-
 /// Proposes placements for waiting jobs. Each decision is a function of the
 /// view, the present time and the run times seen so far; a proposal that the
 /// fold rejects leaves nothing behind, so that several schedulers may propose
@@ -22,6 +21,7 @@
 class scheduler {
 public:
   explicit scheduler(objective Objective);
+  explicit scheduler(std::unique_ptr<const scheduling_strategy> Strategy);
   ~scheduler();
   scheduler(const scheduler &) = delete;
   scheduler &operator=(const scheduler &) = delete;
