--- a/src/platform/internal/httpworker.cpp
+++ b/src/platform/internal/httpworker.cpp
@@ -1,8 +1,8 @@
 #include "platform/httpworker.h"
 
-#include "platform.pb.h"
+#include "codec/protojson.h"
 
-#include <google/protobuf/util/json_util.h>
+#include "platform.pb.h"
 
 #include <utility>
 
@@ -16,21 +16,6 @@
 constexpr int TooManyRequests = 429;
 constexpr int ServiceUnavailable = 503;
 
-std::string toJson(const google::protobuf::Message &Message) {
-  std::string Text;
-  // Fails only for messages with unresolvable Any fields; there are none.
-  (void)google::protobuf::util::MessageToJsonString(Message, &Text);
-  return Text;
-}
-
-/// Fields of later versions of the interface are passed over.
-bool fromJson(const std::string &Body, google::protobuf::Message &Message) {
-  google::protobuf::util::JsonParseOptions Options;
-  Options.ignore_unknown_fields = true;
-  return google::protobuf::util::JsonStringToMessage(Body, &Message, Options)
-      .ok();
-}
-
 std::uint64_t toMilliseconds(duration Time) {
   return static_cast<std::uint64_t>(duration_cast<milliseconds>(Time).count());
 }
@@ -86,7 +71,7 @@
 call_outcome read(const http_result &Result,
                   google::protobuf::Message &Message) {
   call_outcome Outcome = judge(Result);
-  if (Outcome.answered() && !fromJson(Result.Body, Message))
+  if (Outcome.answered() && !tryParseJson(Result.Body, Message))
     Outcome.Status = call_status::Lost;
   return Outcome;
 }
@@ -156,7 +141,7 @@
   Message.set_memory_mb(Start.Need.MemoryMb);
   Message.set_command(Start.Command);
   Message.set_lease_ms(toMilliseconds(Start.Lease));
-  post("/start", toJson(Message), std::move(Done));
+  post("/start", printJson(Message), std::move(Done));
 }
 
 void http_worker::renew(std::span<const std::string> Tasks, duration Lease,
@@ -165,22 +150,22 @@
   for (const std::string &Task : Tasks)
     Message.add_tasks(Task);
   Message.set_lease_ms(toMilliseconds(Lease));
-  post("/renew", toJson(Message), std::move(Done));
+  post("/renew", printJson(Message), std::move(Done));
 }
 
 void http_worker::checkpoint(std::string_view Task, worker_callback Done) {
-  post("/checkpoint", toJson(makeControl(Task)), std::move(Done));
+  post("/checkpoint", printJson(makeControl(Task)), std::move(Done));
 }
 
 void http_worker::throttle(std::string_view Task, int Percent,
                            worker_callback Done) {
   proto::WorkerControl Message = makeControl(Task);
   Message.set_throttle_percent(static_cast<std::uint32_t>(Percent));
-  post("/throttle", toJson(Message), std::move(Done));
+  post("/throttle", printJson(Message), std::move(Done));
 }
 
 void http_worker::stop(std::string_view Task, worker_callback Done) {
-  post("/stop", toJson(makeControl(Task)), std::move(Done));
+  post("/stop", printJson(makeControl(Task)), std::move(Done));
 }
 
 void http_worker::usage(std::function<void(const worker_usage &)> Done) {
