--- a/src/core/links/entrylinks.h
+++ b/src/core/links/entrylinks.h
@@ -32,6 +32,7 @@
 private:
   struct link {
     bool Configured = false;
+    bool Learned = false; ///< an entry named it as an entry's own address
     bool InFlight = false;
     bool Healthy = false;
     bool Announce = true;   ///< the next heartbeat carries the registration
--- a/src/core/links/internal/entrylinks.cpp
+++ b/src/core/links/internal/entrylinks.cpp
@@ -74,7 +74,7 @@
   bool AtOnce = Event.RegistrationWanted || Link.SendAgain;
   Link.SendAgain = false;
   Link.DueAt = AtOnce ? Now : Now + Link.Interval;
-  if (!Link.Configured)
+  if (Link.Learned)
     retireConfigured();
   learnEntries(Event.Entries, Now);
 }
@@ -91,7 +91,9 @@
   Link.Failures++;
   Link.DueAt = Now + Settings.RetryInterval;
   Commands.emplace_back(replace_connection{Event.Address});
-  if (!Link.Configured && Link.Failures >= Settings.ForgetAfter)
+  if (Link.Failures >= Settings.ForgetAfter)
+    Link.Learned = false;
+  if (!Link.Learned && !Link.Configured)
     Links.erase(Found);
   if (onlyConfigured())
     for (auto &[Address, Other] : Links)
@@ -112,6 +114,7 @@
                                time_point Now) {
   for (const std::string &Address : Entries) {
     auto [Entry, New] = Links.try_emplace(Address);
+    Entry->second.Learned = true;
     if (!New)
       continue;
     Entry->second.Interval = Settings.FirstInterval;
@@ -122,7 +125,7 @@
 /// What is behind the balancer may change while it is not in use.
 void entry_links::retireConfigured() {
   for (auto &[Address, Link] : Links) {
-    if (!Link.Configured)
+    if (Link.Learned)
       continue;
     Link.Healthy = false;
     Link.Announce = true;
@@ -131,13 +134,13 @@
 
 bool entry_links::onlyConfigured() const {
   return std::none_of(Links.begin(), Links.end(), [](const auto &Entry) {
-    return !Entry.second.Configured && Entry.second.Healthy;
+    return Entry.second.Learned && Entry.second.Healthy;
   });
 }
 
 /// The balancer's addresses are not kept up once entries answer directly.
 bool entry_links::wanted(const link &Link) const {
-  return !Link.Configured || onlyConfigured();
+  return Link.Learned || onlyConfigured();
 }
 
 void entry_links::send(const std::string &Address, link &Link) {
--- a/src/core/links/tests/entrylinkstest.cpp
+++ b/src/core/links/tests/entrylinkstest.cpp
@@ -62,6 +62,14 @@
   CHECK((Sent == std::vector<std::string>{"10.0.0.2:7000", "10.0.0.3:7000"}));
 }
 
+TEST(EntryLinks, KeepsUpALinkWhoseEntryIsAlsoTheConfiguredAddress) {
+  Links.handle(links_started{}, Start);
+  Links.handle(answer(Balancer[0], {Balancer[0], "10.0.0.2:7000"}), Start);
+  Links.handle(answer("10.0.0.2:7000", {}), Start);
+  auto Sent = sentTo(Links.handle(links_timer_fired{}, Start + 2s));
+  LONGS_EQUAL(2, Sent.size());
+}
+
 TEST(EntryLinks, ReplacesASilentConnectionAndUsesAnotherEntry) {
   learnTwoEntries();
   STRCMP_EQUAL("10.0.0.3:7000", std::string(*Links.preferred()).c_str());
