--- a/src/core/sheet/internal/sheetparser.cpp
+++ b/src/core/sheet/internal/sheetparser.cpp
@@ -72,7 +72,7 @@
   }
 
   void addColumn(std::string_view Name, std::uint32_t HeaderLine) {
-    auto Known =
+    const auto *Known =
         std::find_if(Table.begin(), Table.end(),
                      [Name](const column &Each) { return Each.Name == Name; });
     const column *Found = Known == Table.end() ? nullptr : &*Known;
--- a/src/core/sheet/internal/sheetplan.cpp
+++ b/src/core/sheet/internal/sheetplan.cpp
@@ -10,7 +10,7 @@
 
 std::string toText(double Number) {
   std::array<char, 32> Buffer;
-  auto End =
+  char *End =
       std::to_chars(Buffer.data(), Buffer.data() + Buffer.size(), Number).ptr;
   return {Buffer.data(), End};
 }
--- a/src/core/sheet/tests/sheetparsertest.cpp
+++ b/src/core/sheet/tests/sheetparsertest.cpp
@@ -29,13 +29,14 @@
   Row.erase(Row.begin() + static_cast<std::ptrdiff_t>(Index));
   return Row;
 }
-cells and_(cells Row, std::string Text) {
+cells withMore(cells Row, std::string Text) {
   Row.push_back(std::move(Text));
   return Row;
 }
 
 std::vector<sheet_row> rows(const std::vector<cells> &Table) {
   std::vector<sheet_row> Rows;
+  Rows.reserve(Table.size());
   std::uint32_t Line = 0;
   for (const cells &Row : Table)
     Rows.push_back({++Line, Row});
@@ -84,8 +85,8 @@
 }
 
 TEST(SheetParser, PassesOverEmptyRowsAndTrailingCells) {
-  parsed_sheet Sheet =
-      parseSheet(rows({{""}, and_(Header, ""), and_(Good, " "), {}, {"", ""}}));
+  parsed_sheet Sheet = parseSheet(
+      rows({{""}, withMore(Header, ""), withMore(Good, " "), {}, {"", ""}}));
   CHECK(Sheet.ok());
   LONGS_EQUAL(1, Sheet.Customers.size());
 }
@@ -107,10 +108,10 @@
       {{without(Header, 9), without(Good, 9)}, "1 burst missing_column "},
       {{with(Header, 9, "bursts"), Good},
        "1 bursts unknown_column bursts; 1 burst missing_column "},
-      {{and_(Header, "notes"), Good}, "1 notes unknown_column notes"},
-      {{and_(Header, "burst"), Good}, "1 burst duplicate_column burst"},
+      {{withMore(Header, "notes"), Good}, "1 notes unknown_column notes"},
+      {{withMore(Header, "burst"), Good}, "1 burst duplicate_column burst"},
       {{Header, without(Good, 11)}, "2 max_accelerators missing_cell "},
-      {{Header, and_(Good, "x")}, "2  extra_cell x"},
+      {{Header, withMore(Good, "x")}, "2  extra_cell x"},
       {{Header, with(Good, 0, "")}, "2 customer empty_customer "},
       {{Header, with(Good, 0, "C1")}, "2 customer invalid_customer C1"},
       {{Header, with(Good, 0, "c 1")}, "2 customer invalid_customer c 1"},
