Gang model checks what members and leads claim; stand-in uses the one JSON codec

Change: it now also fails if a member says prepared while an earlier holder truly runs, and if an end is reported while a task runs. The worker stand-in prints and parses through codec/protojson; the adapter's test expects the field names of the .proto file, as that codec writes them.

--- a/src/core/gang/tests/gangworld.cpp
+++ b/src/core/gang/tests/gangworld.cpp
@@ -242,8 +242,10 @@
     return;
   const std::uint64_t Id = ++LastCall;
   const auto Answer = [=, this](const member_report &Report) {
-    if (Report.State == member_state::Prepared)
+    if (Report.State == member_state::Prepared) {
       WasPrepared.emplace(Command.Token, To);
+      checkPrepared(To, Command.Token);
+    }
     if (chance(Faults.LossPercent))
       return;
     at(Now + delay(), [=, this] {
@@ -283,6 +285,8 @@
   if (Now >= LogDownUntil) {
     Answer.Determined = !chance(Faults.LossPercent);
     Answer.Accepted = true;
+    if (!noneRun(Command.Token))
+      Broken = "the end was reported while a task ran";
     if (!Placed.at(Command.Token).Ended)
       Placed.at(Command.Token).Ended = Command;
   }
--- a/src/core/gang/tests/gangworld.h
+++ b/src/core/gang/tests/gangworld.h
@@ -139,6 +139,7 @@
   void expireTasks(int Worker);
   void endTask(int Worker, fake_worker::task &Task, task_state State);
   std::vector<task_status> statuses(int Worker) const;
+  void checkPrepared(int Worker, fencing_token Token);
   std::optional<std::string> checkStart(const task_run &Run) const;
 
   const gang_timing Timing;
--- a/src/core/gang/tests/gangworldworkers.cpp
+++ b/src/core/gang/tests/gangworldworkers.cpp
@@ -112,6 +112,18 @@
   return Result;
 }
 
+void gang_world::checkPrepared(int Worker, fencing_token Token) {
+  task_run Held{{Token, 0}, Worker, 0, Now};
+  for (const gang_task &Task : gang(Token).Assignment.Tasks) {
+    if (agentOf(Task.Assignment.Worker) == Worker)
+      Held.Accelerators |= Task.Assignment.Accelerators;
+  }
+  for (const task_run &Other : Runs) {
+    if (overlaps(Held, Other) && Other.Until > Now)
+      Broken = "prepared while an earlier holder ran";
+  }
+}
+
 std::optional<std::string> gang_world::checkStart(const task_run &Run) const {
   const placed_gang &Gang = Placed.at(Run.Id.Token);
   for (const task_run &Other : Runs) {
--- a/src/platform/tests/httpworkertest.cpp
+++ b/src/platform/tests/httpworkertest.cpp
@@ -53,8 +53,8 @@
   answer(200, "{}");
   Worker.start({"7/1", 12, {2, 500, 64}, "sleep:5", 10s}, Keep);
   STRCMP_EQUAL("/v1/start", Client.Last.Target.c_str());
-  STRCMP_EQUAL(R"({"task":"7/1","accelerators":12,"milliCores":"500",)"
-               R"("memoryMb":"64","command":"sleep:5","leaseMs":"10000"})",
+  STRCMP_EQUAL(R"({"task":"7/1","accelerators":12,"milli_cores":"500",)"
+               R"("memory_mb":"64","command":"sleep:5","lease_ms":"10000"})",
                Client.Last.Body.c_str());
 }
 
@@ -62,7 +62,7 @@
   answer(200, "{}");
   const std::string Tasks[] = {"7/0", "7/1"};
   Worker.renew(Tasks, 5s, Keep);
-  STRCMP_EQUAL(R"({"tasks":["7/0","7/1"],"leaseMs":"5000"})",
+  STRCMP_EQUAL(R"({"tasks":["7/0","7/1"],"lease_ms":"5000"})",
                Client.Last.Body.c_str());
 }
 
--- a/standins/worker/faults.cpp
+++ b/standins/worker/faults.cpp
@@ -1,9 +1,9 @@
 #include "standins/worker/faults.h"
 
+#include "codec/protojson.h"
 #include "core/base/error.h"
 
 #include <google/protobuf/struct.pb.h>
-#include <google/protobuf/util/json_util.h>
 
 #include <array>
 #include <string>
@@ -39,10 +39,7 @@
 
 fault_plan parseFaults(std::string_view Body) {
   google::protobuf::Struct Object;
-  const auto Status =
-      google::protobuf::util::JsonStringToMessage(std::string(Body), &Object);
-  if (!Status.ok())
-    throw malformed_message_error(Status.ToString());
+  parseJson(Body, Object);
   fault_plan Plan;
   Plan.Mode = parseMode((*Object.mutable_fields())["mode"].string_value());
   Plan.Delay = std::chrono::milliseconds(
--- a/standins/worker/workerinterface.cpp
+++ b/standins/worker/workerinterface.cpp
@@ -1,10 +1,10 @@
 #include "standins/worker/workerinterface.h"
 
+#include "codec/protojson.h"
 #include "core/base/error.h"
 #include "platform.pb.h"
 
 #include <google/protobuf/struct.pb.h>
-#include <google/protobuf/util/json_util.h>
 
 #include <array>
 
@@ -15,30 +15,16 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-std::string toJson(const google::protobuf::Message &Message) {
-  google::protobuf::util::JsonPrintOptions Options;
-  Options.always_print_primitive_fields = true;
-  std::string Text;
-  const auto Status =
-      google::protobuf::util::MessageToJsonString(Message, &Text, Options);
-  if (!Status.ok())
-    throw internal_error(Status.ToString());
-  return Text;
-}
-
 template <typename Message> Message fromJson(std::string_view Body) {
   Message Result;
-  const auto Status =
-      google::protobuf::util::JsonStringToMessage(std::string(Body), &Result);
-  if (!Status.ok())
-    throw malformed_message_error(Status.ToString());
+  parseJson(Body, Result);
   return Result;
 }
 
 json_answer refuse(int Code, std::string_view Kind) {
   proto::PlatformError Error;
   Error.set_code(std::string(Kind));
-  return {Code, toJson(Error)};
+  return {Code, printJson(Error)};
 }
 
 // The enumerations have the same order.
@@ -95,7 +81,7 @@
   Description.set_memory_mb(Worker.capacity().MemoryMb);
   for (const worker_task &Task : Worker.describe(Now))
     toProto(Task, *Description.add_tasks());
-  return {200, toJson(Description)};
+  return {200, printJson(Description)};
 }
 
 json_answer worker_interface::usage(std::string_view /*Body*/, time_point Now) {
@@ -105,7 +91,7 @@
   Usage.set_milli_cores(Busy.MilliCores);
   Usage.set_memory_mb(Busy.MemoryMb);
   Usage.set_accelerators_busy(Busy.Accelerators);
-  return {200, toJson(Usage)};
+  return {200, printJson(Usage)};
 }
 
 json_answer worker_interface::start(std::string_view Body, time_point Now) {
@@ -165,7 +151,7 @@
   proto::WorkerTasks Result;
   for (const worker_task &Task : Worker.describe(Tasks, Now))
     toProto(Task, *Result.add_tasks());
-  return {200, toJson(Result)};
+  return {200, printJson(Result)};
 }
 
 json_answer worker_interface::history(time_point Now, wall_time WallNow) const {
@@ -185,7 +171,7 @@
     Fields["state"].set_string_value(
         proto::WorkerTaskState_Name(toProto(Run.State)));
   }
-  return {200, toJson(Result)};
+  return {200, printJson(Result)};
 }
 
 } // namespace geraniumpaddle::standins
