--- a/src/metrics/internal/metrics.cpp
+++ b/src/metrics/internal/metrics.cpp
@@ -56,9 +56,9 @@
     return "+Inf";
   }
   std::array<char, 32> Text{};
-  const auto End =
+  const char *End =
       std::to_chars(Text.data(), Text.data() + Text.size(), Value).ptr;
-  return {Text.data(), End};
+  return {Text.data(), static_cast<std::size_t>(End - Text.data())};
 }
 
 std::string labelText(const metric_labels &Labels) {
@@ -176,6 +176,9 @@
 
 /// All series of one name.
 struct metric_registry::family {
+  family(std::string_view Help, any_series Series)
+      : Help(Help), Series(std::move(Series)) {}
+
   std::string Help;
   any_series Series;
 };
@@ -193,7 +196,7 @@
   }
   auto &Family = Families[std::string(Name)];
   if (!Family) {
-    Family = std::make_unique<family>(std::string(Help), series_map<Type>());
+    Family = std::make_unique<family>(Help, series_map<Type>());
   }
   auto *Series = std::get_if<series_map<Type>>(&Family->Series);
   if (Series == nullptr) {
@@ -239,7 +242,7 @@
     Out << "# TYPE " << Name << ' ' << TypeNames.at(Family->Series.index())
         << '\n';
     std::visit(
-        [&](const auto &Series) {
+        [&Out, &Name = Name](const auto &Series) {
           for (const auto &[Labels, Each] : Series) {
             renderSeries(Out, Name, Labels, *Each);
           }
--- a/src/transport/httpclient.h
+++ b/src/transport/httpclient.h
@@ -11,8 +11,8 @@
 struct http_client_limits {
   std::size_t MaxConnectionsPerAddress = 64;
   std::size_t MaxQueuedPerAddress = 1024; ///< beyond it calls are NotSent
-  std::size_t MaxHeaderBytes = 64 * 1024;
-  std::size_t MaxBodyBytes = 16 * 1024 * 1024;
+  std::size_t MaxHeaderBytes = std::size_t{64} * 1024;
+  std::size_t MaxBodyBytes = std::size_t{16} * 1024 * 1024;
   std::chrono::seconds KeepIdle{20}; ///< an idle connection is closed then
   /// Takes an answer that ends with the connection, without Content-Length or
   /// chunks, as whole. Off, it counts as Lost: it may have been cut short.
--- a/src/transport/ihttpserver.h
+++ b/src/transport/ihttpserver.h
@@ -46,8 +46,8 @@
 
 /// Bounds on what a caller may send.
 struct http_server_limits {
-  std::size_t MaxHeaderBytes = 16 * 1024;
-  std::size_t MaxBodyBytes = 8 * 1024 * 1024;
+  std::size_t MaxHeaderBytes = std::size_t{16} * 1024;
+  std::size_t MaxBodyBytes = std::size_t{8} * 1024 * 1024;
   std::size_t MaxConnections = 2048;
   std::chrono::seconds IdleTimeout{30};
 };
--- a/src/transport/internal/eventloop.cpp
+++ b/src/transport/internal/eventloop.cpp
@@ -2,6 +2,7 @@
 
 #include "core/base/error.h"
 #include "logging/logging.h"
+#include "transport/internal/evptr.h"
 
 #include <event2/event.h>
 
@@ -30,28 +31,22 @@
 } // namespace
 
 struct event_loop::timer_entry {
+  timer_entry(event_loop &Loop, timer_id Id, std::function<void()> Fire)
+      : Loop(Loop), Id(Id), Fire(std::move(Fire)) {}
+
   event_loop &Loop;
   timer_id Id;
   std::function<void()> Fire;
-  event *Event = nullptr;
-
-  ~timer_entry() {
-    if (Event != nullptr) {
-      event_free(Event);
-    }
-  }
+  event_ptr Event;
 };
 
 struct event_loop::signal_entry {
+  signal_entry(event_loop &Loop, std::function<void()> Handler)
+      : Loop(Loop), Handler(std::move(Handler)) {}
+
   event_loop &Loop;
   std::function<void()> Handler;
-  event *Event = nullptr;
-
-  ~signal_entry() {
-    if (Event != nullptr) {
-      event_free(Event);
-    }
-  }
+  event_ptr Event;
 };
 
 event_loop::event_loop() {
@@ -93,9 +88,9 @@
 timer_id event_loop::startTimer(duration After, std::function<void()> Fire) {
   const timer_id Id{++LastTimer};
   auto Entry = std::make_unique<timer_entry>(*this, Id, std::move(Fire));
-  Entry->Event = evtimer_new(Base, &event_loop::onTimer, Entry.get());
+  Entry->Event.reset(evtimer_new(Base, &event_loop::onTimer, Entry.get()));
   const timeval Wait = toTimeval(After);
-  if (Entry->Event == nullptr || evtimer_add(Entry->Event, &Wait) != 0) {
+  if (!Entry->Event || evtimer_add(Entry->Event.get(), &Wait) != 0) {
     throw unavailable_error("no timer");
   }
   Timers.emplace(Id, std::move(Entry));
@@ -118,9 +113,9 @@
 
 void event_loop::onSignal(int Signal, std::function<void()> Handler) {
   auto Entry = std::make_unique<signal_entry>(*this, std::move(Handler));
-  Entry->Event =
-      evsignal_new(Base, Signal, &event_loop::onSignalEvent, Entry.get());
-  if (Entry->Event == nullptr || evsignal_add(Entry->Event, nullptr) != 0) {
+  Entry->Event.reset(
+      evsignal_new(Base, Signal, &event_loop::onSignalEvent, Entry.get()));
+  if (!Entry->Event || evsignal_add(Entry->Event.get(), nullptr) != 0) {
     throw unavailable_error("no signal handler");
   }
   Signals[Signal] = std::move(Entry);
--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -23,6 +23,8 @@
 
 /// One request whose answer has not been written out. Owned by its connection.
 struct exchange {
+  explicit exchange(evhttp_request *Request) : Request(Request) {}
+
   evhttp_request *Request;
   event_ptr Watch; ///< waits for an end-of-stream of the caller
   std::function<void()> Gone;
@@ -94,6 +96,9 @@
 
 private:
   struct connection {
+    connection(impl &Server, evhttp_connection *Raw)
+        : Server(Server), Raw(Raw) {}
+
     impl &Server;
     evhttp_connection *Raw;
     std::shared_ptr<exchange> Current;
@@ -237,7 +242,7 @@
     const int NoDelay = 1;
     ::setsockopt(bufferevent_getfd(Buffer), IPPROTO_TCP, TCP_NODELAY, &NoDelay,
                  sizeof NoDelay);
-    auto Connection = std::make_unique<connection>(*this, Raw, nullptr);
+    auto Connection = std::make_unique<connection>(*this, Raw);
     evhttp_connection_set_closecb(Raw, &impl::onClosed, Connection.get());
     Connections.emplace(Raw, std::move(Connection));
   }
@@ -301,7 +306,7 @@
 
 void http_server::impl::handle(connection &Connection,
                                evhttp_request *Request) {
-  const auto Open = std::make_shared<exchange>(Request, nullptr, nullptr);
+  const auto Open = std::make_shared<exchange>(Request);
   Connection.Current = Open;
   ++OpenRequests;
   const auto Responder = std::make_shared<responder>(*this, Open);
--- a/src/transport/internal/mailbox.cpp
+++ b/src/transport/internal/mailbox.cpp
@@ -1,6 +1,7 @@
 #include "transport/mailbox.h"
 
 #include "core/base/error.h"
+#include "transport/internal/evptr.h"
 
 #include <event2/event.h>
 
@@ -37,15 +38,12 @@
 };
 
 struct mailbox::wake_event {
+  wake_event(event_loop &Loop, std::shared_ptr<sender::state> State)
+      : Loop(Loop), State(std::move(State)) {}
+
   event_loop &Loop;
   std::shared_ptr<sender::state> State;
-  event *Event = nullptr;
-
-  ~wake_event() {
-    if (Event != nullptr) {
-      event_free(Event);
-    }
-  }
+  event_ptr Event;
 };
 
 namespace {
@@ -63,11 +61,11 @@
 mailbox::mailbox(event_loop &Loop)
     : Sender(std::make_shared<sender::state>(newEventDescriptor())),
       Wake(std::make_unique<wake_event>(Loop, Sender.State)) {
-  Wake->Event = event_new(
+  Wake->Event.reset(event_new(
       Loop.base(), Sender.State->Descriptor, EV_READ | EV_PERSIST,
       [](int, short, void *Self) { static_cast<mailbox *>(Self)->run(); },
-      this);
-  if (Wake->Event == nullptr || event_add(Wake->Event, nullptr) != 0) {
+      this));
+  if (!Wake->Event || event_add(Wake->Event.get(), nullptr) != 0) {
     throw unavailable_error("no event for the mailbox");
   }
 }
--- a/src/transport/peerclient.h
+++ b/src/transport/peerclient.h
@@ -10,11 +10,13 @@
 
 struct peer_client_settings {
   int MaxMessageBytes = 16 * 1024 * 1024;
-  std::size_t MaxCallsInFlight = 16 * 1024; ///< beyond it calls are NotSent
+  std::size_t MaxCallsInFlight =
+      std::size_t{16} * 1024; ///< beyond it calls are NotSent
   std::chrono::milliseconds ConnectTimeout{2000};
   std::chrono::seconds KeepaliveTime{30};
   std::chrono::seconds KeepaliveTimeout{10};
-  std::size_t BufferBytes = 64 * 1024 * 1024; ///< quota of the gRPC library
+  std::size_t BufferBytes =
+      std::size_t{64} * 1024 * 1024; ///< quota of the gRPC library
 };
 
 /// Client of the Peer service over gRPC; one connection per address, which is
--- a/src/transport/peerserver.h
+++ b/src/transport/peerserver.h
@@ -11,9 +11,10 @@
 
 struct peer_server_settings {
   int MaxMessageBytes = 16 * 1024 * 1024;
-  int MaxConcurrentStreams = 1024;            ///< per connection
-  int MaxThreads = 4;                         ///< of the gRPC library
-  std::size_t BufferBytes = 64 * 1024 * 1024; ///< quota of the gRPC library
+  int MaxConcurrentStreams = 1024; ///< per connection
+  int MaxThreads = 4;              ///< of the gRPC library
+  std::size_t BufferBytes =
+      std::size_t{64} * 1024 * 1024; ///< quota of the gRPC library
   std::chrono::seconds KeepaliveTime{30};
   std::chrono::seconds KeepaliveTimeout{10};
 };
--- a/src/transport/tests/httptest.cpp
+++ b/src/transport/tests/httptest.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr std::size_t Megabyte = 1024 * 1024;
+constexpr std::size_t Megabyte = std::size_t{1024} * 1024;
 
 /// A server that keeps requests until the test answers, and a client.
 class http_pair {
--- a/src/transport/tests/peertest.cpp
+++ b/src/transport/tests/peertest.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::size_t Megabyte = 1024 * 1024;
+constexpr std::size_t Megabyte = std::size_t{1024} * 1024;
 
 /// A server that echoes bodies unless told to keep calls, and a client.
 class peer_pair {
--- a/standins/logservice/logserver.cpp
+++ b/standins/logservice/logserver.cpp
@@ -13,9 +13,9 @@
 namespace {
 
 constexpr std::size_t DefaultReadLimit = 1000;
-constexpr std::size_t MaxBodyBytes = 64 * 1024 * 1024;
+constexpr std::size_t MaxBodyBytes = std::size_t{64} * 1024 * 1024;
 // Beyond this the answer to one read is cut; the reader asks for the rest.
-constexpr std::size_t MaxReadBytes = 4 * 1024 * 1024;
+constexpr std::size_t MaxReadBytes = std::size_t{4} * 1024 * 1024;
 
 std::uint64_t numberOf(std::string_view Query, std::string_view Name,
                        std::uint64_t Default) {
