Process tests of requests, drains and the whole path; callers of a lost agent

Cause: an agent killed while a non-idempotent request ran left its caller waiting for the request's whole time limit, 30 s. Ruled out: a lost answer of the router (it kept querying the dead agent). Change: once the agent is lost in the log its open attempts end as undetermined. LostAgent in core/routing failed first.

--- a/src/core/placement/internal/decision.h
+++ b/src/core/placement/internal/decision.h
@@ -2,8 +2,8 @@
 
 #include "core/placement/capacityaccount.h"
 #include "core/placement/internal/gangplanner.h"
-#include "core/placement/schedulingstrategy.h"
 #include "core/placement/runtimeestimator.h"
+#include "core/placement/schedulingstrategy.h"
 #include "core/placement/types/schedule.h"
 
 #include <optional>
--- a/src/core/routing/internal/requestattempts.cpp
+++ b/src/core/routing/internal/requestattempts.cpp
@@ -255,4 +255,20 @@
   }
 }
 
+/// The agent is not expected back: callers are not kept waiting for it.
+void request_router::giveUpAllAt(const node_id &Agent,
+                                 incarnation AgentIncarnation, time_point Now) {
+  std::vector<std::uint64_t> Affected;
+  for (const auto &[Number, Attempt] : Attempts)
+    if (Attempt.Agent == Agent &&
+        Attempt.AgentIncarnation == AgentIncarnation && !Attempt.Settled)
+      Affected.push_back(Number);
+  // Retries made on the way add attempts, so the map is not walked meanwhile.
+  for (const std::uint64_t Number : Affected) {
+    attempt &Attempt = Attempts.at(Number);
+    onUndetermined(Number, Attempt, report{}, Now);
+    forgetIfClosed(Number);
+  }
+}
+
 } // namespace geraniumpaddle
--- a/src/core/routing/internal/requestrouter.cpp
+++ b/src/core/routing/internal/requestrouter.cpp
@@ -263,7 +263,7 @@
 
 void request_router::onLost(const endpoint_lost &Event, time_point Now) {
   Pool.lose(Event.Agent, Event.AgentIncarnation);
-  queryAllAt(Event.Agent, Event.AgentIncarnation, Now);
+  giveUpAllAt(Event.Agent, Event.AgentIncarnation, Now);
 }
 
 void request_router::onCustomers(const customers_configured &Event,
--- a/src/core/routing/requestrouter.h
+++ b/src/core/routing/requestrouter.h
@@ -162,6 +162,8 @@
   request *requestOf(const attempt &Attempt);
   void queryAllAt(const node_id &Agent, incarnation AgentIncarnation,
                   time_point Now);
+  void giveUpAllAt(const node_id &Agent, incarnation AgentIncarnation,
+                   time_point Now);
   void onAttemptTimer(std::uint64_t Number, time_point Now);
   void onAnswered(std::uint64_t Number, attempt &Attempt, const report &Report,
                   time_point Now);
--- a/src/core/routing/tests/faulttest.cpp
+++ b/src/core/routing/tests/faulttest.cpp
@@ -143,3 +143,37 @@
     checkCase(Case, false, Case.NonIdempotent);
   }
 }
+
+TEST_GROUP(LostAgent) {
+  request_router Router{router_settings{},
+                        router_identity{node_id("e1"), incarnation{1},
+                                        region_id("r"),
+                                        availability_zone_id("z")},
+                        7};
+  const node_id Agent{"a1"};
+  static constexpr incarnation Run{1};
+
+  void setup() override {
+    customers_configured Customers;
+    Customers.Customers.emplace_back().Id = customer_id("c1");
+    Router.handle(Customers, time_point{});
+    Router.handle(endpoint_announced{Agent, Run, "10.0.0.1:1", service_id("s"),
+                                     region_id("r"), availability_zone_id("z"),
+                                     8},
+                  time_point{});
+  }
+};
+
+TEST(LostAgent, ItsCallersAreToldAtOnceThatTheOutcomeIsOpen) {
+  Router.handle(request_arrived{request_handle{1}, customer_id("c1"),
+                                service_id("s"), false, 0, 30s},
+                time_point{});
+  std::vector<request_outcome> Outcomes;
+  for (const router_command &Command :
+       Router.handle(endpoint_lost{Agent, Run}, time_point{} + 1s))
+    if (const auto *Answer = std::get_if<answer_caller>(&Command))
+      Outcomes.push_back(Answer->Outcome);
+  LONGS_EQUAL(1, Outcomes.size());
+  CHECK(Outcomes.front().Kind == outcome_kind::Undetermined);
+  LONGS_EQUAL(0, Router.openRequests());
+}
--- /dev/null
+++ b/src/daemon/tests/childprocess.cpp
@@ -0,0 +1,76 @@
+#include "daemon/tests/childprocess.h"
+
+#include "core/base/error.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <fstream>
+#include <spawn.h>
+#include <sstream>
+#include <sys/wait.h>
+
+extern char **environ;
+
+namespace geraniumpaddle::tests {
+
+namespace {
+
+std::string contents(const std::string &Path) {
+  std::ifstream Stream(Path);
+  std::ostringstream Text;
+  Text << Stream.rdbuf();
+  return Text.str();
+}
+
+} // namespace
+
+child_process::child_process(const std::vector<std::string> &Command,
+                             const std::string &OutputStem)
+    : Stem(OutputStem) {
+  std::vector<char *> Arguments;
+  for (const std::string &Word : Command)
+    Arguments.push_back(const_cast<char *>(Word.c_str()));
+  Arguments.push_back(nullptr);
+  posix_spawn_file_actions_t Actions;
+  posix_spawn_file_actions_init(&Actions);
+  constexpr int Flags = O_WRONLY | O_CREAT | O_TRUNC;
+  constexpr mode_t Mode = 0600;
+  posix_spawn_file_actions_addopen(&Actions, 1, (Stem + ".out").c_str(), Flags,
+                                   Mode);
+  posix_spawn_file_actions_addopen(&Actions, 2, (Stem + ".err").c_str(), Flags,
+                                   Mode);
+  int Failed = posix_spawn(&Pid, Arguments[0], &Actions, nullptr,
+                           Arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&Actions);
+  if (Failed != 0)
+    throw internal_error("cannot start " + Command[0]);
+}
+
+child_process::~child_process() { kill(); }
+
+void child_process::signal(int Signal) const {
+  if (!Code)
+    ::kill(Pid, Signal);
+}
+
+std::optional<int> child_process::exitCode() {
+  int Status = 0;
+  if (!Code && waitpid(Pid, &Status, WNOHANG) == Pid)
+    Code = WIFEXITED(Status) ? WEXITSTATUS(Status) : 128 + WTERMSIG(Status);
+  return Code;
+}
+
+void child_process::kill() {
+  if (Code)
+    return;
+  ::kill(Pid, SIGKILL);
+  int Status = 0;
+  waitpid(Pid, &Status, 0);
+  Code = 128 + SIGKILL;
+}
+
+std::string child_process::output() const { return contents(Stem + ".out"); }
+
+std::string child_process::errors() const { return contents(Stem + ".err"); }
+
+} // namespace geraniumpaddle::tests
--- /dev/null
+++ b/src/daemon/tests/processcluster.cpp
@@ -0,0 +1,271 @@
+#include "daemon/tests/processcluster.h"
+
+#include "codec/protojson.h"
+#include "codec/tokenhash.h"
+#include "core/base/error.h"
+
+#include <CppUTest/TestHarness.h>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <google/protobuf/struct.pb.h>
+#include <optional>
+#include <utility>
+
+namespace geraniumpaddle::tests {
+
+namespace {
+
+constexpr duration LoopTurn = std::chrono::milliseconds(10);
+
+std::string makeFolder() {
+  std::string Pattern =
+      (std::filesystem::temp_directory_path() / "gp-test-XXXXXX").string();
+  if (!mkdtemp(Pattern.data()))
+    throw internal_error("no temporary folder");
+  return Pattern;
+}
+
+std::string commonSettings(const std::string &Role, const std::string &Node,
+                           const std::string &Region, const std::string &Zone) {
+  return "role: " + Role + "\nnode: " + Node + "\nregion: " + Region +
+         "\nzone: " + Zone +
+         "\nlisten: {peer: \"127.0.0.1:0\", http: \"127.0.0.1:0\"}\n"
+         "timing: {heartbeat_ms: 200, lease_ms: 2000, drain_notice_ms: 500}\n";
+}
+
+} // namespace
+
+std::string header(const http_result &Result, const std::string &Name) {
+  for (const http_header &Header : Result.Headers)
+    if (Header.Name == Name)
+      return Header.Value;
+  return "";
+}
+
+process_cluster::process_cluster()
+    : Folder(makeFolder()), Http(Loop, http_client_limits{}, Traffic) {}
+
+process_cluster::~process_cluster() {
+  Processes.clear();
+  std::filesystem::remove_all(Folder);
+}
+
+void process_cluster::startStandin(const std::string &Name,
+                                   std::vector<std::string> Command) {
+  Command.push_back("--port_file=" + stem(Name) + ".port");
+  Processes[Name] = std::make_unique<child_process>(Command, stem(Name));
+  std::string Port;
+  CHECK_TEXT(waitFor([&] {
+               std::ifstream Stream(stem(Name) + ".port");
+               return static_cast<bool>(Stream >> Port);
+             }),
+             Name.c_str());
+  Addresses[Name] = "127.0.0.1:" + Port;
+}
+
+void process_cluster::startDaemon(const std::string &Name,
+                                  const std::string &Settings) {
+  std::ofstream(stem(Name) + ".yaml") << Settings;
+  Processes[Name] = std::make_unique<child_process>(
+      std::vector<std::string>{GP_DAEMON, "--settings=" + stem(Name) + ".yaml"},
+      stem(Name));
+  Addresses[Name] = listeningField(Name, "http=");
+}
+
+std::string process_cluster::listeningField(const std::string &Name,
+                                            const std::string &Field) {
+  std::string Output;
+  bool Listens = waitFor([&] {
+    Output = process(Name).output();
+    return Output.find('\n') != std::string::npos;
+  });
+  CHECK_TEXT(Listens, (Name + ": " + process(Name).errors()).c_str());
+  auto First = Output.find(Field) + Field.size();
+  return Output.substr(First, Output.find_first_of(" \n", First) - First);
+}
+
+void process_cluster::startLog(const std::vector<std::string> &Flags) {
+  std::vector<std::string> Command = {GP_STANDIN_LOG};
+  Command.insert(Command.end(), Flags.begin(), Flags.end());
+  startStandin("log", Command);
+}
+
+void process_cluster::startEntry(const std::string &Name,
+                                 const std::string &Region,
+                                 const std::string &Zone,
+                                 const std::string &MoreSettings) {
+  startDaemon(Name, commonSettings("entry", Name, Region, Zone) +
+                        "log: {address: \"" + address("log") + "\"}\n" +
+                        MoreSettings);
+}
+
+void process_cluster::startAgent(const agent_plan &Plan) {
+  startStandin("worker-" + Plan.Name,
+               {GP_STANDIN_WORKER, "--worker=worker-" + Plan.Name});
+  startStandin("endpoint-" + Plan.Name,
+               {GP_STANDIN_ENDPOINT, "--slots=" + std::to_string(Plan.Slots)});
+  restartAgent(Plan);
+}
+
+void process_cluster::restartAgent(const agent_plan &Plan) {
+  startDaemon(
+      "agent-" + Plan.Name,
+      commonSettings("agent", "agent-" + Plan.Name, Plan.Region, Plan.Zone) +
+          "agent:\n  entries: [\"" + peerAddress(Plan.Entry) +
+          "\"]\n  worker: {id: worker-" + Plan.Name +
+          ", rack: rack-1, address: \"" + address("worker-" + Plan.Name) +
+          "\"}\n  endpoint: {service: bookdesk, address: \"" +
+          address("endpoint-" + Plan.Name) +
+          "\", slots: " + std::to_string(Plan.Slots) + "}\n");
+}
+
+void process_cluster::startUsual(int Agents, int Slots) {
+  startLog();
+  startEntry("entry-1");
+  for (int I = 1; I <= Agents; ++I)
+    startAgent({.Name = std::to_string(I), .Slots = Slots});
+  CHECK_TEXT(waitFor([&] {
+               return linkedAgents("entry-1", static_cast<std::size_t>(Agents));
+             }),
+             "agents are linked");
+  LONGS_EQUAL(200, putCustomer("entry-1", "swan-coast", 0).Code);
+}
+
+std::string process_cluster::address(const std::string &Name) {
+  return Addresses.at(Name);
+}
+
+std::string process_cluster::peerAddress(const std::string &Name) {
+  return listeningField(Name, "peer=");
+}
+
+bool process_cluster::waitFor(const std::function<bool()> &Condition,
+                              duration Limit) {
+  auto Deadline = std::chrono::steady_clock::now() + Limit;
+  while (!Condition()) {
+    if (std::chrono::steady_clock::now() >= Deadline)
+      return false;
+    Loop.runOnce(LoopTurn);
+  }
+  return true;
+}
+
+http_result process_cluster::call(http_call Call) {
+  std::optional<http_result> Answer;
+  Http.send(std::move(Call),
+            [&](const http_result &Result) { Answer = Result; });
+  while (!Answer)
+    Loop.runOnce(LoopTurn);
+  return *Answer;
+}
+
+http_result process_cluster::get(const std::string &Address,
+                                 const std::string &Target) {
+  return call({Address, "GET", Target, {}, "", std::chrono::seconds(5)});
+}
+
+http_result process_cluster::post(const std::string &Address,
+                                  const std::string &Target,
+                                  const std::string &Body) {
+  return call({Address, "POST", Target, {}, Body, std::chrono::seconds(10)});
+}
+
+void process_cluster::request(const std::string &Entry,
+                              const std::string &Target, bool Idempotent,
+                              std::function<void(const http_result &)> Done,
+                              duration Timeout) {
+  auto Tag = Target.find("tag=");
+  std::string TagValue = Tag == std::string::npos ? "" : Target.substr(Tag + 4);
+  Http.send({address(Entry),
+             "GET",
+             "/call/bookdesk" + Target,
+             {{"Authorization", "Bearer secret"},
+              {"X-Customer", "swan-coast"},
+              {"X-Idempotent", Idempotent ? "true" : "false"},
+              {"X-Request-Tag", TagValue}},
+             "",
+             Timeout},
+            std::move(Done));
+}
+
+void process_cluster::setFault(const std::string &Name,
+                               const std::string &Json) {
+  LONGS_EQUAL(200, post(address(Name), "/faults", Json).Code);
+}
+
+http_result process_cluster::putCustomer(const std::string &Entry,
+                                         const std::string &Customer,
+                                         std::uint64_t Base, int Eights) {
+  static const std::string Hash = hashToken("secret");
+  proto::ChangeCustomers Change;
+  Change.set_base(Base);
+  proto::CustomerConfig &Config = *Change.add_put();
+  Config.set_id(Customer);
+  Config.set_token_hash(Hash);
+  proto::Guarantee &Guarantee = *Config.add_guarantees();
+  Guarantee.set_level(proto::CELL_LEVEL_EIGHT);
+  Guarantee.set_count(Eights);
+  return call({address(Entry),
+               "PUT",
+               "/v1/customers",
+               {},
+               printJson(Change),
+               std::chrono::seconds(10)});
+}
+
+std::uint64_t process_cluster::version(const std::string &Entry) {
+  proto::CustomerList List;
+  tryParseJson(get(address(Entry), "/v1/customers").Body, List);
+  return List.version();
+}
+
+bool process_cluster::linkedAgents(const std::string &Entry,
+                                   std::size_t Count) {
+  proto::WorkerList List;
+  tryParseJson(get(address(Entry), "/v1/workers").Body, List);
+  std::size_t Linked = 0;
+  for (const proto::WorkerStatus &Worker : List.workers())
+    Linked += Worker.linked() && Worker.state() == "active";
+  return Linked == Count;
+}
+
+http_result process_cluster::submitJob(const std::string &Entry,
+                                       const std::string &Job, int Tasks,
+                                       const std::string &Command,
+                                       bool Idempotent) {
+  proto::SubmitJob Body;
+  proto::JobSpec &Spec = *Body.mutable_spec();
+  Spec.set_id(Job);
+  Spec.set_customer("swan-coast");
+  for (int I = 0; I < Tasks; ++I) {
+    Spec.add_tasks()->set_accelerators(8);
+    Spec.mutable_tasks(I)->set_milli_cores(1000);
+    Spec.mutable_tasks(I)->set_memory_mb(1024);
+  }
+  Spec.set_non_idempotent(!Idempotent);
+  Spec.set_command(Command);
+  return post(address(Entry), "/v1/jobs", printJson(Body));
+}
+
+proto::JobStatus process_cluster::job(const std::string &Entry,
+                                      const std::string &Job) {
+  proto::JobStatus Status;
+  tryParseJson(get(address(Entry), "/v1/jobs/" + Job).Body, Status);
+  return Status;
+}
+
+int process_cluster::runsOf(const std::string &Name, const std::string &Tag) {
+  google::protobuf::Struct History;
+  tryParseJson(get(address(Name), "/history").Body, History);
+  const auto &Fields = History.fields();
+  auto Runs = Fields.find("runs");
+  if (Runs == Fields.end())
+    return 0;
+  const auto &Tags = Runs->second.struct_value().fields();
+  auto Found = Tags.find(Tag);
+  return Found == Tags.end() ? 0
+                             : static_cast<int>(Found->second.number_value());
+}
+
+} // namespace geraniumpaddle::tests
