Process tests of gangs and of the log under failure

Gangs: agent restart adopts, lead killed, worker killed, lead paused past its lease, start answer lost, log outage, cancellation, guarantee reclaimed from a borrower within 2 s.

--- /dev/null
+++ b/src/daemon/tests/gangfaulttest.cpp
@@ -0,0 +1,197 @@
+#include "daemon/tests/processcluster.h"
+
+#include "codec/protojson.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <csignal>
+#include <google/protobuf/struct.pb.h>
+#include <map>
+
+using namespace geraniumpaddle;
+using namespace geraniumpaddle::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One run of a task on a worker, as the worker recorded it.
+struct task_run {
+  std::string Task; ///< "token/index"
+  double StartedMs = 0;
+  double EndedMs = 0; ///< 0 while it runs
+
+  std::string token() const { return Task.substr(0, Task.find('/')); }
+};
+
+std::vector<task_run> runsOn(process_cluster &Cluster,
+                             const std::string &Worker) {
+  google::protobuf::Struct History;
+  tryParseJson(Cluster.get(Cluster.address(Worker), "/history").Body, History);
+  std::vector<task_run> Runs;
+  for (const auto &Value :
+       (*History.mutable_fields())["runs"].list_value().values()) {
+    auto Fields = Value.struct_value().fields();
+    Runs.push_back({Fields["task"].string_value(),
+                    Fields["started_ms"].number_value(),
+                    Fields["ended_ms"].number_value()});
+  }
+  return Runs;
+}
+
+/// The most that a partial gang may last, as the settings of the tests have it:
+/// one lease, with the margins for drift and delivery.
+constexpr double MaxPartialMs = 2000 + 600;
+
+} // namespace
+
+TEST_GROUP(GangFaults) {
+  process_cluster Cluster;
+
+  bool jobIs(const std::string &Job, const std::string &State) {
+    return Cluster.waitFor(
+        [&] { return Cluster.job("entry-1", Job).state() == State; });
+  }
+
+  std::string workerOf(const std::string &Job, int Task) {
+    return Cluster.job("entry-1", Job).assignments(Task).worker();
+  }
+
+  static std::string agentOf(const std::string &Worker) {
+    return "agent-" + Worker.substr(Worker.find('-') + 1);
+  }
+
+  std::map<std::string, std::vector<task_run>> runsByToken(int Workers) {
+    std::map<std::string, std::vector<task_run>> Runs;
+    for (int I = 1; I <= Workers; ++I)
+      for (const task_run &Run : runsOn(Cluster, "worker-" + std::to_string(I)))
+        Runs[Run.token()].push_back(Run);
+    return Runs;
+  }
+};
+
+TEST(GangFaults, AgentRestartAdoptsTheRunningGang) {
+  Cluster.startUsual(2);
+  LONGS_EQUAL(201, Cluster.submitJob("entry-1", "j", 2, "sleep:3000").Code);
+  CHECK(jobIs("j", "running"));
+  std::string Lead = agentOf(workerOf("j", 0));
+  Cluster.process(Lead).kill();
+  Cluster.restartAgent({.Name = Lead.substr(Lead.find('-') + 1)});
+  CHECK(jobIs("j", "succeeded"));
+  LONGS_EQUAL(1, Cluster.job("entry-1", "j").attempt());
+}
+
+TEST(GangFaults, AGangWhoseLeadDiesStopsWholeAndIsPlacedAgain) {
+  Cluster.startUsual(3);
+  LONGS_EQUAL(201, Cluster.submitJob("entry-1", "j", 2, "sleep:2500").Code);
+  CHECK(jobIs("j", "running"));
+  std::string Lead = agentOf(workerOf("j", 0));
+  Cluster.process(Lead).kill();
+  CHECK(jobIs("j", "succeeded"));
+  CHECK(Cluster.job("entry-1", "j").attempt() >= 2);
+  for (const auto &[Token, Runs] : runsByToken(3)) {
+    double First = Runs.front().EndedMs;
+    double Last = First;
+    for (const task_run &Run : Runs) {
+      First = std::min(First, Run.EndedMs);
+      Last = std::max(Last, Run.EndedMs);
+    }
+    CHECK_TEXT(Last - First <= MaxPartialMs, Token.c_str());
+  }
+}
+
+TEST(GangFaults, AWorkerThatDiesTakesItsGangWithIt) {
+  Cluster.startUsual(3);
+  LONGS_EQUAL(201, Cluster.submitJob("entry-1", "j", 2, "sleep:2500").Code);
+  CHECK(jobIs("j", "running"));
+  std::string Dead = workerOf("j", 1);
+  Cluster.process(Dead).kill();
+  Cluster.process(agentOf(Dead)).kill();
+  CHECK(jobIs("j", "succeeded"));
+  CHECK(Cluster.job("entry-1", "j").attempt() >= 2);
+}
+
+TEST(GangFaults, APausedLeadStopsItsTasksBeforeTheyRunElsewhere) {
+  Cluster.startUsual(2);
+  LONGS_EQUAL(201,
+              Cluster.submitJob("entry-1", "j", 1, "sleep:4000", false).Code);
+  CHECK(jobIs("j", "running"));
+  std::string Lead = agentOf(workerOf("j", 0));
+  Cluster.process(Lead).signal(SIGSTOP);
+  CHECK(jobIs("j", "lease_lapsed"));
+  Cluster.process(Lead).signal(SIGCONT);
+  CHECK(Cluster.waitFor([&] { return Cluster.linkedAgents("entry-1", 2); }));
+  std::size_t Started = 0;
+  for (const auto &[Token, Runs] : runsByToken(2)) {
+    Started += Runs.size();
+    for (const task_run &Run : Runs)
+      CHECK_TEXT(Run.EndedMs - Run.StartedMs <= 4000, "stopped by its lease");
+  }
+  LONGS_EQUAL(1, Started);
+}
+
+TEST(GangFaults, AStartWhoseAnswerIsLostRunsOnce) {
+  Cluster.startUsual(1);
+  Cluster.setFault("worker-1", R"({"mode":"lose_answer","count":3})");
+  LONGS_EQUAL(201,
+              Cluster.submitJob("entry-1", "j", 1, "sleep:500", false).Code);
+  CHECK(jobIs("j", "succeeded"));
+  LONGS_EQUAL(1, runsOn(Cluster, "worker-1").size());
+}
+
+TEST(GangFaults, ARunningGangOutlivesALogOutage) {
+  Cluster.startUsual(2);
+  LONGS_EQUAL(201, Cluster.submitJob("entry-1", "j", 2, "sleep:3000").Code);
+  CHECK(jobIs("j", "running"));
+  Cluster.setFault("log", R"({"mode":"refuse"})");
+  CHECK(Cluster.waitFor([&] {
+    auto Runs = runsOn(Cluster, "worker-1");
+    return !Runs.empty() && Runs.front().EndedMs > 0;
+  }));
+  STRCMP_EQUAL("running", Cluster.job("entry-1", "j").state().c_str());
+  Cluster.setFault("log", R"({"mode":"none"})");
+  CHECK(jobIs("j", "succeeded"));
+  LONGS_EQUAL(1, Cluster.job("entry-1", "j").attempt());
+}
+
+TEST(GangFaults, CancellationStopsEveryTask) {
+  Cluster.startUsual(2);
+  LONGS_EQUAL(201, Cluster.submitJob("entry-1", "j", 2, "hang").Code);
+  CHECK(jobIs("j", "running"));
+  LONGS_EQUAL(
+      200,
+      Cluster
+          .call(
+              {Cluster.address("entry-1"), "DELETE", "/v1/jobs/j", {}, "", 10s})
+          .Code);
+  CHECK(jobIs("j", "cancelled"));
+  for (const auto &[Token, Runs] : runsByToken(2))
+    for (const task_run &Run : Runs)
+      CHECK_TEXT(Run.EndedMs > 0, "the task was stopped");
+}
+
+TEST(GangFaults, AGuaranteeIsReclaimedFromABorrowerWithinTwoSeconds) {
+  Cluster.startUsual(2);
+  LONGS_EQUAL(200, Cluster.putCustomer("entry-1", "borrower", 1, 0).Code);
+  for (const char *Job : {"b1", "b2"}) {
+    proto::SubmitJob Body;
+    proto::JobSpec &Spec = *Body.mutable_spec();
+    Spec.set_id(Job);
+    Spec.set_customer("borrower");
+    Spec.add_tasks()->set_accelerators(8);
+    Spec.set_command("sleep:20000");
+    LONGS_EQUAL(
+        201,
+        Cluster.post(Cluster.address("entry-1"), "/v1/jobs", printJson(Body))
+            .Code);
+    CHECK(jobIs(Job, "running"));
+  }
+  LONGS_EQUAL(201, Cluster.submitJob("entry-1", "mine", 1, "sleep:200").Code);
+  CHECK_TEXT(Cluster.waitFor(
+                 [&] {
+                   auto State = Cluster.job("entry-1", "mine").state();
+                   return State == "running" || State == "succeeded";
+                 },
+                 2s),
+             Cluster.job("entry-1", "mine").explanation().c_str());
+  CHECK(jobIs("mine", "succeeded"));
+}
--- /dev/null
+++ b/src/daemon/tests/logfaulttest.cpp
@@ -0,0 +1,150 @@
+#include "daemon/tests/processcluster.h"
+
+#include "codec/protojson.h"
+#include "platform.pb.h"
+
+#include <CppUTest/TestHarness.h>
+#include <csignal>
+
+using namespace geraniumpaddle;
+using namespace geraniumpaddle::tests;
+using namespace std::chrono_literals;
+
+TEST_GROUP(LogFaults) {
+  process_cluster Cluster;
+
+  bool ready(const std::string &Entry) {
+    return Cluster.waitFor([&] {
+      return Cluster.get(Cluster.address(Entry), "/readyz").Code == 200;
+    });
+  }
+
+  bool versionIs(const std::string &Entry, std::uint64_t Version,
+                 duration Limit = process_cluster::Patience) {
+    return Cluster.waitFor([&] { return Cluster.version(Entry) == Version; },
+                           Limit);
+  }
+
+  void startTwoEntries() {
+    Cluster.startLog();
+    Cluster.startEntry("entry-1");
+    Cluster.startEntry("entry-2", "pilbara-north", "karratha");
+    CHECK(ready("entry-1"));
+    CHECK(ready("entry-2"));
+  }
+};
+
+TEST(LogFaults, OfTwoOperatorsWhoRaceExactlyOneWins) {
+  startTwoEntries();
+  LONGS_EQUAL(200, Cluster.putCustomer("entry-1", "a", 0, 0).Code);
+  CHECK(versionIs("entry-2", 1, 4s));
+  http_result First = Cluster.putCustomer("entry-1", "b", 1, 0);
+  http_result Second = Cluster.putCustomer("entry-2", "c", 1, 0);
+  LONGS_EQUAL(200, First.Code);
+  LONGS_EQUAL(409, Second.Code);
+  proto::ChangeAccepted Accepted;
+  proto::ApiError Conflict;
+  CHECK(tryParseJson(First.Body, Accepted));
+  CHECK(tryParseJson(Second.Body, Conflict));
+  STRCMP_EQUAL("version_conflict", Conflict.reason().c_str());
+  LONGS_EQUAL(Accepted.offset(), Conflict.winner());
+}
+
+TEST(LogFaults, AnAppendWhoseAnswerIsLostTakesEffectOnce) {
+  startTwoEntries();
+  Cluster.setFault("log", R"({"mode":"lose_answer","count":1})");
+  LONGS_EQUAL(200, Cluster.putCustomer("entry-1", "a", 0, 0).Code);
+  CHECK(versionIs("entry-2", 1, 4s));
+  LONGS_EQUAL(200, Cluster.putCustomer("entry-1", "b", 1, 0).Code);
+  LONGS_EQUAL(2, Cluster.version("entry-1"));
+}
+
+TEST(LogFaults, AChangeDuringAnOutageIsATrueNotRun) {
+  startTwoEntries();
+  Cluster.setFault("log", R"({"mode":"refuse"})");
+  http_result Refused = Cluster.putCustomer("entry-1", "a", 0, 0);
+  LONGS_EQUAL(503, Refused.Code);
+  Cluster.setFault("log", R"({"mode":"none"})");
+  LONGS_EQUAL(200, Cluster.putCustomer("entry-1", "b", 0, 0).Code);
+  proto::CustomerList List;
+  tryParseJson(Cluster.get(Cluster.address("entry-1"), "/v1/customers").Body,
+               List);
+  LONGS_EQUAL(1, List.customers_size());
+  STRCMP_EQUAL("b", List.customers(0).id().c_str());
+}
+
+TEST(LogFaults, ARestartedEntryNeverShowsALowerVersion) {
+  startTwoEntries();
+  for (std::uint64_t Base = 0; Base < 5; ++Base)
+    LONGS_EQUAL(200, Cluster.putCustomer("entry-1", "a", Base, 0).Code);
+  Cluster.process("entry-1").kill();
+  Cluster.startEntry("entry-1");
+  CHECK(Cluster.waitFor([&] {
+    http_result Result =
+        Cluster.get(Cluster.address("entry-1"), "/v1/customers");
+    proto::CustomerList List;
+    if (Result.Code == 200 && tryParseJson(Result.Body, List))
+      LONGS_EQUAL(5, List.version());
+    return Result.Code == 200;
+  }));
+}
+
+TEST(LogFaults, AnEntryThatStartsDuringAnOutageTakesItsPeersState) {
+  startTwoEntries();
+  LONGS_EQUAL(200, Cluster.putCustomer("entry-1", "a", 0, 0).Code);
+  CHECK(versionIs("entry-2", 1));
+  Cluster.setFault("log", R"({"mode":"down"})");
+  Cluster.startEntry("entry-3", "perth-metro", "perth-cbd",
+                     "entry: {peers: [\"" + Cluster.peerAddress("entry-2") +
+                         "\"]}\n");
+  CHECK(ready("entry-3"));
+  LONGS_EQUAL(1, Cluster.version("entry-3"));
+}
+
+TEST(LogFaults, AMalformedRecordIsSkippedAndReportedByEveryEntry) {
+  startTwoEntries();
+  proto::LogAppend Append;
+  Append.add_records("\x01 not a record");
+  Append.add_records(R"({"customers_changed":{"base":"not a number"}})");
+  LONGS_EQUAL(
+      200,
+      Cluster.post(Cluster.address("log"), "/append", printJson(Append)).Code);
+  LONGS_EQUAL(200, Cluster.putCustomer("entry-1", "a", 0, 0).Code);
+  for (const char *Entry : {"entry-1", "entry-2"}) {
+    CHECK(versionIs(Entry, 1, 4s));
+    proto::AuditList Audit;
+    CHECK(tryParseJson(Cluster.get(Cluster.address(Entry), "/v1/audit").Body,
+                       Audit));
+    int Malformed = 0;
+    for (const proto::AuditEvent &Event : Audit.events())
+      Malformed += Event.kind() == "malformed";
+    LONGS_EQUAL(2, Malformed);
+  }
+}
+
+TEST(LogFaults, AnOperatorMayPublishOnTheLogDirectly) {
+  startTwoEntries();
+  proto::LogAppend Append;
+  Append.add_records(
+      R"({"node":"planner","incarnation":"1","sequence":"1","actor":"ada",)"
+      R"("at_ms":"1","customers_changed":{"put":[{"id":"a"}]}})");
+  LONGS_EQUAL(
+      200,
+      Cluster.post(Cluster.address("log"), "/append", printJson(Append)).Code);
+  CHECK(versionIs("entry-1", 1, 4s));
+  CHECK(versionIs("entry-2", 1, 4s));
+}
+
+TEST(LogFaults, AFreshEntryStartsFromASnapshotWhenTheLogHasForgotten) {
+  Cluster.startLog({"--retain_records=120"});
+  Cluster.startEntry("entry-1", "perth-metro", "perth-east",
+                     "entry: {snapshot_records: 40}\n");
+  CHECK(ready("entry-1"));
+  constexpr std::uint64_t Changes = 200;
+  for (std::uint64_t Base = 0; Base < Changes; ++Base)
+    LONGS_EQUAL(200, Cluster.putCustomer("entry-1", "a", Base, 0).Code);
+  Cluster.process("entry-1").kill();
+  Cluster.startEntry("entry-2");
+  CHECK_TEXT(ready("entry-2"), Cluster.process("entry-2").errors().c_str());
+  LONGS_EQUAL(Changes, Cluster.version("entry-2"));
+}
--- a/src/daemon/tests/processcluster.cpp
+++ b/src/daemon/tests/processcluster.cpp
@@ -202,10 +202,13 @@
   Change.set_base(Base);
   proto::CustomerConfig &Config = *Change.add_put();
   Config.set_id(Customer);
+  Config.set_display_name("version " + std::to_string(Base + 1));
   Config.set_token_hash(Hash);
   proto::Guarantee &Guarantee = *Config.add_guarantees();
   Guarantee.set_level(proto::CELL_LEVEL_EIGHT);
   Guarantee.set_count(Eights);
+  if (Eights == 0)
+    Config.clear_guarantees();
   return call({address(Entry),
                "PUT",
                "/v1/customers",
