bench: offered load printed and lowered to what the cluster can carry

Cause: the first list offered 1.3 to 1.5 of the capacity, so the figures showed only the growing backlog.

--- a/bench/placementbench.cpp
+++ b/bench/placementbench.cpp
@@ -51,6 +51,23 @@
               Result.Completed, Result.Rejected);
 }
 
+/// Accelerator time of all jobs over that of the cluster while jobs arrive.
+double offeredLoad(const workload &Load) {
+  double Wanted = 0;
+  for (const replay_job &Job : Load.Jobs) {
+    double Accelerators = 0;
+    for (const resources &Need : Job.Needs)
+      Accelerators += Need.Accelerators;
+    Wanted += Accelerators * static_cast<double>(Job.RunTime.count());
+  }
+  double Cluster = 0;
+  for (const worker_info &Worker : Load.Workers)
+    Cluster += Worker.Capacity.Accelerators;
+  std::chrono::duration<double> Span =
+      Load.Jobs.back().Arrival.time_since_epoch();
+  return Wanted / (Cluster * Span.count());
+}
+
 /// The user's weighted measure of \p Own with \p Other as the unit; smaller is
 /// better, 1 is equal.
 double weighted(const user &User, const replay_result &Own,
@@ -91,8 +108,8 @@
       replay_result FirstResult = placement_replay(Load, First, false).run();
       replay_result BestResult = placement_replay(Load, Best, false).run();
       comparison Ratio = compare(User, OwnResult, FirstResult, BestResult);
-      std::printf("%s seed %llu\n", User.Name,
-                  static_cast<unsigned long long>(Seed));
+      std::printf("%s seed %llu, offered load %.2f\n", User.Name,
+                  static_cast<unsigned long long>(Seed), offeredLoad(Load));
       print("own", OwnResult);
       print("first-fit", FirstResult);
       print("best-fit", BestResult);
--- a/bench/placementworkload.cpp
+++ b/bench/placementworkload.cpp
@@ -194,7 +194,7 @@
       {customer_id("small-c"), {{cell_level::Four, 2}}, 0},
       {customer_id("small-d"), {{cell_level::Two, 2}}, 0},
   };
-  arrival_plan Plan{SmallClasses, 7, 165, 3, 16, 4};
+  arrival_plan Plan{SmallClasses, 10, 95, 3, 16, 4};
   generator(Load, Plan, Seed).run();
   return Load;
 }
