placement: appraise equal tasks once, remember what failed and what can never fit

Change: the planner appraises a worker again only after its offer changed; equal gangs are not tried twice in one decision; feasibility is remembered while the registered workers stay as they are.

--- a/src/core/placement/internal/cellsimulation.cpp
+++ b/src/core/placement/internal/cellsimulation.cpp
@@ -25,18 +25,26 @@
                                  const guaranteed_cells &Cells,
                                  std::span<const topology_index> Group)
     : Topology(Account.workers()), Group(Group), Unbound(Cells.Unbound) {
+  std::size_t Position = 0;
   for (topology_index Worker : Group) {
     Own.push_back(Cells.Own[Worker]);
     Bound.push_back(Account.boundMask(Worker));
-    const rack_node &Rack = Topology.rack(Topology.worker(Worker).Rack);
+    topology_index Rack = Topology.worker(Worker).Rack;
+    bool Repeated =
+        Position > 0 && Topology.worker(Group[Position - 1]).Rack == Rack;
+    ++Position;
+    if (Repeated) {
+      RackUnbound.push_back(RackUnbound.back());
+      UsableInRack.push_back(UsableInRack.back());
+      continue;
+    }
+    const std::vector<topology_index> &InRack = Topology.rack(Rack).Workers;
     RackUnbound.push_back(
-        std::ranges::all_of(Rack.Workers, [&](topology_index Other) {
+        std::ranges::all_of(InRack, [&](topology_index Other) {
           return Account.boundMask(Other) == 0;
         }));
-    UsableInRack.push_back(static_cast<double>(
-        std::ranges::count_if(Rack.Workers, [&](topology_index Other) {
-          return Account.usable(Other);
-        })));
+    UsableInRack.push_back(static_cast<double>(std::ranges::count_if(
+        InRack, [&](topology_index Other) { return Account.usable(Other); })));
   }
 }
 
@@ -101,15 +109,17 @@
   return Cost;
 }
 
-void cell_simulation::take(std::size_t Position, accelerator_mask Mask) {
+bool cell_simulation::take(std::size_t Position, accelerator_mask Mask) {
   accelerator_mask Left = Mask & ~Own[Position];
+  bool Binds = Left != 0;
   while (Left != 0) {
     binding Binding;
     if (!choose(Position, largestBuddy(Left), Unbound, Binding))
-      return;
+      break;
     bind(Position, Binding);
     Left &= ~Own[Position];
   }
+  return Binds;
 }
 
 void cell_simulation::bind(std::size_t Position, const binding &Binding) {
--- a/src/core/placement/internal/cellsimulation.h
+++ b/src/core/placement/internal/cellsimulation.h
@@ -27,8 +27,8 @@
   /// 0 inside bound cells; more, the larger the unbound cell that has to be
   /// split; infinite if no cell of the customer can hold \p Mask there.
   double cost(std::size_t Position, accelerator_mask Mask) const;
-  /// Binds what \p Mask needs; its cost was finite.
-  void take(std::size_t Position, accelerator_mask Mask);
+  /// Binds what \p Mask needs; its cost was finite. True if it bound a cell.
+  bool take(std::size_t Position, accelerator_mask Mask);
 
 private:
   struct binding {
--- a/src/core/placement/internal/decision.cpp
+++ b/src/core/placement/internal/decision.cpp
@@ -27,10 +27,12 @@
 decision::decision(const schedule_view &View, time_point Now,
                    const scheduling_strategy &Strategy,
                    const run_time_estimator &Estimator,
+                   feasibility_cache &Feasibility,
                    std::vector<placement_proposal> &Proposals,
                    std::vector<job_explanation> &Explanations)
     : View(View), Now(Now), Strategy(Strategy), Estimator(Estimator),
-      Proposals(Proposals), Explanations(Explanations), Scratch(View.Account),
+      Feasibility(Feasibility), Proposals(Proposals),
+      Explanations(Explanations), Scratch(View.Account),
       Planner(Scratch, Strategy) {}
 
 void decision::run() {
@@ -40,7 +42,8 @@
   Explanations.resize(View.Waiting.size());
   measureRacks();
   priceAttempts();
-  for (const candidate &Job : ranked())
+  std::vector<candidate> Jobs = ranked();
+  for (const candidate &Job : Jobs)
     decideJob(Job);
 }
 
@@ -124,8 +127,11 @@
                  Job.Job->Adjacency,
                  unmet_constraint::None,
                  {}};
-  if (!overOwnLimit(Job) && place(Job))
+  bool Hopeless = overOwnLimit(Job) || failedBefore(Job);
+  if (!Hopeless && place(Job))
     return;
+  if (!Hopeless)
+    Failed.push_back(&Job);
   Explanation = explain(Job);
   double Threshold = toSeconds(Strategy.starvationWait(Job.Facts));
   bool Waits = Explanation.Reason != wait_reason::NeverFits &&
@@ -148,14 +154,38 @@
   return Limit > 0 && Scratch.held(*Customer) + Job.Accelerators > Limit;
 }
 
-job_explanation decision::explain(const candidate &Job) const {
+/// What an equal gang failed on fails again, unless this one is urgent, or
+/// short enough to end before a reservation that stopped the other.
+bool decision::failedBefore(const candidate &Job) const {
+  return std::ranges::any_of(Failed, [&](const candidate *Other) {
+    return Other->Job->Customer == Job.Job->Customer &&
+           Other->Job->Adjacency == Job.Job->Adjacency &&
+           Other->Job->Urgent >= Job.Job->Urgent &&
+           Other->Facts.EstimatedSeconds <= Job.Facts.EstimatedSeconds &&
+           std::ranges::equal(Other->Job->Needs, Job.Job->Needs);
+  });
+}
+
+unmet_constraint decision::unmetOnce(const candidate &Job) {
+  if (const unmet_constraint *Known = Feasibility.find(Job.Job->Job))
+    return *Known;
+  unmet_constraint Constraint = unmet(Job);
+  Feasibility.remember(Job.Job->Job, Constraint);
+  return Constraint;
+}
+
+job_explanation decision::explain(const candidate &Job) {
   job_explanation Explanation{Job.Job->Job,
                               wait_reason::NoFreeCapacity,
                               Job.Job->Adjacency,
                               unmet_constraint::None,
                               {}};
-  Explanation.Unmet = unmet(Job);
+  Explanation.Unmet = unmetOnce(Job);
   std::optional<customer_index> Customer = Scratch.find(Job.Job->Customer);
+  std::int32_t Limit =
+      Customer ? Scratch.customer(*Customer).MaxAccelerators : 0;
+  if (Limit > 0 && Job.Accelerators > Limit)
+    Explanation.Unmet = unmet_constraint::CustomerLimit;
   if (Explanation.Unmet != unmet_constraint::None)
     Explanation.Reason = wait_reason::NeverFits;
   else if (overOwnLimit(Job))
@@ -183,6 +213,9 @@
   capacity_claim Claim{Token, Job.Job->Customer, Assignments, Job.Job->Needs};
   if (Scratch.claim(Claim, Plan.Victims) != capacity_check::Ok)
     return false;
+  Free.reset();
+  if (!Plan.Victims.empty())
+    Failed.clear();
   for (fencing_token Victim : Plan.Victims) {
     Prices.erase(Victim);
     RemainingSeconds.erase(Victim);
--- a/src/core/placement/internal/decision.h
+++ b/src/core/placement/internal/decision.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include "core/placement/capacityaccount.h"
+#include "core/placement/feasibilitycache.h"
 #include "core/placement/internal/gangplanner.h"
-#include "core/placement/schedulingstrategy.h"
 #include "core/placement/runtimeestimator.h"
+#include "core/placement/schedulingstrategy.h"
 #include "core/placement/types/schedule.h"
 
 #include <optional>
@@ -18,7 +19,7 @@
 public:
   decision(const schedule_view &View, time_point Now,
            const scheduling_strategy &Strategy,
-           const run_time_estimator &Estimator,
+           const run_time_estimator &Estimator, feasibility_cache &Feasibility,
            std::vector<placement_proposal> &Proposals,
            std::vector<job_explanation> &Explanations);
 
@@ -48,7 +49,7 @@
 
   unmet_constraint unmet(const candidate &Job) const;
   bool overOwnLimit(const candidate &Job) const;
-  job_explanation explain(const candidate &Job) const;
+  job_explanation explain(const candidate &Job);
 
   bool placeGuaranteed(const candidate &Job, bool Preempting);
   bool placeBorrowed(const candidate &Job);
@@ -57,11 +58,13 @@
   void reserve(const candidate &Job);
 
   plan_request request(const candidate &Job) const;
-  capacity_offer freeOffer() const;
+  const capacity_offer &freeOffer();
+  unmet_constraint unmetOnce(const candidate &Job);
+  bool failedBefore(const candidate &Job) const;
   guaranteed_cells guaranteedCells(customer_index Customer) const;
   std::int32_t guaranteeLeft(const guaranteed_cells &Cells) const;
   capacity_offer guaranteedOffer(const guaranteed_cells &Cells,
-                                 bool Preempting) const;
+                                 bool Preempting);
   bool commit(const candidate &Job, const gang_plan &Plan, bool Guaranteed);
   bool victimsFitElsewhere(const candidate &Job, const gang_plan &Plan) const;
   void fillAssignments(const gang_plan &Plan, bool Guaranteed);
@@ -70,6 +73,7 @@
   time_point Now;
   const scheduling_strategy &Strategy;
   const run_time_estimator &Estimator;
+  feasibility_cache &Feasibility;
   std::vector<placement_proposal> &Proposals;
   std::vector<job_explanation> &Explanations;
 
@@ -85,6 +89,10 @@
   job_id ReservedFor;
   double ReservedFromSeconds = 0; ///< expected start of the reservation
   std::vector<task_assignment> Assignments;
+  std::optional<capacity_offer> Free; ///< until the scratch account changes
+  /// Jobs that could not be placed since capacity was last given back; what
+  /// fails once fails again for an equal gang.
+  std::vector<const candidate *> Failed;
 };
 
 } // namespace geraniumpaddle
--- a/src/core/placement/internal/decisionplacing.cpp
+++ b/src/core/placement/internal/decisionplacing.cpp
@@ -14,9 +14,11 @@
 
 } // namespace
 
-capacity_offer decision::freeOffer() const {
+const capacity_offer &decision::freeOffer() {
+  if (Free)
+    return *Free;
   std::size_t Workers = Scratch.workers().workers().size();
-  capacity_offer Offer;
+  capacity_offer &Offer = Free.emplace();
   Offer.Accelerators.resize(Workers);
   Offer.Host.resize(Workers);
   Offer.LatestEnd = LatestEnd;
@@ -58,7 +60,7 @@
 }
 
 capacity_offer decision::guaranteedOffer(const guaranteed_cells &Cells,
-                                         bool Preempting) const {
+                                         bool Preempting) {
   capacity_offer Offer = freeOffer();
   Offer.Cells = &Cells;
   if (Preempting)
@@ -165,12 +167,6 @@
 }
 
 unmet_constraint decision::unmet(const candidate &Job) const {
-  std::optional<customer_index> Customer = Scratch.find(Job.Job->Customer);
-  if (Customer) {
-    std::int32_t Limit = Scratch.customer(*Customer).MaxAccelerators;
-    if (Limit > 0 && Job.Accelerators > Limit)
-      return unmet_constraint::CustomerLimit;
-  }
   capacity_offer Whole;
   resources Host;
   int Largest = 0;
--- /dev/null
+++ b/src/core/placement/internal/feasibilitycache.cpp
@@ -0,0 +1,28 @@
+#include "core/placement/feasibilitycache.h"
+
+#include <utility>
+
+namespace geraniumpaddle {
+
+void feasibility_cache::refresh(std::uint64_t Version,
+                                std::span<const waiting_job> Waiting) {
+  std::map<job_id, unmet_constraint> Kept;
+  if (Version == TopologyVersion)
+    for (const waiting_job &Job : Waiting)
+      if (auto Found = Answers.find(Job.Job); Found != Answers.end())
+        Kept.insert(*Found);
+  TopologyVersion = Version;
+  Answers = std::move(Kept);
+}
+
+const unmet_constraint *feasibility_cache::find(const job_id &Job) const {
+  auto Found = Answers.find(Job);
+  return Found == Answers.end() ? nullptr : &Found->second;
+}
+
+void feasibility_cache::remember(const job_id &Job,
+                                 unmet_constraint Constraint) {
+  Answers[Job] = Constraint;
+}
+
+} // namespace geraniumpaddle
--- a/src/core/placement/internal/gangplanner.cpp
+++ b/src/core/placement/internal/gangplanner.cpp
@@ -67,6 +67,10 @@
 
 /// What a plan in the making has taken.
 struct gang_planner::attempt_state {
+  attempt_state(const gang_planner &Planner, const capacity_offer &Offer,
+                const plan_request &Request)
+      : Planner(Planner), Offer(Offer), Request(Request) {}
+
   struct choice {
     double Cost = std::numeric_limits<double>::infinity();
     topology_index Worker = 0;
@@ -79,6 +83,9 @@
   std::vector<accelerator_mask> Left; ///< by position in the group
   std::vector<resources> Host;        ///< by position in the group
   std::optional<cell_simulation> Cells;
+  const std::vector<topology_index> *Group = nullptr;
+  std::vector<choice> Choices; ///< cheapest per position for the last need
+  bool AppraiseAll = false;
   gang_plan Plan;
 
   bool chosen(fencing_token Token) const {
@@ -128,7 +135,7 @@
                 accelerator_mask Before, int Count, choice &Best) const {
     int Size = static_cast<int>(std::bit_ceil(static_cast<unsigned>(Count)));
     bool Found = false;
-    for (int First = 0; First < MaxAcceleratorsPerWorker; First += Size) {
+    for (int First = 0; (Before >> First) != 0; First += Size) {
       accelerator_mask Inside = Before & aligned(First, Size);
       if (std::popcount(Inside) < Count)
         continue;
@@ -147,31 +154,41 @@
       Best = {Cost, Worker, Mask};
   }
 
-  bool placeWithAccelerators(std::uint32_t Task,
-                             const std::vector<topology_index> &Group) {
-    const topology &Topology = Planner.Account.workers();
-    choice Best;
-    std::size_t BestPosition = 0;
-    for (std::size_t Position = 0; Position < Group.size(); ++Position) {
-      if (Left[Position] == 0)
-        continue;
-      const worker_node &Node = Topology.worker(Group[Position]);
-      int Count = acceleratorsFor(Request.Needs[Task], Node);
-      if (std::popcount(Left[Position]) < Count)
-        continue;
-      double Before = Best.Cost;
-      consider(Group[Position], Position, Left[Position], Count, Best);
-      if (Best.Cost < Before)
-        BestPosition = Position;
-    }
-    if (Best.Accelerators == 0)
+  void appraise(const resources &Need, std::size_t Position) {
+    topology_index Worker = (*Group)[Position];
+    choice &Choice = Choices[Position];
+    Choice = {};
+    int Count = acceleratorsFor(Need, Planner.Account.workers().worker(Worker));
+    if (std::popcount(Left[Position]) >= Count)
+      consider(Worker, Position, Left[Position], Count, Choice);
+  }
+
+  void appraiseAll(const resources &Need) {
+    for (std::size_t Position = 0; Position < Left.size(); ++Position)
+      appraise(Need, Position);
+  }
+
+  /// Places a task whose need is that of the task before if \p Repeated, so
+  /// that only what the last step changed is appraised again.
+  bool placeWithAccelerators(std::uint32_t Task, bool Repeated) {
+    const resources &Need = Request.Needs[Task];
+    if (!Repeated || AppraiseAll)
+      appraiseAll(Need);
+    AppraiseAll = false;
+    auto Best = std::ranges::min_element(Choices, {}, &choice::Cost);
+    if (Best == Choices.end() || Best->Accelerators == 0)
       return false;
-    take(Best.Worker, Best.Accelerators);
+    auto Position = static_cast<std::size_t>(Best - Choices.begin());
+    choice Taken = *Best;
+    std::size_t Victims = Plan.Victims.size();
+    take(Taken.Worker, Taken.Accelerators);
+    AppraiseAll = Plan.Victims.size() != Victims;
     if (Cells)
-      Cells->take(BestPosition, Best.Accelerators);
-    Left[BestPosition] &= ~Best.Accelerators;
-    Plan.Cost += Best.Cost;
-    Plan.Tasks.push_back({Task, Best.Worker, Best.Accelerators});
+      AppraiseAll |= Cells->take(Position, Taken.Accelerators);
+    Left[Position] &= ~Taken.Accelerators;
+    appraise(Need, Position);
+    Plan.Cost += Taken.Cost;
+    Plan.Tasks.push_back({Task, Taken.Worker, Taken.Accelerators});
     return true;
   }
 
@@ -264,21 +281,27 @@
 std::optional<gang_plan> gang_planner::planGroup(
     const capacity_offer &Offer, const plan_request &Request,
     std::span<const std::uint32_t> Order, const worker_group &Group) const {
-  attempt_state State{*this, Offer, Request, {}, {}, {}, {}};
+  attempt_state State(*this, Offer, Request);
   if (Offer.Cells != nullptr)
     State.Cells.emplace(Account, *Offer.Cells, Group);
+  State.Group = &Group;
+  State.Choices.resize(Group.size());
   State.Left.reserve(Group.size());
   State.Host.reserve(Group.size());
   for (topology_index Worker : Group) {
     State.Left.push_back(Offer.Accelerators[Worker]);
     State.Host.push_back(Offer.Host[Worker]);
   }
+  const resources *Last = nullptr;
   for (std::uint32_t Task : Order) {
-    bool OnHost = Request.Needs[Task].Accelerators <= 0;
+    const resources &Need = Request.Needs[Task];
+    bool OnHost = Need.Accelerators <= 0;
+    bool Repeated = Last != nullptr && *Last == Need;
     bool Placed = OnHost ? State.placeOnHost(Task, Group)
-                         : State.placeWithAccelerators(Task, Group);
+                         : State.placeWithAccelerators(Task, Repeated);
     if (!Placed)
       return std::nullopt;
+    Last = &Need;
   }
   return std::move(State.Plan);
 }
--- a/src/core/placement/internal/scheduler.cpp
+++ b/src/core/placement/internal/scheduler.cpp
@@ -14,7 +14,9 @@
 schedule scheduler::decide(const schedule_view &View, time_point Now) {
   Proposals.clear();
   Explanations.clear();
-  decision Decision(View, Now, *Strategy, Estimator, Proposals, Explanations);
+  Feasibility.refresh(View.Account.workers().version(), View.Waiting);
+  decision Decision(View, Now, *Strategy, Estimator, Feasibility, Proposals,
+                    Explanations);
   Decision.run();
   return {Proposals, Explanations};
 }
--- a/src/core/placement/internal/topology.cpp
+++ b/src/core/placement/internal/topology.cpp
@@ -53,6 +53,7 @@
 }
 
 topology_index topology::put(const worker_info &Worker) {
+  ++Version;
   topology_index Index = intern(WorkerIndex, Worker.Id);
   topology_index Rack = putRack(Worker.Region, Worker.Zone, Worker.Rack);
   if (Index == Workers.size())
--- a/src/core/placement/scheduler.h
+++ b/src/core/placement/scheduler.h
@@ -4,6 +4,7 @@
 #include "core/base/types/resources.h"
 #include "core/base/types/time.h"
 #include "core/placement/capacityaccount.h"
+#include "core/placement/feasibilitycache.h"
 #include "core/placement/runtimeestimator.h"
 #include "core/placement/schedulingstrategy.h"
 #include "core/placement/types/schedule.h"
@@ -35,6 +36,7 @@
 private:
   std::unique_ptr<const scheduling_strategy> Strategy;
   run_time_estimator Estimator;
+  feasibility_cache Feasibility;
   std::vector<placement_proposal> Proposals;
   std::vector<job_explanation> Explanations;
 };
--- a/src/core/placement/topology.h
+++ b/src/core/placement/topology.h
@@ -66,15 +66,22 @@
   const rack_node &rack(topology_index Index) const { return Racks[Index]; }
   std::span<const worker_node> workers() const { return Workers; }
   std::span<const rack_node> racks() const { return Racks; }
+  /// Rises with every change.
+  std::uint64_t version() const { return Version; }
   std::size_t zoneCount() const { return Zones.size(); }
   std::size_t regionCount() const { return Regions.size(); }
 
-  friend bool operator==(const topology &, const topology &) = default;
+  /// Equal workers, racks and positions; the version does not count.
+  friend bool operator==(const topology &Left, const topology &Right) {
+    return Left.Workers == Right.Workers && Left.Racks == Right.Racks &&
+           Left.Zones == Right.Zones && Left.Regions == Right.Regions;
+  }
 
 private:
   using zone_key = std::tuple<region_id, availability_zone_id>;
   using rack_key = std::tuple<region_id, availability_zone_id, rack_id>;
 
+  std::uint64_t Version = 0;
   std::vector<worker_node> Workers;
   std::vector<rack_node> Racks;
   std::map<worker_id, topology_index> WorkerIndex;
