--- a/src/core/placement/capacityaccount.h
+++ b/src/core/placement/capacityaccount.h
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <map>
+#include <memory>
 #include <optional>
 #include <span>
 #include <utility>
@@ -118,7 +119,7 @@
   /// is short is charged to customers in order of appearance.
   std::vector<guarantee_shortfall> shortfalls() const;
 
-  const topology &workers() const { return Topology; }
+  const topology &workers() const { return *Topology; }
   bool usable(topology_index Worker) const { return Slots[Worker].Usable; }
   /// Accelerators of a usable worker that no attempt holds.
   accelerator_mask freeMask(topology_index Worker) const;
@@ -172,8 +173,13 @@
   /// image contradicts itself.
   static capacity_account fromImage(const capacity_image &Image);
 
-  friend bool operator==(const capacity_account &,
-                         const capacity_account &) = default;
+  friend bool operator==(const capacity_account &Left,
+                         const capacity_account &Right) {
+    return *Left.Topology == *Right.Topology && Left.Slots == Right.Slots &&
+           Left.Customers == Right.Customers &&
+           Left.Attempts == Right.Attempts && Left.Bindings == Right.Bindings &&
+           Left.Needed == Right.Needed && Left.Packing == Right.Packing;
+  }
 
 private:
   struct worker_slot {
@@ -222,6 +228,8 @@
   void countBound(const cell_key &Key, customer_index Customer,
                   std::int32_t Sign);
   void setGuaranteed(customer_index Customer, const cell_counts &Guaranteed);
+  /// The topology for a change, copied first if it is shared.
+  topology &mutableTopology();
   void refreshRack(topology_index Rack);
   std::vector<cell_key> cellsOn(topology_index Worker) const;
 
@@ -259,7 +267,8 @@
   void restoreCell(const bound_cell &Cell);
   void restoreAttempt(const attempt_image &Attempt);
 
-  topology Topology;
+  /// Shared between copies of the account; replaced before it is changed.
+  std::shared_ptr<topology> Topology = std::make_shared<topology>();
   std::vector<worker_slot> Slots;
   std::vector<customer_slot> Customers;
   std::map<customer_id, customer_index> CustomerIndex;
--- a/src/core/placement/internal/capacityaccount.cpp
+++ b/src/core/placement/internal/capacityaccount.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <bit>
+#include <memory>
+#include <utility>
 
 namespace geraniumpaddle {
 
@@ -17,25 +19,25 @@
 } // namespace
 
 void capacity_account::registerWorker(const worker_info &Worker) {
-  std::optional<topology_index> Known = Topology.find(Worker.Id);
-  if (Known && Topology.worker(*Known).Info == Worker)
+  std::optional<topology_index> Known = Topology->find(Worker.Id);
+  if (Known && Topology->worker(*Known).Info == Worker)
     return;
   std::optional<topology_index> OldRack;
   if (Known) {
-    OldRack = Topology.worker(*Known).Rack;
+    OldRack = Topology->worker(*Known).Rack;
     for (const cell_key &Key : cellsOn(*Known))
       demote(Key);
   }
   topology_index Rack =
-      Topology.putRack(Worker.Region, Worker.Zone, Worker.Rack);
+      mutableTopology().putRack(Worker.Region, Worker.Zone, Worker.Rack);
   auto RackCell = Bindings.find({cell_level::Rack, Rack, 0});
   if (RackCell != Bindings.end())
     countBound(RackCell->first, RackCell->second, -1);
-  topology_index Index = Topology.put(Worker);
+  topology_index Index = mutableTopology().put(Worker);
   if (Index == Slots.size())
     Slots.push_back({});
   if (RackCell != Bindings.end()) {
-    Slots[Index].Bound = Topology.worker(Index).Accelerators;
+    Slots[Index].Bound = Topology->worker(Index).Accelerators;
     countBound(RackCell->first, RackCell->second, 1);
   }
   if (OldRack && *OldRack != Rack)
@@ -45,7 +47,7 @@
 
 capacity_check capacity_account::setUsable(const worker_id &Worker,
                                            bool Usable) {
-  std::optional<topology_index> Index = Topology.find(Worker);
+  std::optional<topology_index> Index = Topology->find(Worker);
   if (!Index)
     return capacity_check::UnknownWorker;
   if (Slots[*Index].Usable == Usable)
@@ -56,7 +58,7 @@
   Slots[*Index].Usable = Usable;
   for (const cell_key &Key : Cells)
     countBound(Key, Bindings.at(Key), 1);
-  refreshRack(Topology.worker(*Index).Rack);
+  refreshRack(Topology->worker(*Index).Rack);
   return capacity_check::Ok;
 }
 
@@ -105,7 +107,7 @@
 
 accelerator_mask capacity_account::freeMask(topology_index Worker) const {
   const worker_slot &Slot = Slots[Worker];
-  return Slot.Usable ? Topology.worker(Worker).Accelerators & ~Slot.Used : 0;
+  return Slot.Usable ? Topology->worker(Worker).Accelerators & ~Slot.Used : 0;
 }
 
 accelerator_mask
@@ -113,7 +115,7 @@
   const worker_slot &Slot = Slots[Worker];
   if (!Slot.Usable)
     return 0;
-  return Topology.worker(Worker).Accelerators & ~Slot.GuaranteedUse;
+  return Topology->worker(Worker).Accelerators & ~Slot.GuaranteedUse;
 }
 
 accelerator_mask capacity_account::boundMask(topology_index Worker,
@@ -130,7 +132,7 @@
 resources capacity_account::freeHost(topology_index Worker) const {
   if (!Slots[Worker].Usable)
     return {};
-  resources Left = Topology.worker(Worker).Host;
+  resources Left = Topology->worker(Worker).Host;
   Left -= Slots[Worker].HostUsed;
   return Left;
 }
@@ -188,12 +190,18 @@
   }
 }
 
+topology &capacity_account::mutableTopology() {
+  if (Topology.use_count() > 1)
+    Topology = std::make_shared<topology>(*Topology);
+  return *Topology;
+}
+
 void capacity_account::refreshRack(topology_index Rack) {
   std::vector<accelerator_mask> Unbound;
   std::vector<accelerator_mask> Wholes;
   bool Blocked = false;
-  for (topology_index Worker : Topology.rack(Rack).Workers) {
-    accelerator_mask Whole = Topology.worker(Worker).Accelerators;
+  for (topology_index Worker : Topology->rack(Rack).Workers) {
+    accelerator_mask Whole = Topology->worker(Worker).Accelerators;
     const worker_slot &Slot = Slots[Worker];
     Blocked |= Slot.Bound != 0;
     if (!Slot.Usable || Whole == 0)
--- a/src/core/placement/internal/capacityclaim.cpp
+++ b/src/core/placement/internal/capacityclaim.cpp
@@ -117,12 +117,12 @@
 capacity_check capacity_account::resolveTask(const task_assignment &Assignment,
                                              std::span<const resources> Needs,
                                              held_attempt &Attempt) const {
-  std::optional<topology_index> Worker = Topology.find(Assignment.Worker);
+  std::optional<topology_index> Worker = Topology->find(Assignment.Worker);
   if (!Worker)
     return capacity_check::UnknownWorker;
   if (!Slots[*Worker].Usable)
     return capacity_check::CapacityTaken;
-  const worker_node &Node = Topology.worker(*Worker);
+  const worker_node &Node = Topology->worker(*Worker);
   if (Assignment.Task >= Needs.size() ||
       (Assignment.Accelerators & ~Node.Accelerators) != 0)
     return capacity_check::NeedNotCovered;
@@ -146,7 +146,8 @@
     if (Task.Guaranteed || Task.Accelerators == 0)
       continue;
     cell_level Level = levelFor(std::popcount(Task.Accelerators));
-    bool Whole = Task.Accelerators == Topology.worker(Task.Worker).Accelerators;
+    bool Whole =
+        Task.Accelerators == Topology->worker(Task.Worker).Accelerators;
     if (Short[indexOf(Level)] > 0 ||
         (Whole && Short[indexOf(cell_level::Worker)] > 0))
       return capacity_check::GuaranteeViolated;
--- a/src/core/placement/internal/capacityimage.cpp
+++ b/src/core/placement/internal/capacityimage.cpp
@@ -5,10 +5,11 @@
 
 capacity_image capacity_account::image() const {
   capacity_image Image;
-  for (const rack_node &Rack : Topology.racks())
+  for (const rack_node &Rack : Topology->racks())
     Image.Racks.push_back({Rack.RegionId, Rack.ZoneId, Rack.Id});
   for (topology_index Index = 0; Index < Slots.size(); ++Index)
-    Image.Workers.push_back({Topology.worker(Index).Info, Slots[Index].Usable});
+    Image.Workers.push_back(
+        {Topology->worker(Index).Info, Slots[Index].Usable});
   for (const customer_slot &Customer : Customers)
     Image.Customers.push_back(Customer.Config);
   for (const auto &[Token, Attempt] : Attempts) {
@@ -17,7 +18,7 @@
     Out.Customer = Customers[Attempt.Customer].Config.Customer;
     for (const held_task &Task : Attempt.Tasks) {
       Out.Assignments.push_back({Task.Task,
-                                 Topology.worker(Task.Worker).Info.Id,
+                                 Topology->worker(Task.Worker).Info.Id,
                                  Task.Accelerators, Task.Guaranteed});
       Out.Needs.push_back(Task.Need);
     }
@@ -25,7 +26,7 @@
   for (const auto &[Key, Customer] : Bindings) {
     topology_index Worker = cellWorkers(Key).front();
     Image.Bound.push_back({Customers[Customer].Config.Customer, Key.Level,
-                           Topology.worker(Worker).Info.Id, Key.First});
+                           Topology->worker(Worker).Info.Id, Key.First});
   }
   return Image;
 }
@@ -34,7 +35,7 @@
   capacity_account Account;
   for (const rack_image &Rack : Image.Racks) {
     topology_index Index =
-        Account.Topology.putRack(Rack.Region, Rack.Zone, Rack.Rack);
+        Account.mutableTopology().putRack(Rack.Region, Rack.Zone, Rack.Rack);
     Account.refreshRack(Index);
   }
   for (const worker_image &Worker : Image.Workers)
@@ -58,7 +59,7 @@
 
 void capacity_account::restoreCell(const bound_cell &Cell) {
   std::optional<customer_index> Customer = find(Cell.Customer);
-  std::optional<topology_index> Worker = Topology.find(Cell.Worker);
+  std::optional<topology_index> Worker = Topology->find(Cell.Worker);
   if (!Customer || !Worker)
     throw invalid_argument_error("bound cell of an unknown customer or worker");
   if (Cell.FirstAccelerator >= MaxAcceleratorsPerWorker)
@@ -78,7 +79,7 @@
   Held.Customer = *Customer;
   for (std::size_t Index = 0; Index < Attempt.Needs.size(); ++Index) {
     const task_assignment &Assignment = Attempt.Assignments[Index];
-    std::optional<topology_index> Worker = Topology.find(Assignment.Worker);
+    std::optional<topology_index> Worker = Topology->find(Assignment.Worker);
     if (!Worker)
       throw invalid_argument_error("attempt on an unknown worker");
     held_task Task{Assignment.Task, *Worker, Assignment.Accelerators,
--- a/src/core/placement/internal/cellbinding.cpp
+++ b/src/core/placement/internal/cellbinding.cpp
@@ -9,7 +9,7 @@
                                                     topology_index Worker,
                                                     int Accelerator) const {
   if (Level == cell_level::Rack)
-    return {Level, Topology.worker(Worker).Rack, 0};
+    return {Level, Topology->worker(Worker).Rack, 0};
   if (Level == cell_level::Worker)
     return {Level, Worker, 0};
   auto Size = static_cast<std::uint32_t>(buddySize(Level));
@@ -19,14 +19,14 @@
 accelerator_mask capacity_account::cellMask(const cell_key &Key,
                                             topology_index Worker) const {
   if (Key.Level >= cell_level::Worker)
-    return Topology.worker(Worker).Accelerators;
+    return Topology->worker(Worker).Accelerators;
   return ((accelerator_mask{1} << buddySize(Key.Level)) - 1) << Key.First;
 }
 
 std::span<const topology_index>
 capacity_account::cellWorkers(const cell_key &Key) const {
   if (Key.Level == cell_level::Rack)
-    return Topology.rack(Key.Unit).Workers;
+    return Topology->rack(Key.Unit).Workers;
   return {&Key.Unit, 1};
 }
 
@@ -63,7 +63,7 @@
 
 bool capacity_account::cellUsable(const cell_key &Key) const {
   for (topology_index Worker : cellWorkers(Key))
-    if (Slots[Worker].Usable && Topology.worker(Worker).Accelerators != 0)
+    if (Slots[Worker].Usable && Topology->worker(Worker).Accelerators != 0)
       return true;
   return false;
 }
@@ -89,7 +89,7 @@
   countBound(Key, Customer, 1);
   for (topology_index Worker : cellWorkers(Key))
     Slots[Worker].Bound |= cellMask(Key, Worker);
-  refreshRack(Topology.worker(cellWorkers(Key).front()).Rack);
+  refreshRack(Topology->worker(cellWorkers(Key).front()).Rack);
 }
 
 void capacity_account::unbind(const cell_key &Key) {
@@ -99,7 +99,7 @@
   Bindings.erase(Found);
   for (topology_index Worker : cellWorkers(Key))
     Slots[Worker].Bound &= ~cellMask(Key, Worker);
-  refreshRack(Topology.worker(cellWorkers(Key).front()).Rack);
+  refreshRack(Topology->worker(cellWorkers(Key).front()).Rack);
 }
 
 void capacity_account::unbindIfUnused(topology_index Worker,
@@ -121,7 +121,7 @@
                                accelerator_mask Buddy) {
   int Size = std::popcount(Buddy);
   int First = std::countr_zero(Buddy);
-  accelerator_mask Whole = Topology.worker(Worker).Accelerators;
+  accelerator_mask Whole = Topology->worker(Worker).Accelerators;
   for (int Step = static_cast<int>(levelFor(Size)); Step < CellLevels; ++Step) {
     auto Level = static_cast<cell_level>(Step);
     cell_key Key = cellAt(Level, Worker, First);
--- a/src/core/placement/internal/gangplanner.cpp
+++ b/src/core/placement/internal/gangplanner.cpp
@@ -120,9 +120,8 @@
         std::popcount(Planner.Account.workers().worker(Worker).Accelerators);
     Fit.SplitLevels = Split;
     Fit.Scattered = Scattered;
-    if (!Offer.LatestEnd.empty())
-      Fit.LifetimeGapSeconds =
-          std::max(0.0, Request.EstimatedSeconds - Offer.LatestEnd[Worker]);
+    Fit.LifetimeGapSeconds =
+        std::max(0.0, Request.EstimatedSeconds - Offer.latestEnd(Worker));
     double Cost = Planner.Strategy.fitCost(Fit);
     if (Cells)
       Cost += Offer.CellWeight * Cells->cost(Position, Mask);
@@ -155,17 +154,42 @@
   }
 
   void appraise(const resources &Need, std::size_t Position) {
-    topology_index Worker = (*Group)[Position];
     choice &Choice = Choices[Position];
     Choice = {};
-    int Count = acceleratorsFor(Need, Planner.Account.workers().worker(Worker));
+    if (Left[Position] == 0)
+      return;
+    topology_index Worker = (*Group)[Position];
+    const worker_node &Node = Planner.Account.workers().worker(Worker);
+    int Count = acceleratorsFor(Need, Node);
     if (std::popcount(Left[Position]) >= Count)
       consider(Worker, Position, Left[Position], Count, Choice);
   }
 
+  /// True if two positions look the same to a borrowing gang.
+  bool alike(std::size_t One, std::size_t Other) const {
+    topology_index First = (*Group)[One];
+    topology_index Second = (*Group)[Other];
+    const topology &Topology = Planner.Account.workers();
+    return Left[One] == Left[Other] &&
+           Offer.latestEnd(First) == Offer.latestEnd(Second) &&
+           Topology.worker(First).PerAccelerator ==
+               Topology.worker(Second).PerAccelerator &&
+           Topology.worker(First).Accelerators ==
+               Topology.worker(Second).Accelerators;
+  }
+
   void appraiseAll(const resources &Need) {
-    for (std::size_t Position = 0; Position < Left.size(); ++Position)
-      appraise(Need, Position);
+    bool Comparable = !Cells && Offer.Prices == nullptr;
+    for (std::size_t Position = 0; Position < Left.size(); ++Position) {
+      bool Repeats =
+          Comparable && Position > 0 && alike(Position - 1, Position);
+      if (!Repeats) {
+        appraise(Need, Position);
+        continue;
+      }
+      Choices[Position] = Choices[Position - 1];
+      Choices[Position].Worker = (*Group)[Position];
+    }
   }
 
   /// Places a task whose need is that of the task before if \p Repeated, so
--- a/src/core/placement/internal/gangplanner.h
+++ b/src/core/placement/internal/gangplanner.h
@@ -24,6 +24,9 @@
   double CellWeight = 0;
   /// Expected seconds until the last attempt on the worker ends.
   std::span<const double> LatestEnd;
+  double latestEnd(topology_index Worker) const {
+    return LatestEnd.empty() ? 0 : LatestEnd[Worker];
+  }
   /// Prices of attempts that may be preempted; null if none may.
   const victim_prices *Prices = nullptr;
 };
