--- a/src/core/gang/tests/gangfaulttest.cpp
+++ b/src/core/gang/tests/gangfaulttest.cpp
@@ -191,7 +191,7 @@
 
 TEST_GROUP(GangMember) {
   const fencing_token Token{10};
-  const gang_timing Timing;
+  const gang_timing Timing{};
   time_point Now{1h};
   gang_member Member{Timing};
   std::uint64_t Described = 0;
--- a/src/core/gang/tests/gangworld.cpp
+++ b/src/core/gang/tests/gangworld.cpp
@@ -177,7 +177,7 @@
   at(Now + AssignInterval, [this, Token] { assignAgain(Token); });
 }
 
-void gang_world::post(int Agent, gang_event Event) {
+void gang_world::post(int Agent, const gang_event &Event) {
   agent &Target = Running[Agent];
   if (Now < Target.PausedUntil) {
     const int Generation = Target.Generation;
@@ -299,7 +299,7 @@
 template <typename Command>
 void gang_world::onCommand(int Agent, const Command &Call) {
   const int Generation = Running[Agent].Generation;
-  const auto Answer = [=, this](worker_answered Result, duration After) {
+  const auto Answer = [=, this](const worker_answered &Result, duration After) {
     at(Now + After, [=, this] {
       if (Running[Agent].Generation == Generation)
         post(Agent, Result);
--- a/src/core/gang/tests/gangworld.h
+++ b/src/core/gang/tests/gangworld.h
@@ -118,7 +118,7 @@
   bool chance(int Percent);
   duration delay();
 
-  void post(int Agent, gang_event Event);
+  void post(int Agent, const gang_event &Event);
   void carryOut(int Agent, std::span<const gang_command> Commands);
   void onCommand(int Agent, const gang_reply &Command);
   void onCommand(int Agent, const send_to_member &Command);
@@ -142,7 +142,7 @@
   void checkPrepared(int Worker, fencing_token Token);
   std::optional<std::string> checkStart(const task_run &Run) const;
 
-  const gang_timing Timing;
+  const gang_timing Timing{};
   const network_faults Faults;
   std::uint64_t Random;
   time_point Now{std::chrono::hours(1)};
