Contract tests of the worker adapter against the stand-in, with its faults

Cause: adapter and stand-in were each tested alone. Change: the adapter calls the stand-in over real HTTP; a table of faults tells what the call proves and whether the worker acted.

--- a/src/platform/tests/httpworkertest.cpp
+++ b/src/platform/tests/httpworkertest.cpp
@@ -1,7 +1,13 @@
 #include "platform/httpworker.h"
 
+#include "standins/worker/workerserver.h"
+#include "transport/httpclient.h"
+#include "transport/tests/looptest.h"
+
 #include <CppUTest/TestHarness.h>
 
+#include <optional>
+
 using namespace geraniumpaddle;
 using namespace std::chrono_literals;
 
@@ -92,3 +98,76 @@
     CHECK_EQUAL(Row.Refused, Result.Refused);
   }
 }
+
+TEST_GROUP(HttpWorkerContract) {
+  test::test_loop Test;
+  traffic_counter Traffic;
+  standins::worker_interface Interface{"w1", {8, 128000, 262144}};
+  standins::worker_server Server{Test.Loop.base(), "127.0.0.1", 0, Interface};
+  http_client Client{Test.Loop, {}, Traffic};
+  http_worker Worker{Client, test::loopback(Server.port()), "", 200ms};
+  std::optional<worker_result> Result;
+  worker_callback Keep = [this](const worker_result &Given) { Result = Given; };
+
+  worker_result answer() {
+    CHECK(Test.until([this] { return Result.has_value(); }));
+    return *std::exchange(Result, std::nullopt);
+  }
+  worker_result start(const char *Task, const char *Command) {
+    Worker.start({Task, 1, {1, 1000, 64}, Command, 10s}, Keep);
+    return answer();
+  }
+};
+
+TEST(HttpWorkerContract, DrivesATaskThroughItsLife) {
+  CHECK(start("7/0", "hang").Tasks.at(0).State == worker_task_state::Running);
+  const std::string Names[] = {"7/0"};
+  Worker.renew(Names, 20s, Keep);
+  CHECK(answer().Tasks.at(0).LeaseLeft > duration(19s));
+  Worker.checkpoint("7/0", Keep);
+  CHECK(answer().Tasks.at(0).State == worker_task_state::Checkpointing);
+  Worker.stop("7/0", Keep);
+  CHECK(answer().Tasks.at(0).State == worker_task_state::Stopped);
+  Worker.describe(Keep);
+  const worker_result Described = answer();
+  LONGS_EQUAL(8, Described.Capacity.Accelerators);
+  LONGS_EQUAL(1, Described.Tasks.size());
+}
+
+TEST(HttpWorkerContract, TellsARefusalFromALoss) {
+  CHECK(start("7/0", "dance").Refused);
+  start("8/0", "hang");
+  CHECK(start("9/0", "hang").Refused);
+  Worker.checkpoint("10/0", Keep);
+  CHECK(answer().Refused);
+}
+
+TEST(HttpWorkerContract, MeetsFaults) {
+  using standins::fault_mode;
+  struct row {
+    fault_mode Mode;
+    call_status Status;
+    std::size_t Runs; ///< whether the worker acted
+  };
+  const row Rows[] = {
+      {fault_mode::None, call_status::Completed, 1},
+      {fault_mode::Slow, call_status::TimedOut, 1},
+      {fault_mode::Down, call_status::NotSent, 0},
+      {fault_mode::Silent, call_status::TimedOut, 0},
+      {fault_mode::LoseAnswer, call_status::Lost, 1},
+      {fault_mode::FailAllTasks, call_status::Completed, 1},
+  };
+  std::size_t Runs = 0;
+  for (const row &Row : Rows) {
+    const std::string Task = "7/" + std::to_string(static_cast<int>(Row.Mode));
+    Server.setFaults({Row.Mode, 1s, 1});
+    CHECK(start(Task.c_str(), "sleep:0").Status == Row.Status);
+    Runs += Row.Runs;
+    LONGS_EQUAL(Runs, Interface.worker().history().size());
+    // Asked again, the worker has run the task once at most.
+    Server.setFaults({});
+    CHECK(start(Task.c_str(), "sleep:0").Status == call_status::Completed);
+    Runs += 1 - Row.Runs;
+    LONGS_EQUAL(Runs, Interface.worker().history().size());
+  }
+}
--- a/standins/worker/workerserver.cpp
+++ b/standins/worker/workerserver.cpp
@@ -103,21 +103,26 @@
 void worker_server::serveControl(evhttp_request *Request, std::string_view Path,
                                  std::string_view Body) {
   if (Path == "/faults")
-    return setFaults(Request, Body);
+    return receiveFaults(Request, Body);
   Interface.worker().advance(monotonicNow());
   send(Request, Interface.history(monotonicNow(), calendarNow()));
 }
 
-void worker_server::setFaults(evhttp_request *Request, std::string_view Body) {
+void worker_server::receiveFaults(evhttp_request *Request,
+                                  std::string_view Body) {
   try {
-    Faults = parseFaults(Body);
-  } catch (const malformed_message_error &Error) {
-    return send(Request, {400, "{\"code\":\"malformed_message\"}"});
+    setFaults(parseFaults(Body));
+  } catch (const malformed_message_error &) {
+    return send(Request, {400, R"({"code":"malformed_message"})"});
   }
-  Interface.worker().failAllTasks(Faults.Mode == fault_mode::FailAllTasks);
   send(Request, {200, "{}"});
 }
 
+void worker_server::setFaults(const fault_plan &Plan) {
+  Faults = Plan;
+  Interface.worker().failAllTasks(Plan.Mode == fault_mode::FailAllTasks);
+}
+
 void worker_server::serveCall(evhttp_request *Request, std::string_view Path,
                               std::string_view Body) {
   const fault_mode Fault = Faults.next();
--- a/standins/worker/workerserver.h
+++ b/standins/worker/workerserver.h
@@ -29,6 +29,7 @@
   worker_server &operator=(const worker_server &) = delete;
 
   std::uint16_t port() const { return Port; }
+  void setFaults(const fault_plan &Plan);
 
 private:
   struct delayed_answer;
@@ -44,7 +45,7 @@
                     std::string_view Body);
   void serveCall(evhttp_request *Request, std::string_view Path,
                  std::string_view Body);
-  void setFaults(evhttp_request *Request, std::string_view Body);
+  void receiveFaults(evhttp_request *Request, std::string_view Body);
   void sendLater(evhttp_request *Request, json_answer Answer, duration Delay,
                  bool HangUp);
   void send(evhttp_request *Request, const json_answer &Answer);
