Quarantine driver, worker probes, and one reader of the log per region

Quarantine: worker_health is fed the accepted records; the entry that looks after a worker's agent proposes quarantine and return and has the worker probed. Relay: in a region without the log service one entry reads it across the link; the others read from that entry and fall back to the log when it is silent. Operators' requests on workers name no run of the agent any more.

--- a/src/agent/agentrole.h
+++ b/src/agent/agentrole.h
@@ -4,6 +4,7 @@
 #include "agent/entryconnector.h"
 #include "agent/ganghost.h"
 #include "agent/requesthost.h"
+#include "agent/workerprobe.h"
 #include "logging/logging.h"
 #include "metrics/metrics.h"
 #include "platform/iworker.h"
@@ -75,6 +76,7 @@
   entry_connector Entries;
   gang_host Gangs;
   request_host Requests;
+  worker_probe Probe;
   timer Retry;
   timer DrainNotice;
   logger Log{"agent"};
--- a/src/agent/internal/agentrole.cpp
+++ b/src/agent/internal/agentrole.cpp
@@ -52,7 +52,8 @@
                  RequestsDrained = true;
                  finishDrain();
                }),
-      Retry(Environment.Loop), DrainNotice(Environment.Loop) {
+      Probe(Environment.Loop, Environment.Worker), Retry(Environment.Loop),
+      DrainNotice(Environment.Loop) {
   registerMetrics();
 }
 
@@ -116,6 +117,9 @@
       learnCustomers(Request.customers());
       return Respond(makeResponse(proto::REFUSAL_NONE));
     }
+    if (Request.has_probe_worker())
+      return Probe.start(Request.probe_worker(),
+                         Capacity ? Capacity->Accelerators : 0, Respond);
     if (Requests.handle(Request, Respond) || Gangs.handle(Request, Respond))
       return;
   } catch (const malformed_message_error &Failure) {
--- /dev/null
+++ b/src/agent/workerprobe.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "platform/iworker.h"
+#include "transport/ieventloop.h"
+#include "transport/ipeerserver.h"
+#include "transport/timer.h"
+
+#include <memory>
+#include <string>
+
+namespace geraniumpaddle {
+
+/// Runs one short task at a time on the worker, to find out whether it can run
+/// tasks at all.
+class worker_probe {
+public:
+  worker_probe(ievent_loop &Loop, iworker &Worker);
+  ~worker_probe() { *Alive = false; }
+  worker_probe(const worker_probe &) = delete;
+  worker_probe &operator=(const worker_probe &) = delete;
+
+  /// Starts the task on \p Accelerators accelerators and answers once it has
+  /// ended or its limit is over. A second probe meanwhile is refused.
+  void start(const proto::ProbeWorker &Request, int Accelerators,
+             const peer_responder &Respond);
+
+private:
+  void onStarted(const worker_result &Result);
+  void poll();
+  void onDescribed(const worker_result &Result);
+  void finish(bool Succeeded, const std::string &Detail);
+
+  ievent_loop &Loop;
+  iworker &Worker;
+  timer Poll;
+  std::string Task;
+  time_point Deadline{};
+  peer_responder Respond;
+  bool Busy = false;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+} // namespace geraniumpaddle
--- a/src/daemon/tests/gangfaulttest.cpp
+++ b/src/daemon/tests/gangfaulttest.cpp
@@ -195,3 +195,26 @@
              Cluster.job("entry-1", "mine").explanation().c_str());
   CHECK(jobIs("mine", "succeeded"));
 }
+
+TEST(GangFaults, AWorkerThatFailsEveryTaskIsQuarantinedProbedAndLetBack) {
+  Cluster.startLog();
+  Cluster.startEntry("entry-1", "perth-metro", "perth-east",
+                     "entry: {probe_command: \"sleep:10\"}\n");
+  Cluster.startAgent({.Name = "1"});
+  CHECK(Cluster.waitFor([&] { return Cluster.linkedAgents("entry-1", 1); }));
+  LONGS_EQUAL(200, Cluster.putCustomer("entry-1", "swan-coast", 0).Code);
+  Cluster.setFault("worker-1", R"({"mode":"fail_all_tasks"})");
+  auto WorkerIs = [&](const std::string &State) {
+    return Cluster.waitFor(
+        [&] { return Cluster.worker("entry-1", "worker-1").state() == State; });
+  };
+  for (const char *Job : {"f1", "f2", "f3"}) {
+    LONGS_EQUAL(201, Cluster.submitJob("entry-1", Job, 1, "sleep:10").Code);
+    CHECK(jobIs(Job, "failed"));
+  }
+  CHECK(WorkerIs("quarantined"));
+  LONGS_EQUAL(201, Cluster.submitJob("entry-1", "later", 1, "sleep:10").Code);
+  Cluster.setFault("worker-1", R"({"mode":"none"})");
+  CHECK(WorkerIs("active"));
+  CHECK(jobIs("later", "succeeded"));
+}
--- a/src/daemon/tests/logfaulttest.cpp
+++ b/src/daemon/tests/logfaulttest.cpp
@@ -148,3 +148,52 @@
   CHECK_TEXT(ready("entry-2"), Cluster.process("entry-2").errors().c_str());
   LONGS_EQUAL(Changes, Cluster.version("entry-2"));
 }
+
+TEST(LogFaults, ARemoteRegionReadsTheLogThroughOneEntry) {
+  Cluster.startLog();
+  Cluster.startEntry("entry-1");
+  CHECK(ready("entry-1"));
+  for (const char *Remote : {"remote-1", "remote-2"}) {
+    Cluster.startEntry(Remote, "pilbara-north", "karratha");
+    CHECK(ready(Remote));
+  }
+  auto Relayed = [&](const char *Entry) {
+    return Cluster.metric(Entry, "geraniumpaddle_log_relayed_reads");
+  };
+  CHECK(Cluster.waitFor(
+      [&] { return Relayed("remote-1") + Relayed("remote-2") >= 2; }));
+  LONGS_EQUAL(0, Relayed("entry-1"));
+  LONGS_EQUAL(200, Cluster.putCustomer("entry-1", "a", 0, 0).Code);
+  CHECK(versionIs("remote-1", 1, 4s));
+  CHECK(versionIs("remote-2", 1, 4s));
+
+  const char *Owner = Relayed("remote-1") > 0 ? "remote-2" : "remote-1";
+  const char *Other = Relayed("remote-1") > 0 ? "remote-1" : "remote-2";
+  Cluster.process(Owner).signal(SIGSTOP);
+  LONGS_EQUAL(200, Cluster.putCustomer("entry-1", "a", 1, 0).Code);
+  CHECK(versionIs(Other, 2, 4s));
+}
+
+TEST(LogFaults, AChangeIsInForceInEveryProcessWithinFourSeconds) {
+  startTwoEntries();
+  Cluster.startAgent({.Name = "1"});
+  Cluster.startAgent({.Name = "2",
+                      .Region = "pilbara-north",
+                      .Zone = "karratha",
+                      .Entry = "entry-2"});
+  CHECK(Cluster.waitFor([&] { return Cluster.linkedAgents("entry-1", 1); }));
+  CHECK(Cluster.waitFor([&] { return Cluster.linkedAgents("entry-2", 1); }));
+  for (std::uint64_t Base = 0; Base < 10; ++Base) {
+    const char *Entry = Base % 2 ? "entry-1" : "entry-2";
+    LONGS_EQUAL(200, Cluster.putCustomer(Entry, "a", Base, 0).Code);
+    const char *Metric = "geraniumpaddle_config_version";
+    for (const char *Name : {"entry-1", "entry-2", "agent-1", "agent-2"})
+      CHECK_TEXT(Cluster.waitFor(
+                     [&] {
+                       return Cluster.metric(Name, Metric) ==
+                              static_cast<double>(Base + 1);
+                     },
+                     4s),
+                 Name);
+  }
+}
--- a/src/daemon/tests/processcluster.cpp
+++ b/src/daemon/tests/processcluster.cpp
@@ -31,7 +31,8 @@
   return "role: " + Role + "\nnode: " + Node + "\nregion: " + Region +
          "\nzone: " + Zone +
          "\nlisten: {peer: \"127.0.0.1:0\", http: \"127.0.0.1:0\"}\n"
-         "timing: {heartbeat_ms: 200, lease_ms: 2000, drain_notice_ms: 500}\n";
+         "timing: {heartbeat_ms: 200, lease_ms: 2000, drain_notice_ms: 500, "
+         "probe_back_off_ms: 500}\n";
 }
 
 } // namespace
@@ -96,8 +97,8 @@
                                  const std::string &Zone,
                                  const std::string &MoreSettings) {
   startDaemon(Name, commonSettings("entry", Name, Region, Zone) +
-                        "log: {address: \"" + address("log") + "\"}\n" +
-                        MoreSettings);
+                        "log: {address: \"" + address("log") +
+                        "\", region: perth-metro}\n" + MoreSettings);
 }
 
 void process_cluster::startAgent(const agent_plan &Plan) {
@@ -258,6 +259,25 @@
   return Status;
 }
 
+proto::WorkerStatus process_cluster::worker(const std::string &Entry,
+                                            const std::string &Worker) {
+  proto::WorkerList List;
+  tryParseJson(get(address(Entry), "/v1/workers").Body, List);
+  for (const proto::WorkerStatus &Status : List.workers())
+    if (Status.worker().id() == Worker)
+      return Status;
+  return {};
+}
+
+double process_cluster::metric(const std::string &Name,
+                               const std::string &Metric) {
+  std::string Text = "\n" + get(address(Name), "/metrics").Body;
+  auto At = Text.find("\n" + Metric + " ");
+  if (At == std::string::npos)
+    return -1;
+  return std::strtod(Text.c_str() + At + Metric.size() + 2, nullptr);
+}
+
 int process_cluster::runsOf(const std::string &Name, const std::string &Tag) {
   google::protobuf::Struct History;
   tryParseJson(get(address(Name), "/history").Body, History);
--- a/src/daemon/tests/processcluster.h
+++ b/src/daemon/tests/processcluster.h
@@ -81,6 +81,10 @@
                         int Tasks, const std::string &Command,
                         bool Idempotent = true);
   proto::JobStatus job(const std::string &Entry, const std::string &Job);
+  proto::WorkerStatus worker(const std::string &Entry,
+                             const std::string &Worker);
+  /// Value of a metric without labels of a daemon; -1 if there is none.
+  double metric(const std::string &Name, const std::string &Metric);
   /// Runs that the endpoint \p Name has counted for \p Tag.
   int runsOf(const std::string &Name, const std::string &Tag);
 
--- a/src/entry/entryrole.h
+++ b/src/entry/entryrole.h
@@ -6,8 +6,10 @@
 #include "entry/customerauth.h"
 #include "entry/entrymembers.h"
 #include "entry/gangdriver.h"
+#include "entry/healthdriver.h"
 #include "entry/livemembers.h"
 #include "entry/logdriver.h"
+#include "entry/relayedlog.h"
 #include "entry/requestgateway.h"
 #include "entry/schedulerdriver.h"
 #include "entry/stateserver.h"
@@ -22,6 +24,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace geraniumpaddle {
@@ -75,6 +78,7 @@
                        const peer_responder &Respond);
   void answerEntryHeartbeat(const proto::PeerRequest &Request,
                             const peer_responder &Respond);
+  std::optional<std::string> relayAddress() const;
   proto::EntryStatus status() const;
   void registerMetrics();
 
@@ -88,12 +92,14 @@
   entry_rank Rank;
   live_members Members;
   entry_members Entries;
+  relayed_log Relay;
   log_driver Log;
   customer_auth Auth;
   request_gateway Requests;
   agent_directory Agents;
   scheduler_driver Scheduler;
   gang_driver Gangs;
+  health_driver Health;
   state_server StateServer;
   admin_api Admin;
   timer AnnounceRetry;
--- a/src/entry/internal/adminapi.cpp
+++ b/src/entry/internal/adminapi.cpp
@@ -282,8 +282,8 @@
     return respondNotFound(Call.Responder,
                            Worker ? "no such call" : "no such worker");
   propose(Call,
-          worker_state_changed{Worker->Info.Id, Worker->AgentIncarnation,
-                               *State, state_cause::OperatorRequest},
+          worker_state_changed{Worker->Info.Id, incarnation{}, *State,
+                               state_cause::OperatorRequest},
           [this, Id](const proposal_answered &Answer) {
             const worker_entry *Now = Log.state().worker(worker_id(Id));
             if (!Answer.Verdict.accepted() || !Now)
--- a/src/entry/internal/entryrole.cpp
+++ b/src/entry/internal/entryrole.cpp
@@ -45,6 +45,17 @@
   return Supervision;
 }
 
+worker_health_limits healthLimits(const settings &Settings) {
+  worker_health_limits Limits;
+  Limits.FirstBackOff = Settings.ProbeBackOff;
+  return Limits;
+}
+
+region_id logRegion(const settings &Settings) {
+  return region_id(Settings.LogRegion.empty() ? Settings.Region
+                                              : Settings.LogRegion);
+}
+
 objective objectiveOf(const settings &Settings) {
   return Settings.Objective == objective_setting::Fragmentation
              ? objective::Fragmentation
@@ -62,13 +73,14 @@
                        std::function<void()> Stopped)
     : Environment(Environment), Settings(Settings), Self(Self),
       Stopped(std::move(Stopped)),
-      Rank(Self.Node, region_id(Settings.Region), StepInDelay),
+      Rank(Self.Node, logRegion(Settings), StepInDelay),
       Members(Rank, Self.Node),
       Entries(Environment.Loop, Environment.Peers, Self, Rank,
               region_id(Settings.Region), Settings.HeartbeatInterval,
               Settings.Peers, *this),
-      Log(Environment.Loop, Environment.Log, Entries, Self,
-          logSettings(Settings)),
+      Relay(Environment.Loop, Environment.Log, Environment.Peers, Self,
+            [this] { return relayAddress(); }),
+      Log(Environment.Loop, Relay, Entries, Self, logSettings(Settings)),
       Auth(Settings.OperatorTokenHash),
       Requests(Environment.Loop, Environment.Peers, Auth, Environment.Metrics,
                routerSettings(Settings),
@@ -81,12 +93,15 @@
       Scheduler(Environment.Loop, Log, Rank, Self, objectiveOf(Settings)),
       Gangs(Environment.Loop, Environment.Peers, Log, Members, Self,
             supervisionSettings(Settings)),
+      Health(Environment.Loop, Environment.Peers, Log, Members, Self,
+             healthLimits(Settings), Settings.ProbeCommand),
       StateServer(Log),
       Admin(Environment.Loop, Log, Auth, Agents, Scheduler,
             Settings.AppendDeadline, [this] { return status(); }),
       AnnounceRetry(Environment.Loop), DrainTimer(Environment.Loop) {
   Log.observe(Agents);
   Log.observe(Gangs);
+  Log.observe(Health);
   Log.observe(Scheduler);
   Log.observe(*this);
   registerMetrics();
@@ -175,6 +190,8 @@
     case proto::PeerRequest::kJobReport:
       return Gangs.onReport(node_id(Request.node()), Request.job_report(),
                             Respond);
+    case proto::PeerRequest::kFetchRecords:
+      return Relay.serve(Request.fetch_records(), Respond);
     case proto::PeerRequest::kFetchState:
       return Respond(StateServer.fetch(Request.fetch_state()));
     default:
@@ -266,6 +283,18 @@
       errorResponse(error_kind::NotFound, "not_found", "no such page"));
 }
 
+/// In the log's own region every entry reads the log itself.
+std::optional<std::string> entry_role::relayAddress() const {
+  region_id Region(Settings.Region);
+  std::optional<node_id> Owner = Rank.linkOwner(Region);
+  if (Region == logRegion(Settings) || !Owner || *Owner == Self.Node)
+    return std::nullopt;
+  for (const entry_member &Entry : Log.state().entries())
+    if (Entry.Node == *Owner)
+      return Entry.PeerAddress;
+  return std::nullopt;
+}
+
 proto::EntryStatus entry_role::status() const {
   proto::EntryStatus Out;
   Out.set_node(Self.Node.str());
@@ -309,6 +338,11 @@
   });
   Add("geraniumpaddle_append_queue", "Proposals not yet appended.",
       [this] { return static_cast<double>(Log.queued()); });
+  Add("geraniumpaddle_log_relayed_reads", "Log reads through another entry.",
+      [this] { return static_cast<double>(Relay.relayedReads()); });
+  Add("geraniumpaddle_log_relay_fallbacks",
+      "Log reads that the other entry did not serve.",
+      [this] { return static_cast<double>(Relay.fallbacks()); });
   Add("geraniumpaddle_agents_linked", "Agents whose heartbeats arrive.",
       [this] { return static_cast<double>(Agents.linked()); });
 }
--- a/src/settings/types/settings.h
+++ b/src/settings/types/settings.h
@@ -27,6 +27,7 @@
   std::string LogLevel = "info";
 
   std::string LogAddress;
+  std::string LogRegion; ///< empty: that of this process
   std::string LogAppendPath = "/append";
   std::string LogReadPath = "/read";
   std::chrono::milliseconds LogTimeout{2000};
@@ -56,6 +57,8 @@
   std::chrono::milliseconds HeartbeatInterval{1000};
   std::chrono::milliseconds LeaseDuration{6000};
   std::chrono::milliseconds DrainNotice{1000};
+  std::chrono::milliseconds ProbeBackOff{300000};
+  std::string ProbeCommand = "true";
 };
 
 } // namespace geraniumpaddle
