Peer client: only the loop owns calls and channels

The callback of a call shared its ownership; if it dropped the last channel of the process, gRPC joined its own thread and freed its queue twice. Ruled out: a fault of the server's reactors (they hold no channel). Change: the callback holds a plain reference; calls end on the loop. A client that ends waits for the calls that it cancelled, and leaks what gRPC still holds after that.

--- a/src/transport/internal/peerclient.cpp
+++ b/src/transport/internal/peerclient.cpp
@@ -8,7 +8,7 @@
 #include <grpcpp/grpcpp.h>
 
 #include <map>
-#include <unordered_set>
+#include <unordered_map>
 #include <vector>
 
 namespace geraniumpaddle {
@@ -20,8 +20,9 @@
 // How long the destructor waits for gRPC to end the calls that it cancelled.
 constexpr std::chrono::seconds CancelWait{1};
 
-/// One call. Once it was given to gRPC, its callback there owns it too.
-struct open_call : std::enable_shared_from_this<open_call> {
+/// One call. Only the loop owns it: its end may close the channel, which gRPC
+/// does not survive on a thread of its own.
+struct open_call {
   explicit open_call(event_loop &Loop) : ConnectLimit(Loop) {}
 
   std::shared_ptr<peer_link> Link;
@@ -61,14 +62,12 @@
   void reconnect(std::string_view Address);
 
 private:
-  using call_ptr = std::shared_ptr<open_call>;
-
   std::shared_ptr<peer_link> linkTo(const socket_address &Address);
   void dropUnusedLinks();
   void connected(const peer_link &Link);
-  void start(const call_ptr &Call);
-  void ended(const call_ptr &Call, const grpc::Status &Status);
-  void finish(const call_ptr &Call, call_status Status);
+  void start(open_call &Call);
+  void ended(open_call &Call, const grpc::Status &Status);
+  void finish(open_call &Call, call_status Status);
   void forget(const std::shared_ptr<peer_link> &Link);
 
   event_loop &Loop;
@@ -76,7 +75,7 @@
   traffic_counter &Traffic;
   grpc::ResourceQuota Quota{"peer_client"};
   std::map<std::string, std::shared_ptr<peer_link>> Links;
-  std::unordered_set<call_ptr> Calls;
+  std::unordered_map<open_call *, std::unique_ptr<open_call>> Calls;
   mailbox Inbox;
 };
 
@@ -87,13 +86,18 @@
 }
 
 peer_client::impl::~impl() {
-  std::erase_if(Calls, [](const call_ptr &Call) { return !Call->Started; });
-  for (const auto &Call : Calls) {
-    Call->Done = nullptr;
-    Call->Context.TryCancel();
+  std::erase_if(Calls, [](const auto &Each) { return !Each.first->Started; });
+  for (const auto &Each : Calls) {
+    Each.first->Done = nullptr;
+    Each.first->Context.TryCancel();
   }
   while (!Calls.empty() && Inbox.waitAndRun(CancelWait)) {
   }
+  Inbox.close();
+  for (auto &Each : Calls) {
+    // gRPC still writes to it, so it cannot be freed any more.
+    [[maybe_unused]] const auto *Kept = Each.second.release();
+  }
 }
 
 std::shared_ptr<peer_link>
@@ -104,7 +108,7 @@
         Loop, Address, Settings, channelArguments(Settings, Quota),
         [this](const peer_link &Changed) { connected(Changed); });
     Link->LastUse = Loop.now();
-    const auto Created = Link;
+    auto Created = Link;
     dropUnusedLinks();
     return Created;
   }
@@ -127,66 +131,64 @@
     Inbox.address().post([Done = std::move(Done)] { Done({}); });
     return;
   }
-  const auto Call = std::make_shared<open_call>(Loop);
-  Call->Address = Address;
-  Call->Request = Request;
-  Call->Done = std::move(Done);
-  Call->Context.set_deadline(deadlineAfter(Timeout));
-  Call->Link = linkTo(Parsed);
-  Calls.insert(Call);
-  if (Call->Link->status() == peer_link::state::Connected) {
+  auto Owned = std::make_unique<open_call>(Loop);
+  open_call &Call = *Owned;
+  Call.Address = Address;
+  Call.Request = Request;
+  Call.Done = std::move(Done);
+  Call.Context.set_deadline(deadlineAfter(Timeout));
+  Call.Link = linkTo(Parsed);
+  Calls.emplace(&Call, std::move(Owned));
+  if (Call.Link->status() == peer_link::state::Connected) {
     start(Call);
   } else {
-    Call->ConnectLimit.start(Timeout, [this, Raw = Call.get()] {
-      finish(Raw->shared_from_this(), call_status::NotSent);
-    });
+    Call.ConnectLimit.start(
+        Timeout, [this, &Call] { finish(Call, call_status::NotSent); });
   }
 }
 
 void peer_client::impl::connected(const peer_link &Link) {
-  std::vector<call_ptr> Waiting;
-  for (const auto &Call : Calls) {
-    if (Call->Link.get() == &Link) {
-      Waiting.push_back(Call);
+  std::vector<open_call *> Waiting;
+  for (const auto &Each : Calls) {
+    if (Each.first->Link.get() == &Link) {
+      Waiting.push_back(Each.first);
     }
   }
-  for (const auto &Call : Waiting) {
+  for (open_call *Call : Waiting) {
     if (Link.status() == peer_link::state::Connected) {
-      start(Call);
+      start(*Call);
     } else {
-      finish(Call, call_status::NotSent);
+      finish(*Call, call_status::NotSent);
     }
   }
 }
 
-void peer_client::impl::start(const call_ptr &Call) {
-  Call->ConnectLimit.cancel();
-  Call->Started = true;
+void peer_client::impl::start(open_call &Call) {
+  Call.ConnectLimit.cancel();
+  Call.Started = true;
   // The callback runs on a thread of gRPC.
-  Call->Link->stub().async()->Exchange(
-      &Call->Context, &Call->Request, &Call->Result.Response,
-      [this, Call, Inbox = Inbox.address()](const grpc::Status &Status) {
-        Inbox.post([this, Call, Status] { ended(Call, Status); });
+  Call.Link->stub().async()->Exchange(
+      &Call.Context, &Call.Request, &Call.Result.Response,
+      [this, &Call, Inbox = Inbox.address()](const grpc::Status &Status) {
+        Inbox.post([this, &Call, Status] { ended(Call, Status); });
       });
 }
 
-void peer_client::impl::ended(const call_ptr &Call,
-                              const grpc::Status &Status) {
+void peer_client::impl::ended(open_call &Call, const grpc::Status &Status) {
   if (Status.error_code() == grpc::StatusCode::UNAVAILABLE) {
-    forget(Call->Link);
+    forget(Call.Link);
   }
-  Traffic.add(Call->Address, causeOf(Call->Request),
-              Call->Result.Response.ByteSizeLong(),
-              Call->Request.ByteSizeLong());
+  Traffic.add(Call.Address, causeOf(Call.Request),
+              Call.Result.Response.ByteSizeLong(), Call.Request.ByteSizeLong());
   finish(Call, statusOf(Status));
 }
 
-void peer_client::impl::finish(const call_ptr &Call, call_status Status) {
-  Call->ConnectLimit.cancel();
-  Calls.erase(Call);
-  Call->Result.Status = Status;
-  if (const auto Done = std::move(Call->Done)) {
-    Done(Call->Result);
+void peer_client::impl::finish(open_call &Call, call_status Status) {
+  const auto Owned = std::move(Calls.extract(&Call).mapped());
+  Owned->ConnectLimit.cancel();
+  Owned->Result.Status = Status;
+  if (Owned->Done) {
+    Owned->Done(Owned->Result);
   }
 }
 
--- a/src/transport/internal/peerlink.cpp
+++ b/src/transport/internal/peerlink.cpp
@@ -10,9 +10,10 @@
 
 peer_link::peer_link(event_loop &Loop, const socket_address &Address,
                      const peer_client_settings &Settings,
-                     grpc::ChannelArguments Arguments, changed_callback Changed)
-    : Authority(Address.str()), Settings(Settings),
-      Arguments(std::move(Arguments)), Changed(std::move(Changed)),
+                     const grpc::ChannelArguments &Arguments,
+                     changed_callback Changed)
+    : Authority(Address.str()), Settings(Settings), Arguments(Arguments),
+      Changed(std::move(Changed)),
       Connector(std::make_unique<tcp_connector>(
           Loop, Address, Settings.ConnectTimeout,
           [this](unique_socket Result) { connected(std::move(Result)); })) {}
--- a/src/transport/internal/peerlink.h
+++ b/src/transport/internal/peerlink.h
@@ -25,7 +25,7 @@
   /// \param Changed called once, when the state leaves Connecting.
   peer_link(event_loop &Loop, const socket_address &Address,
             const peer_client_settings &Settings,
-            grpc::ChannelArguments Arguments, changed_callback Changed);
+            const grpc::ChannelArguments &Arguments, changed_callback Changed);
 
   state status() const { return Status; }
   /// True unless the connection is known to be closed.
