--- a/src/transport/tests/peertest.cpp
+++ b/src/transport/tests/peertest.cpp
@@ -227,17 +227,14 @@
   CHECK(Pair.Results.front().Status == call_status::Lost);
 }
 
-TEST(Peer, TheLastConnectionMayEndWithItsCall) {
-  constexpr int Rounds = 50; // the order of the threads differs
+TEST(Peer, TheLastConnectionMayEndRightAfterItsCall) {
+  constexpr int Rounds = 100; // the order of the threads differs
   for (int Round = 0; Round < Rounds; ++Round) {
     peer_pair Pair(Test.Loop);
-    Pair.keepCalls();
     Pair.call();
-    CHECK(Test.until([&] { return Pair.Kept.size() == 1; }));
-    Pair.Client->reconnect(Pair.Address);
-    Pair.Server.reset();
     CHECK(answered(Pair));
-    CHECK(Pair.Results.front().Status == call_status::Lost);
+    Pair.Client.reset();
+    Pair.Server.reset();
   }
 }
 
