--- a/src/transport/address.h
+++ b/src/transport/address.h
@@ -22,6 +22,9 @@
 /// \throws invalid_argument_error if \p Text is anything else.
 socket_address parseAddress(std::string_view Text);
 
+/// Port that the socket \p Descriptor is bound to.
+std::uint16_t boundPort(int Descriptor);
+
 /// A listening address that cannot be bound.
 class bind_error : public error {
 public:
--- a/src/transport/internal/address.cpp
+++ b/src/transport/internal/address.cpp
@@ -2,6 +2,8 @@
 
 #include <arpa/inet.h>
 #include <charconv>
+#include <netinet/in.h>
+#include <sys/socket.h>
 
 namespace geraniumpaddle {
 
@@ -45,4 +47,13 @@
                                "\" is not an address of the form ip:port");
 }
 
+std::uint16_t boundPort(int Descriptor) {
+  sockaddr_storage Address{};
+  socklen_t Size = sizeof Address;
+  ::getsockname(Descriptor, reinterpret_cast<sockaddr *>(&Address), &Size);
+  return ntohs(Address.ss_family == AF_INET6
+                   ? reinterpret_cast<sockaddr_in6 &>(Address).sin6_port
+                   : reinterpret_cast<sockaddr_in &>(Address).sin_port);
+}
+
 } // namespace geraniumpaddle
--- /dev/null
+++ b/src/transport/internal/httprequest.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "transport/ihttpclient.h"
+#include "transport/internal/httpmethod.h"
+
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace geraniumpaddle {
+
+/// Decoded path of \p Request, without the query; at least "/".
+std::string decodedPath(const evhttp_request *Request);
+
+/// Query of \p Request as sent, without the question mark.
+std::string_view queryOf(const evhttp_request *Request);
+
+/// True if evhttp and the caller may disagree on where a request ends: evhttp
+/// would read the rest of its body as the next request.
+bool isFramingAmbiguous(const http_method &Method,
+                        std::span<const http_header> Headers);
+
+} // namespace geraniumpaddle
--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -4,14 +4,13 @@
 #include "transport/address.h"
 #include "transport/internal/evptr.h"
 #include "transport/internal/httpheaders.h"
-#include "transport/internal/httpmethod.h"
+#include "transport/internal/httprequest.h"
 
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 
 #include <algorithm>
 #include <cerrno>
-#include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unordered_map>
@@ -31,52 +30,6 @@
   bool Answered = false;
 };
 
-struct free_uri_text {
-  void operator()(char *Text) const { free(Text); }
-};
-
-std::string decodedPath(const evhttp_request *Request) {
-  const evhttp_uri *Uri = evhttp_request_get_evhttp_uri(Request);
-  const char *Path = Uri == nullptr ? nullptr : evhttp_uri_get_path(Uri);
-  if (Path == nullptr || *Path == '\0') {
-    return "/";
-  }
-  std::size_t Size = 0;
-  const std::unique_ptr<char, free_uri_text> Text(
-      evhttp_uridecode(Path, /*decode_plus=*/0, &Size));
-  return {Text.get(), Size};
-}
-
-std::string_view queryOf(const evhttp_request *Request) {
-  const evhttp_uri *Uri = evhttp_request_get_evhttp_uri(Request);
-  const char *Query = Uri == nullptr ? nullptr : evhttp_uri_get_query(Uri);
-  return Query == nullptr ? std::string_view() : std::string_view(Query);
-}
-
-/// evhttp would read the body of such a request as the next request.
-bool isFramingAmbiguous(const http_method &Method,
-                        std::span<const http_header> Headers) {
-  const std::string *Length = findHeader(Headers, "Content-Length");
-  const bool Chunked = findHeader(Headers, "Transfer-Encoding") != nullptr;
-  if (!Method.HasBody) {
-    return Chunked || (Length != nullptr && *Length != "0");
-  }
-  const auto Lengths = std::count_if(
-      Headers.begin(), Headers.end(), [](const http_header &Header) {
-        return equalNames(Header.Name, "Content-Length");
-      });
-  return (Chunked && Length != nullptr) || Lengths > 1;
-}
-
-std::uint16_t boundPort(int Descriptor) {
-  sockaddr_storage Address{};
-  socklen_t Size = sizeof Address;
-  ::getsockname(Descriptor, reinterpret_cast<sockaddr *>(&Address), &Size);
-  return ntohs(Address.ss_family == AF_INET6
-                   ? reinterpret_cast<sockaddr_in6 &>(Address).sin6_port
-                   : reinterpret_cast<sockaddr_in &>(Address).sin_port);
-}
-
 } // namespace
 
 class http_server::impl {
--- a/src/transport/tests/rawsocket.cpp
+++ b/src/transport/tests/rawsocket.cpp
@@ -126,13 +126,16 @@
   constexpr int Fillers = 3; // the kernel queues one more than asked for
   sockaddr_in Address = loopbackAddress(0);
   socklen_t Size = sizeof Address;
-  ::bind(Listener, reinterpret_cast<sockaddr *>(&Address), Size);
+  if (::bind(Listener, reinterpret_cast<sockaddr *>(&Address), Size) != 0) {
+    throw unavailable_error("no port for a test");
+  }
   ::listen(Listener, 0);
   ::getsockname(Listener, reinterpret_cast<sockaddr *>(&Address), &Size);
   Port = ntohs(Address.sin_port);
   for (int Index = 0; Index < Fillers; ++Index) {
     Callers.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
-    ::connect(Callers.back(), reinterpret_cast<sockaddr *>(&Address), Size);
+    static_cast<void>(::connect(Callers.back(),
+                                reinterpret_cast<sockaddr *>(&Address), Size));
   }
 }
 
