--- a/src/transport/tests/peertest.cpp
+++ b/src/transport/tests/peertest.cpp
@@ -227,6 +227,17 @@
   CHECK(Pair.Results.front().Status == call_status::Lost);
 }
 
+TEST(Peer, TheLastConnectionMayEndRightAfterItsCall) {
+  constexpr int Rounds = 100; // the order of the threads differs
+  for (int Round = 0; Round < Rounds; ++Round) {
+    peer_pair Pair(Test.Loop);
+    Pair.call();
+    CHECK(answered(Pair));
+    Pair.Client.reset();
+    Pair.Server.reset();
+  }
+}
+
 TEST(Peer, AClientMayEndWithCallsOpen) {
   peer_pair Pair(Test.Loop);
   Pair.keepCalls();
