--- a/src/core/routing/internal/attempttable.cpp
+++ b/src/core/routing/internal/attempttable.cpp
@@ -74,6 +74,7 @@
 
 void attempt_table::enqueue(const attempt_id &Id, attempt &Attempt,
                             time_point Now) {
+  QueueExpiry = std::min(QueueExpiry, Attempt.Deadline);
   const std::optional<attempt_id> Loser = Queue.push(Attempt.Customer, Id);
   if (Loser)
     settle(*Loser, Attempts.at(*Loser), phase::NotRun,
@@ -176,11 +177,17 @@
 }
 
 void attempt_table::expireQueued(time_point Now) {
+  if (Now < QueueExpiry)
+    return;
   const std::vector<attempt_id> Expired = Queue.removeIf(
       [&](const attempt_id &Id) { return Attempts.at(Id).Deadline <= Now; });
   for (const attempt_id &Id : Expired)
     settle(Id, Attempts.at(Id), phase::NotRun, attempt_refusal::DeadlineExpired,
            Now);
+  QueueExpiry = time_point::max();
+  Queue.forEach([this](const attempt_id &Id) {
+    QueueExpiry = std::min(QueueExpiry, Attempts.at(Id).Deadline);
+  });
 }
 
 void attempt_table::forgetOld(time_point Now) {
@@ -235,9 +242,8 @@
     Wake = QuietSince + Settings.DrainLinger;
   if (!Settled.empty())
     Wake = std::min(Wake, Settled.front().At + Settings.Retention);
-  Queue.forEach([&](const attempt_id &Id) {
-    Wake = std::min(Wake, Attempts.at(Id).Deadline);
-  });
+  if (!Queue.empty())
+    Wake = std::min(Wake, QueueExpiry);
   return Wake;
 }
 
--- a/src/core/routing/tests/routingworld.cpp
+++ b/src/core/routing/tests/routingworld.cpp
@@ -314,6 +314,12 @@
   }
 }
 
+duration routing_world::serviceTime() {
+  std::uniform_real_distribution<double> Draw(-ServiceSpread, ServiceSpread);
+  const double Micros = double(Service.count()) * (1 + Draw(Random));
+  return duration(static_cast<duration::rep>(Micros));
+}
+
 void routing_world::callEndpoint(std::size_t Index,
                                  const call_endpoint &Command) {
   agent &Agent = Agents[Index];
@@ -330,7 +336,7 @@
   ++Callers[Request].Runs;
   Peak = std::max(Peak, ++Agent.AtEndpoint);
   const duration Takes =
-      Fault == endpoint_fault::Stuck ? Command.Timeout : Service;
+      Fault == endpoint_fault::Stuck ? Command.Timeout : serviceTime();
   after(Takes, [=, this] {
     if (Agents[Index].Run != Run || !Agents[Index].Alive)
       return;
--- a/src/core/routing/tests/routingworld.h
+++ b/src/core/routing/tests/routingworld.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -67,6 +68,7 @@
   std::string violation() const;
 
   duration Service = std::chrono::milliseconds(20); ///< time of an endpoint
+  double ServiceSpread = 0; ///< of it, to both sides, at random
   duration OneWay = std::chrono::milliseconds(1);
 
 private:
@@ -116,6 +118,7 @@
                  attempt_refusal Refusal, agent_load Load,
                  std::optional<std::size_t> Answer);
   void callEndpoint(std::size_t Agent, const call_endpoint &Command);
+  duration serviceTime();
   void announce(std::size_t Agent);
 
   time_point Now{std::chrono::seconds(100)};
@@ -129,6 +132,7 @@
   std::size_t NextFate = 0;
   std::optional<std::size_t> AnswerInHand;
   int Peak = 0;
+  std::minstd_rand Random;
 };
 
 } // namespace geraniumpaddle::testing
