--- a/src/core/routing/internal/customeradmission.cpp
+++ b/src/core/routing/internal/customeradmission.cpp
@@ -85,7 +85,9 @@
   const shares Target = target(Lane);
   Lane.Share.InFlight = std::min(Lane.Share.InFlight, Target.InFlight);
   Lane.Share.Rate = std::min(Lane.Share.Rate, Target.Rate);
-  if (!Lane.RaiseAt) {
+  const bool Higher =
+      Target.InFlight > Lane.Share.InFlight || Target.Rate > Lane.Share.Rate;
+  if (!Lane.RaiseAt && Higher) {
     Lane.RaiseAt = Now + RaiseAfter;
     Lane.Raised = Target;
   }
--- a/src/core/routing/tests/attempttabletest.cpp
+++ b/src/core/routing/tests/attempttabletest.cpp
@@ -1,10 +1,11 @@
 #include "core/routing/attempttable.h"
 
-#include <CppUTest/TestHarness.h>
-
 #include <map>
 #include <vector>
 
+// After the standard headers, which do not compile with its macro for new.
+#include <CppUTest/TestHarness.h>
+
 using namespace geraniumpaddle;
 using namespace std::chrono_literals;
 
