--- a/bench/placementreplay.cpp
+++ b/bench/placementreplay.cpp
@@ -13,6 +13,8 @@
 /// Time that an attempt after the first needs to load its checkpoint.
 constexpr std::chrono::seconds RestartTime{60};
 constexpr std::chrono::seconds TickInterval{300};
+/// Decisions at one moment.
+constexpr int MaxRounds = 4;
 constexpr int LargeGangAccelerators = 16;
 constexpr double SecondsPerHour = 3600;
 
@@ -67,8 +69,13 @@
       Events.pop();
       apply(Event);
     }
-    if (!Waiting.empty())
+    // An accepted record wakes the scheduler again: victims wait anew.
+    for (int Round = 0; Round < MaxRounds && !Waiting.empty(); ++Round) {
+      int Preemptions = Result.Preemptions;
       decide();
+      if (Result.Preemptions == Preemptions)
+        break;
+    }
   }
   finish();
   return std::move(Result);
@@ -179,6 +186,7 @@
     Out.Job = Spec.Job;
     Out.Token = Token;
     Out.Customer = Spec.Customer;
+    Out.Adjacency = Spec.Adjacency;
     Out.Borrowed = State.Borrowed;
     Out.Urgent = Spec.Urgent;
     Out.DeclaredRunTime = Spec.Declared;
--- a/src/core/placement/internal/decision.h
+++ b/src/core/placement/internal/decision.h
@@ -66,7 +66,9 @@
   capacity_offer guaranteedOffer(const guaranteed_cells &Cells,
                                  bool Preempting);
   bool commit(const candidate &Job, const gang_plan &Plan, bool Guaranteed);
-  bool victimsFitElsewhere(const candidate &Job, const gang_plan &Plan) const;
+  void withholdReserved(const candidate &Job, capacity_offer &Offer) const;
+  victim_prices movablePrices(const candidate &Job) const;
+  bool victimsFitElsewhere(const candidate &Job, const gang_plan &Plan);
   void fillAssignments(const gang_plan &Plan, bool Guaranteed);
 
   const schedule_view &View;
--- a/src/core/placement/internal/decisionplacing.cpp
+++ b/src/core/placement/internal/decisionplacing.cpp
@@ -93,13 +93,19 @@
   return false;
 }
 
+void decision::withholdReserved(const candidate &Job,
+                                capacity_offer &Offer) const {
+  bool EndsBefore = Job.Facts.EstimatedSeconds <= ReservedFromSeconds;
+  if (ReservedFor.empty() || EndsBefore)
+    return;
+  for (topology_index Worker = 0; Worker < Reserved.size(); ++Worker)
+    if (Reserved[Worker])
+      Offer.Accelerators[Worker] = 0;
+}
+
 bool decision::placeBorrowed(const candidate &Job) {
   capacity_offer Offer = freeOffer();
-  bool EndsBefore = Job.Facts.EstimatedSeconds <= ReservedFromSeconds;
-  if (!ReservedFor.empty() && !EndsBefore)
-    for (topology_index Worker = 0; Worker < Reserved.size(); ++Worker)
-      if (Reserved[Worker])
-        Offer.Accelerators[Worker] = 0;
+  withholdReserved(Job, Offer);
   std::optional<gang_plan> Plan = Planner.plan(Offer, request(Job));
   return Plan && commit(Job, *Plan, /*Guaranteed=*/false);
 }
@@ -122,8 +128,6 @@
   return Plan && commit(Job, *Plan, /*Guaranteed=*/false);
 }
 
-bool decision::placeByMoving(const candidate &) { return false; }
-
 void decision::reserve(const candidate &Job) {
   std::vector<double> Ends;
   for (const auto &[Token, Seconds] : RemainingSeconds)
--- a/src/core/placement/types/schedule.h
+++ b/src/core/placement/types/schedule.h
@@ -35,6 +35,7 @@
   job_id Job;
   fencing_token Token{};
   customer_id Customer;
+  adjacency Adjacency = adjacency::Any;
   bool Borrowed = false;  ///< any task lies beyond its customer's guarantee
   bool Idempotent = true; ///< false: it could not run again if preempted
   bool Urgent = false;
