placement: order by expected run time over size and age; spare attempts about to end

Change: rank is expected run time times a power of the size over the age (completion time 0.3, fragmentation -0.4, so wide gangs go first there); a victim that is about to end costs more; gangs starve after four hours or four run times (completion time), two hours (fragmentation).

--- a/src/core/placement/internal/decision.cpp
+++ b/src/core/placement/internal/decision.cpp
@@ -14,6 +14,13 @@
 /// Price factor of an attempt that may not run again.
 constexpr double NonIdempotentFactor = 1000;
 
+/// Extra price of an attempt that is about to end; half of it an hour before.
+constexpr double EndsSoonSeconds = 3600;
+
+double endsSoonSeconds(double Left) {
+  return EndsSoonSeconds / (1 + Left / EndsSoonSeconds);
+}
+
 double toSeconds(duration Value) {
   return std::chrono::duration<double>(Value).count();
 }
@@ -88,7 +95,7 @@
     LatestEnd[Task.Worker] = std::max(LatestEnd[Task.Worker], Left);
   }
   if (Held.Borrowed)
-    Prices[Token] = Lost * Accelerators * Factor;
+    Prices[Token] = (Lost + endsSoonSeconds(Left)) * Accelerators * Factor;
 }
 
 decision::candidate decision::describe(std::size_t Position) const {
--- a/src/core/placement/internal/schedulingstrategy.cpp
+++ b/src/core/placement/internal/schedulingstrategy.cpp
@@ -7,12 +7,24 @@
 
 namespace {
 
+/// Waits, in hours or expected run times, before a gang counts as starved.
+constexpr double StarvedAfterHours = 4;
+constexpr double StarvedAfterRunTimes = 4;
+constexpr double SecondsPerHour = 3600;
+
+/// Expected run time, weighed by the gang's size, over the time since arrival
+/// that the job would have needed at best.
+double rankBySize(const job_facts &Job, double SizeExponent) {
+  double Size = std::pow(std::max(1.0, Job.Accelerators), SizeExponent);
+  return Job.EstimatedSeconds * Size /
+         (Job.WaitedSeconds + Job.EstimatedSeconds);
+}
+
 /// Small work first, raised by its age: mean completion time.
 class completion_time_strategy final : public scheduling_strategy {
 public:
   double rank(const job_facts &Job) const override {
-    double Work = Job.EstimatedSeconds * std::max(1.0, Job.Accelerators);
-    return Work / (Job.WaitedSeconds + Job.EstimatedSeconds);
+    return rankBySize(Job, 0.3);
   }
 
   double fitCost(const worker_fit &Fit) const override {
@@ -24,8 +36,9 @@
   }
 
   std::chrono::seconds starvationWait(const job_facts &Job) const override {
-    return std::chrono::seconds{
-        static_cast<std::int64_t>(std::max(3600.0, Job.EstimatedSeconds))};
+    double Wait = std::max(StarvedAfterHours * SecondsPerHour,
+                           StarvedAfterRunTimes * Job.EstimatedSeconds);
+    return std::chrono::seconds{static_cast<std::int64_t>(Wait)};
   }
 
   bool moveIsWorth(const job_facts &Job, double LostSeconds,
@@ -38,8 +51,7 @@
 class fragmentation_strategy final : public scheduling_strategy {
 public:
   double rank(const job_facts &Job) const override {
-    double Work = Job.EstimatedSeconds * std::max(1.0, Job.Accelerators);
-    return Work / (Job.WaitedSeconds + Job.EstimatedSeconds);
+    return rankBySize(Job, -0.4);
   }
 
   double fitCost(const worker_fit &Fit) const override {
@@ -52,7 +64,7 @@
   }
 
   std::chrono::seconds starvationWait(const job_facts &) const override {
-    return std::chrono::seconds{1800};
+    return std::chrono::hours{2};
   }
 
   bool moveIsWorth(const job_facts &Job, double LostSeconds,
