--- a/bench/ledgerworkload.cpp
+++ b/bench/ledgerworkload.cpp
@@ -50,6 +50,7 @@
 
 std::vector<record> ledger_workload::registrations() {
   std::vector<record> Records;
+  Records.reserve(Workers);
   for (int Worker = 0; Worker < Workers; ++Worker)
     Records.push_back(make(registration(Worker, Run)));
   return Records;
@@ -57,6 +58,7 @@
 
 std::vector<record> ledger_workload::restarts(int Count) {
   std::vector<record> Records;
+  Records.reserve(Count);
   for (int Index = 0; Index < Count; ++Index)
     Records.push_back(make(registration(Index % Workers, 2 + Index / Workers)));
   return Records;
@@ -80,6 +82,7 @@
 std::vector<record> ledger_workload::limitChanges(const ledger &Ledger,
                                                   int Count) {
   std::vector<record> Records;
+  Records.reserve(Count);
   for (int Index = 0; Index < Count; ++Index) {
     customers_changed Change;
     Change.Base = config_version{raw(Ledger.version()) + Index};
@@ -150,6 +153,7 @@
 
 std::vector<record> ledger_workload::shortJobs(int Count) {
   std::vector<record> Records;
+  Records.reserve(Count);
   for (int Index = 0; Index < Count; ++Index) {
     job_submitted Submission;
     Submission.Spec.Id = job_id(named("short-", Index));
