--- a/src/cli/exitcodes.h
+++ b/src/cli/exitcodes.h
@@ -6,6 +6,9 @@
 
 namespace geraniumpaddle {
 
+/// Exit code of a command that did what it was asked.
+constexpr int ExitOk = 0;
+
 /// Exit code of the tool for a failure of that kind; docs/INTERFACES.md lists
 /// them.
 int exitCodeOf(error_kind Kind);
--- /dev/null
+++ b/src/cli/internal/textformat.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace geraniumpaddle {
+
+/// "2026-12-04 11:17:08.123" in UTC, from milliseconds since the epoch.
+std::string timeText(std::int64_t Milliseconds);
+
+/// \p Text with all but letters, digits and -_. escaped for a path or query.
+std::string urlEscape(std::string_view Text);
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/cli/tests/clitest.cpp
@@ -0,0 +1,142 @@
+#include "cli/commandline.h"
+#include "cli/exitcodes.h"
+#include "cli/sheetcommands.h"
+#include "cli/tableprinter.h"
+#include "codec/csvreader.h"
+#include "codec/protojson.h"
+#include "transport/httpserver.h"
+
+#include <CppUTest/TestHarness.h>
+#include <filesystem>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+using namespace geraniumpaddle;
+
+namespace {
+
+constexpr int Kinds = static_cast<int>(error_kind::Internal) + 1;
+
+} // namespace
+
+TEST_GROUP(ExitCodes){};
+
+TEST(ExitCodes, EachKindHasItsOwnCodeAndReadsBackFromItsName) {
+  std::set<int> Codes;
+  for (int Value = 0; Value < Kinds; ++Value) {
+    auto Kind = static_cast<error_kind>(Value);
+    CHECK(exitCodeOf(Kind) > 1);
+    CHECK(Codes.insert(exitCodeOf(Kind)).second);
+    CHECK(kindOf(name(Kind)) == Kind);
+  }
+}
+
+TEST_GROUP(TablePrinter){};
+
+TEST(TablePrinter, ColumnsAreAsWideAsTheirWidestCell) {
+  table_printer Table({"A", "LONG", "C"});
+  Table.add({"wide cell", "x"});
+  std::ostringstream Out;
+  Table.print(Out);
+  STRCMP_EQUAL("A          LONG  C\nwide cell  x     \n", Out.str().c_str());
+}
+
+TEST_GROUP(CommandLine) {
+  event_loop Loop;
+  traffic_counter Traffic;
+  http_client Http{Loop, http_client_limits{}, Traffic};
+  std::ostringstream Out;
+  std::string Answer;
+  int Code = 200;
+  std::vector<std::string> Asked;
+  http_server Server{Loop, "127.0.0.1:0", http_server_limits{},
+                     [this](const http_request_view &Request,
+                            const std::shared_ptr<ihttp_responder> &Responder) {
+                       Asked.push_back(std::string(Request.Method) + " " +
+                                       std::string(Request.Path));
+                       Responder->respond({Code, {}, Answer});
+                     }};
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(Server.port());
+  }
+
+  int run(std::vector<std::string> Words, command_options Options = {},
+          std::vector<std::string> Entries = {}) {
+    if (Entries.empty())
+      Entries = {address()};
+    api_client Client(Loop, Http, std::move(Entries), {},
+                      std::chrono::seconds(5));
+    return command_line(Client, std::move(Options), Out).run(Words);
+  }
+
+  error_kind failureOf(const std::vector<std::string> &Words) {
+    try {
+      run(Words);
+    } catch (const error &Failure) {
+      return Failure.kind();
+    }
+    FAIL("no failure");
+    return error_kind::Internal;
+  }
+};
+
+TEST(CommandLine, UnknownCommandsAndMissingWordsAreInvalid) {
+  using words = std::vector<std::string>;
+  for (const words &Words :
+       {words{}, words{"job"}, words{"job", "status"}, words{"job", "fly"},
+        words{"status", "more"}, words{"sheet", "apply"}})
+    CHECK(failureOf(Words) == error_kind::InvalidArgument);
+  CHECK(Asked.empty());
+}
+
+TEST(CommandLine, AnEntrysErrorDecidesTheFailure) {
+  Code = 409;
+  Answer = R"({"kind":"conflict","reason":"version_conflict","winner":"7"})";
+  CHECK(failureOf({"status"}) == error_kind::Conflict);
+}
+
+TEST(CommandLine, TheNextEntryIsTriedWhenOneCannotBeReached) {
+  Answer = R"({"node":"entry-2"})";
+  LONGS_EQUAL(0, run({"status"}, {}, {"127.0.0.1:1", address()}));
+  CHECK(Out.str().find("entry-2") != std::string::npos);
+}
+
+TEST(CommandLine, NoEntryAtAllIsUnavailable) {
+  try {
+    run({"status"}, {}, {"127.0.0.1:1"});
+    FAIL("no failure");
+  } catch (const api_failure &Failure) {
+    CHECK(Failure.kind() == error_kind::Unavailable);
+  }
+}
+
+TEST(CommandLine, JsonOutputIsTheMessage) {
+  Answer = R"({"node":"entry-1","folded":"12"})";
+  command_options Options;
+  Options.Output = output_format::Json;
+  LONGS_EQUAL(0, run({"status"}, Options));
+  CHECK(Out.str().find("\"folded\": \"12\"") != std::string::npos);
+}
+
+TEST(CommandLine, ASheetWithErrorsIsNeverSent) {
+  std::string Path = (std::filesystem::temp_directory_path() /
+                      ("gp-clitest-" + std::to_string(Server.port()) + ".csv"))
+                         .string();
+  std::ofstream(Path) << "customer,guarantee_eight\na,many\n";
+  LONGS_EQUAL(exitCodeOf(error_kind::InvalidArgument),
+              run({"sheet", "apply", Path}));
+  std::filesystem::remove(Path);
+  CHECK(Asked.empty());
+  CHECK(Out.str().find("guarantee_eight") != std::string::npos);
+}
+
+TEST(CommandLine, TheTokenItselfIsNeverSent) {
+  Answer = R"({"version":"3","customers":[{"id":"a"}]})";
+  run({"customers", "set-token", "a", "hunter2"});
+  LONGS_EQUAL(2, Asked.size());
+  STRCMP_EQUAL("PUT /v1/customers", Asked[1].c_str());
+  CHECK(failureOf({"customers", "set-token", "b", "x"}) ==
+        error_kind::NotFound);
+}
--- a/src/daemon/internal/processhost.cpp
+++ b/src/daemon/internal/processhost.cpp
@@ -13,7 +13,8 @@
 
 /// Time for the last answers to be written out before the loop ends.
 constexpr duration ExitDelay = std::chrono::milliseconds(200);
-constexpr int MaxExitDelays = 25;
+/// A kept connection of a caller may carry one more request until it closes.
+constexpr int MaxExitDelays = 10;
 
 /// Later starts have larger incarnations, as long as a clock does not go back
 /// by more than the time between two starts.
@@ -78,7 +79,8 @@
 
 void process_host::endWhenWritten(int DelaysLeft) {
   Loop.startTimer(ExitDelay, [this, DelaysLeft] {
-    bool Busy = HttpServer->openRequests() > 0 || PeerServer->openCalls() > 0;
+    bool Busy =
+        HttpServer->openConnections() > 0 || PeerServer->openCalls() > 0;
     if (Busy && DelaysLeft > 0)
       endWhenWritten(DelaysLeft - 1);
     else
--- a/src/entry/entrymembers.h
+++ b/src/entry/entrymembers.h
@@ -11,6 +11,7 @@
 #include "transport/ipeerclient.h"
 #include "transport/timer.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -90,6 +91,7 @@
   timer LivenessTimer;
   timer BeatTimer;
   std::map<node_id, live_entry> Live;
+  std::uint64_t Beats = 0;
   bool Draining = false;
   logger Logger{"entries"};
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/src/entry/internal/agentdirectory.cpp
+++ b/src/entry/internal/agentdirectory.cpp
@@ -79,7 +79,7 @@
     considerRegistration(Agent, Run, Heartbeat);
   Reply.set_registration_wanted(!Registered && !Heartbeat.has_registration());
   for (const entry_member &Entry : Log.state().entries())
-    if (Entry.Region == Region)
+    if (Entry.Region == Region && Members.isLive(Entry.Node))
       *Reply.add_entries() =
           toProto(entry_announced{Entry.Node, Entry.Region, Entry.Zone,
                                   Entry.PeerAddress, Entry.HttpAddress});
--- a/src/entry/internal/entrymembers.cpp
+++ b/src/entry/internal/entrymembers.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr duration HeartbeatTimeout = std::chrono::milliseconds(1500);
+/// An entry that is not heard is tried only once in this many heartbeats.
+constexpr std::uint64_t BeatsBetweenTries = 10;
 constexpr duration StateTimeout = std::chrono::seconds(5);
 
 } // namespace
@@ -50,8 +52,9 @@
 
 void entry_members::beat() {
   BeatTimer.start(Interval, [this] { beat(); });
+  bool TryAll = Beats++ % BeatsBetweenTries == 0;
   for (const entry_member &Entry : Log->state().entries())
-    if (Entry.Node != Self.Node)
+    if (Entry.Node != Self.Node && (TryAll || Live.contains(Entry.Node)))
       sendTo(Entry);
 }
 
--- a/src/entry/internal/gangdriver.cpp
+++ b/src/entry/internal/gangdriver.cpp
@@ -152,7 +152,8 @@
     Request.mutable_stop_gang()->set_token(raw(Command.Token));
     Request.mutable_stop_gang()->set_reason(toProto(Command.Reason));
   } else {
-    encodeMemberMessage(stop_tasks{Command.Token, Command.Reason, false},
+    encodeMemberMessage(stop_tasks{Command.Token, Command.Reason,
+                                   Command.Reason == job_outcome::Preempted},
                         Request);
   }
   Peers.call(Worker->PeerAddress, Request, AssignTimeout,
--- a/src/entry/livemembers.h
+++ b/src/entry/livemembers.h
@@ -27,6 +27,8 @@
   bool ownsNode(const node_id &Node) const {
     return isOwner(std::hash<node_id>{}(Node)*MixingFactor);
   }
+  /// Whether the entry of that name is alive, as seen here.
+  bool isLive(const node_id &Node) const;
 
 private:
   static constexpr std::uint64_t MixingFactor = 0x9e3779b97f4a7c15U;
