--- a/bench/placementworkload.cpp
+++ b/bench/placementworkload.cpp
@@ -110,10 +110,11 @@
   Job.Customer = Into.Customers[Customer].Customer;
   Job.Adjacency = Class.Adjacency;
   Job.Urgent = uniform() < UrgentShare;
-  std::int64_t Cores = 4000;
+  constexpr std::int64_t Cores = 4000;
+  constexpr std::int64_t Memory = 20'000;
   for (int Task = 0; Task < Class.Tasks; ++Task)
     Job.Needs.push_back({Class.Accelerators, Class.Accelerators * Cores,
-                         Class.Accelerators * 20'000});
+                         Class.Accelerators * Memory});
   for (int Task = 0; Task < Class.HostTasks; ++Task)
     Job.Needs.push_back({0, 2000, 4000});
   Job.Arrival = time_point{std::chrono::seconds{std::int64_t(Seconds)}};
--- a/src/core/placement/internal/scheduler.cpp
+++ b/src/core/placement/internal/scheduler.cpp
@@ -14,6 +14,8 @@
 schedule scheduler::decide(const schedule_view &View, time_point Now) {
   Proposals.clear();
   Explanations.clear();
+  if (View.Waiting.empty())
+    return {};
   Feasibility.refresh(View.Account.workers().version(), View.Waiting);
   decision Decision(View, Now, *Strategy, Estimator, Feasibility, Proposals,
                     Explanations);
--- a/src/core/placement/tests/accountpropertytest.cpp
+++ b/src/core/placement/tests/accountpropertytest.cpp
@@ -117,13 +117,15 @@
     Assignments.push_back({static_cast<std::uint32_t>(Task),
                            worker_id("w" + std::to_string(below(Workers))),
                            Mask, Guaranteed});
-    Needs.push_back({0, 1000 * below(3), 1000 * below(3)});
+    Needs.push_back(
+        {0, std::int64_t{1000} * below(3), std::int64_t{1000} * below(3)});
   }
   claim(customer(), Assignments, Needs, someTokens(1 + below(4)));
 }
 
 void account_driver::claimByRacingSchedulers() {
   std::vector<std::vector<resources>> Shapes;
+  Shapes.reserve(4);
   for (int Job = 0; Job < 4; ++Job)
     Shapes.emplace_back(1 + below(3), resources{1 << below(4), 1000, 1000});
   std::vector<waiting_job> Jobs;
--- a/src/core/placement/tests/schedulertest.cpp
+++ b/src/core/placement/tests/schedulertest.cpp
@@ -46,6 +46,8 @@
       Attempt.Job = Job.Job;
       Attempt.Token = Token;
       Attempt.Customer = Job.Customer;
+      Attempt.Adjacency = Job.Adjacency;
+      Attempt.Borrowed = Account.attempts().at(Token).Borrowed;
       Attempt.DeclaredRunTime = Job.DeclaredRunTime;
       Attempt.StartedAt = Now;
       Attempt.CheckpointAt = Now;
@@ -128,3 +130,77 @@
   CHECK(wait_reason::ReservedForStarved == Schedule.Explanations[1].Reason);
   CHECK(job_id("large") == Schedule.Explanations[1].ReservedFor);
 }
+
+TEST(Scheduler, MovesASmallBorrowerOutOfTheWayOfALargeGang) {
+  schedule_fixture Fixture(2);
+  // Two borrowers of two accelerators, one on each worker.
+  for (const char *Worker : {"w0", "w1"}) {
+    std::vector<resources> Needs = gang(1, 2);
+    task_assignment Assignment{0, worker_id(Worker), 0x03, false};
+    fencing_token Token{++Fixture.LastToken};
+    CHECK(capacity_check::Ok ==
+          Fixture.Account.claim(
+              {Token, customer_id("b"), {&Assignment, 1}, Needs}, {}));
+    running_attempt Attempt;
+    Attempt.Token = Token;
+    Attempt.Customer = customer_id("b");
+    Attempt.Borrowed = true;
+    Attempt.StartedAt = Fixture.Now;
+    Attempt.CheckpointAt = Fixture.Now;
+    Fixture.Running.push_back(Attempt);
+  }
+  Fixture.Now += std::chrono::hours{1};
+  for (running_attempt &Attempt : Fixture.Running)
+    Attempt.CheckpointAt = Fixture.Now;
+  Fixture.wait("large", "a", gang(1, 8));
+  schedule Schedule = Fixture.decide();
+  LONGS_EQUAL(1, Schedule.Proposals.size());
+  LONGS_EQUAL(1, Schedule.Proposals[0].Victims.size());
+  Fixture.accept(Schedule);
+}
+
+TEST(Scheduler, PrefersTheVictimThatLosesLeast) {
+  schedule_fixture Fixture(1);
+  std::vector<customer_guarantees> All{guarantees("a", cell_level::Four, 1)};
+  CHECK(capacity_check::Ok == Fixture.Account.setGuarantees(All));
+  Fixture.wait("old", "b", gang(1, 4));
+  Fixture.wait("new", "b", gang(1, 4));
+  Fixture.accept(Fixture.decide());
+  Fixture.Now += std::chrono::minutes{20};
+  Fixture.Running[1].CheckpointAt = Fixture.Now;
+  Fixture.wait("mine", "a", gang(1, 4));
+  schedule Schedule = Fixture.decide();
+  LONGS_EQUAL(1, Schedule.Proposals.size());
+  CHECK(std::vector{Fixture.Running[1].Token} == Schedule.Proposals[0].Victims);
+  Fixture.Running[1].Idempotent = false;
+  Schedule = Fixture.decide();
+  CHECK(std::vector{Fixture.Running[0].Token} == Schedule.Proposals[0].Victims);
+}
+
+TEST(Scheduler, ReportsTheOwnLimit) {
+  schedule_fixture Fixture(1);
+  std::vector<customer_guarantees> All{{customer_id("a"), {}, 4}};
+  CHECK(capacity_check::Ok == Fixture.Account.setGuarantees(All));
+  Fixture.wait("first", "a", gang(1, 4));
+  Fixture.accept(Fixture.decide());
+  Fixture.wait("second", "a", gang(1, 1));
+  Fixture.wait("never", "a", gang(1, 5));
+  schedule Schedule = Fixture.decide();
+  CHECK(wait_reason::OwnLimit == Schedule.Explanations[0].Reason);
+  CHECK(unmet_constraint::CustomerLimit == Schedule.Explanations[1].Unmet);
+}
+
+TEST_GROUP(RunTimeEstimator){};
+
+TEST(RunTimeEstimator, LearnsACustomersHabitualError) {
+  run_time_estimator Estimator;
+  customer_id Customer("a");
+  std::chrono::seconds Declared{3600};
+  CHECK(Declared == Estimator.estimate(Customer, Declared));
+  for (int Run = 0; Run < 20; ++Run)
+    Estimator.observe({Customer, Declared, 4 * Declared});
+  std::chrono::seconds Learned = Estimator.estimate(Customer, Declared);
+  CHECK(Learned > 3 * Declared && Learned < 5 * Declared);
+  CHECK(Declared == Estimator.estimate(customer_id("b"), Declared));
+  CHECK(Estimator.remaining(Customer, Declared, 10 * Declared).count() > 0);
+}
