--- a/src/core/routing/attempttable.h
+++ b/src/core/routing/attempttable.h
@@ -101,8 +101,8 @@
   std::unordered_map<attempt_id, attempt> Attempts;
   fair_queue<attempt_id> Queue;
   time_point QueueExpiry = time_point::max(); ///< no deadline is earlier
-  std::deque<settled_attempt> Settled; ///< oldest first
-  std::deque<attempt_id> Answers;      ///< kept by the front end, oldest first
+  std::deque<settled_attempt> Settled;        ///< oldest first
+  std::deque<attempt_id> Answers; ///< kept by the front end, oldest first
   std::map<entry_run, std::uint64_t> Floors;
   time_point ArmedWake = time_point::max();
   std::vector<attempt_command> Commands;
--- a/src/core/routing/fairqueue.h
+++ b/src/core/routing/fairqueue.h
@@ -45,7 +45,7 @@
       return std::nullopt;
     skipEmptyLanes();
     lane &Served = Lanes[Turn];
-    const Item Value = Served.Items.front();
+    Item Value = Served.Items.front();
     Served.Items.pop_front();
     --Size;
     Turn = (Turn + 1) % Lanes.size();
@@ -118,7 +118,7 @@
   }
 
   Item takeNewest(lane &From) {
-    const Item Value = From.Items.back();
+    Item Value = From.Items.back();
     From.Items.pop_back();
     --Size;
     return Value;
--- a/src/core/routing/internal/latencywindow.cpp
+++ b/src/core/routing/internal/latencywindow.cpp
@@ -1,6 +1,7 @@
 #include "core/routing/latencywindow.h"
 
 #include <algorithm>
+#include <span>
 
 namespace geraniumpaddle {
 
@@ -14,8 +15,7 @@
 void latency_window::refresh() {
   std::array<duration, Capacity> Sorted = Samples;
   const std::size_t Count = std::min(Added, Capacity);
-  const auto End = Sorted.begin() + static_cast<std::ptrdiff_t>(Count);
-  std::sort(Sorted.begin(), End);
+  std::ranges::sort(std::span(Sorted).first(Count));
   Median = Sorted[Count / 2];
   Upper = Sorted[static_cast<std::size_t>(static_cast<double>(Count - 1) *
                                           Quantile)];
--- a/src/core/routing/tests/endpointpooltest.cpp
+++ b/src/core/routing/tests/endpointpooltest.cpp
@@ -51,9 +51,9 @@
   Driven.announce("far", "other", "y");
   Driven.announce("near", "r", "z");
   Driven.announce("middle", "r", "x");
-  std::vector<std::string> Order;
-  for (int I = 0; I < 6; ++I)
-    Order.push_back(Driven.send());
+  std::vector<std::string> Order(6);
+  for (std::string &Agent : Order)
+    Agent = Driven.send();
   const std::vector<std::string> Expected = {"near",   "near", "middle",
                                              "middle", "far",  "far"};
   CHECK(Order == Expected);
