--- a/src/core/gang/tests/gangworld.cpp
+++ b/src/core/gang/tests/gangworld.cpp
@@ -24,7 +24,7 @@
     : Faults(Faults), Random(Faults.Seed) {
   for (int Agent = 0; Agent < Agents; ++Agent)
     restart(Agent);
-  runFor(std::chrono::milliseconds(100));
+  runFor(std::chrono::seconds(1));
 }
 
 void gang_world::at(time_point When, std::function<void()> Do) {
@@ -89,6 +89,7 @@
       endTask(Agent, Task, task_state::Stopped);
   }
   Workers[Agent].Tasks.clear();
+  ++Workers[Agent].Generation;
   restart(Agent);
 }
 
@@ -176,7 +177,7 @@
   at(Now + AssignInterval, [this, Token] { assignAgain(Token); });
 }
 
-void gang_world::post(int Agent, gang_event Event) {
+void gang_world::post(int Agent, const gang_event &Event) {
   agent &Target = Running[Agent];
   if (Now < Target.PausedUntil) {
     const int Generation = Target.Generation;
@@ -241,8 +242,10 @@
     return;
   const std::uint64_t Id = ++LastCall;
   const auto Answer = [=, this](const member_report &Report) {
-    if (Report.State == member_state::Prepared)
+    if (Report.State == member_state::Prepared) {
       WasPrepared.emplace(Command.Token, To);
+      checkPrepared(To, Command.Token);
+    }
     if (chance(Faults.LossPercent))
       return;
     at(Now + delay(), [=, this] {
@@ -282,6 +285,8 @@
   if (Now >= LogDownUntil) {
     Answer.Determined = !chance(Faults.LossPercent);
     Answer.Accepted = true;
+    if (!noneRun(Command.Token))
+      Broken = "the end was reported while a task ran";
     if (!Placed.at(Command.Token).Ended)
       Placed.at(Command.Token).Ended = Command;
   }
@@ -294,14 +299,17 @@
 template <typename Command>
 void gang_world::onCommand(int Agent, const Command &Call) {
   const int Generation = Running[Agent].Generation;
-  const auto Answer = [=, this](worker_answered Result, duration After) {
+  const auto Answer = [=, this](const worker_answered &Result, duration After) {
     at(Now + After, [=, this] {
       if (Running[Agent].Generation == Generation)
         post(Agent, Result);
     });
   };
+  const int Machine = Workers[Agent].Generation;
   at(Now + delay() / 4, [=, this] {
     fake_worker &Worker = Workers[Agent];
+    if (Worker.Generation != Machine)
+      return;
     worker_answered Result;
     Result.Call = Call.Call;
     if (Worker.Silent)
--- a/src/core/gang/tests/gangworld.h
+++ b/src/core/gang/tests/gangworld.h
@@ -33,6 +33,7 @@
     std::size_t Run = 0;
   };
   std::map<gang_task_id, task> Tasks;
+  int Generation = 0; ///< rises when the machine is replaced
   bool Silent = false;
   int AnswersToLose = 0;
 };
@@ -117,7 +118,7 @@
   bool chance(int Percent);
   duration delay();
 
-  void post(int Agent, gang_event Event);
+  void post(int Agent, const gang_event &Event);
   void carryOut(int Agent, std::span<const gang_command> Commands);
   void onCommand(int Agent, const gang_reply &Command);
   void onCommand(int Agent, const send_to_member &Command);
@@ -138,9 +139,10 @@
   void expireTasks(int Worker);
   void endTask(int Worker, fake_worker::task &Task, task_state State);
   std::vector<task_status> statuses(int Worker) const;
+  void checkPrepared(int Worker, fencing_token Token);
   std::optional<std::string> checkStart(const task_run &Run) const;
 
-  const gang_timing Timing;
+  const gang_timing Timing{};
   const network_faults Faults;
   std::uint64_t Random;
   time_point Now{std::chrono::hours(1)};
--- a/src/core/gang/tests/gangworldworkers.cpp
+++ b/src/core/gang/tests/gangworldworkers.cpp
@@ -112,6 +112,18 @@
   return Result;
 }
 
+void gang_world::checkPrepared(int Worker, fencing_token Token) {
+  task_run Held{{Token, 0}, Worker, 0, Now};
+  for (const gang_task &Task : gang(Token).Assignment.Tasks) {
+    if (agentOf(Task.Assignment.Worker) == Worker)
+      Held.Accelerators |= Task.Assignment.Accelerators;
+  }
+  for (const task_run &Other : Runs) {
+    if (overlaps(Held, Other) && Other.Until > Now)
+      Broken = "prepared while an earlier holder ran";
+  }
+}
+
 std::optional<std::string> gang_world::checkStart(const task_run &Run) const {
   const placed_gang &Gang = Placed.at(Run.Id.Token);
   for (const task_run &Other : Runs) {
@@ -180,8 +192,8 @@
 std::optional<std::string> gang_world::violation() const {
   if (Broken)
     return Broken;
-  // A call may be delivered as late as its own time limit.
-  const duration Bound = Timing.lapseAfter(Timing.Lease + Timing.callTimeout());
+  // A pause shorter than a poll is not noticed and delays a renewal.
+  const duration Bound = Timing.lapseAfter(Timing.Lease + Timing.PollInterval);
   for (const auto &[Token, Gang] : Placed) {
     if (longestPartial(Token) > Bound)
       return "a partial gang outlasted a lease";
--- a/src/core/placement/internal/decision.cpp
+++ b/src/core/placement/internal/decision.cpp
@@ -14,6 +14,13 @@
 /// Price factor of an attempt that may not run again.
 constexpr double NonIdempotentFactor = 1000;
 
+/// Extra price of an attempt that is about to end; half of it an hour before.
+constexpr double EndsSoonSeconds = 3600;
+
+double endsSoonSeconds(double Left) {
+  return EndsSoonSeconds / (1 + Left / EndsSoonSeconds);
+}
+
 double toSeconds(duration Value) {
   return std::chrono::duration<double>(Value).count();
 }
@@ -27,10 +34,12 @@
 decision::decision(const schedule_view &View, time_point Now,
                    const scheduling_strategy &Strategy,
                    const run_time_estimator &Estimator,
+                   feasibility_cache &Feasibility,
                    std::vector<placement_proposal> &Proposals,
                    std::vector<job_explanation> &Explanations)
     : View(View), Now(Now), Strategy(Strategy), Estimator(Estimator),
-      Proposals(Proposals), Explanations(Explanations), Scratch(View.Account),
+      Feasibility(Feasibility), Proposals(Proposals),
+      Explanations(Explanations), Scratch(View.Account),
       Planner(Scratch, Strategy) {}
 
 void decision::run() {
@@ -38,32 +47,55 @@
   LatestEnd.assign(Workers, 0);
   Reserved.assign(Workers, false);
   Explanations.resize(View.Waiting.size());
+  measureRacks();
   priceAttempts();
-  for (const candidate &Job : ranked())
+  std::vector<candidate> Jobs = ranked();
+  for (const candidate &Job : Jobs)
     decideJob(Job);
 }
 
+void decision::measureRacks() {
+  for (const rack_node &Rack : Scratch.workers().racks()) {
+    std::int32_t InRack = 0;
+    for (topology_index Worker : Rack.Workers) {
+      std::int32_t Size =
+          std::popcount(Scratch.workers().worker(Worker).Accelerators);
+      LargestWorker = std::max(LargestWorker, Size);
+      InRack += Size;
+    }
+    LargestRack = std::max(LargestRack, InRack);
+  }
+}
+
 void decision::priceAttempts() {
-  for (const running_attempt &Attempt : View.Running) {
-    auto Held = Scratch.attempts().find(Attempt.Token);
-    if (Held == Scratch.attempts().end())
-      continue;
-    double Left =
+  for (const running_attempt &Attempt : View.Running)
+    RunningByToken[Attempt.Token] = &Attempt;
+  for (const auto &[Token, Held] : Scratch.attempts())
+    priceAttempt(Token, Held);
+}
+
+void decision::priceAttempt(fencing_token Token,
+                            const capacity_account::held_attempt &Held) {
+  double Left = RestartSeconds;
+  double Lost = RestartSeconds;
+  double Factor = 1;
+  // An attempt that the view does not tell of has just been accepted.
+  if (auto Found = RunningByToken.find(Token); Found != RunningByToken.end()) {
+    const running_attempt &Attempt = *Found->second;
+    Left =
         toSeconds(Estimator.remaining(Attempt.Customer, Attempt.DeclaredRunTime,
                                       wholeSeconds(Now - Attempt.StartedAt)));
-    RemainingSeconds[Attempt.Token] = Left;
-    double Accelerators = 0;
-    for (const auto &Task : Held->second.Tasks) {
-      Accelerators += std::popcount(Task.Accelerators);
-      LatestEnd[Task.Worker] = std::max(LatestEnd[Task.Worker], Left);
-    }
-    if (!Held->second.Borrowed || Held->second.Guaranteed)
-      continue;
-    double Lost =
-        std::max(0.0, toSeconds(Now - Attempt.CheckpointAt)) + RestartSeconds;
-    Prices[Attempt.Token] =
-        Lost * Accelerators * (Attempt.Idempotent ? 1 : NonIdempotentFactor);
+    Lost += std::max(0.0, toSeconds(Now - Attempt.CheckpointAt));
+    Factor = Attempt.Idempotent ? 1 : NonIdempotentFactor;
   }
+  RemainingSeconds[Token] = Left;
+  double Accelerators = 0;
+  for (const auto &Task : Held.Tasks) {
+    Accelerators += std::popcount(Task.Accelerators);
+    LatestEnd[Task.Worker] = std::max(LatestEnd[Task.Worker], Left);
+  }
+  if (Held.Borrowed)
+    Prices[Token] = (Lost + endsSoonSeconds(Left)) * Accelerators * Factor;
 }
 
 decision::candidate decision::describe(std::size_t Position) const {
@@ -102,8 +134,11 @@
                  Job.Job->Adjacency,
                  unmet_constraint::None,
                  {}};
-  if (!overOwnLimit(Job) && place(Job))
+  bool Hopeless = overOwnLimit(Job) || failedBefore(Job);
+  if (!Hopeless && place(Job))
     return;
+  if (!Hopeless)
+    Failed.push_back(&Job);
   Explanation = explain(Job);
   double Threshold = toSeconds(Strategy.starvationWait(Job.Facts));
   bool Waits = Explanation.Reason != wait_reason::NeverFits &&
@@ -126,14 +161,38 @@
   return Limit > 0 && Scratch.held(*Customer) + Job.Accelerators > Limit;
 }
 
-job_explanation decision::explain(const candidate &Job) const {
+/// What an equal gang failed on fails again, unless this one is urgent, or
+/// short enough to end before a reservation that stopped the other.
+bool decision::failedBefore(const candidate &Job) const {
+  return std::ranges::any_of(Failed, [&](const candidate *Other) {
+    return Other->Job->Customer == Job.Job->Customer &&
+           Other->Job->Adjacency == Job.Job->Adjacency &&
+           Other->Job->Urgent >= Job.Job->Urgent &&
+           Other->Facts.EstimatedSeconds <= Job.Facts.EstimatedSeconds &&
+           std::ranges::equal(Other->Job->Needs, Job.Job->Needs);
+  });
+}
+
+unmet_constraint decision::unmetOnce(const candidate &Job) {
+  if (const unmet_constraint *Known = Feasibility.find(Job.Job->Job))
+    return *Known;
+  unmet_constraint Constraint = unmet(Job);
+  Feasibility.remember(Job.Job->Job, Constraint);
+  return Constraint;
+}
+
+job_explanation decision::explain(const candidate &Job) {
   job_explanation Explanation{Job.Job->Job,
                               wait_reason::NoFreeCapacity,
                               Job.Job->Adjacency,
                               unmet_constraint::None,
                               {}};
-  Explanation.Unmet = unmet(Job);
+  Explanation.Unmet = unmetOnce(Job);
   std::optional<customer_index> Customer = Scratch.find(Job.Job->Customer);
+  std::int32_t Limit =
+      Customer ? Scratch.customer(*Customer).MaxAccelerators : 0;
+  if (Limit > 0 && Job.Accelerators > Limit)
+    Explanation.Unmet = unmet_constraint::CustomerLimit;
   if (Explanation.Unmet != unmet_constraint::None)
     Explanation.Reason = wait_reason::NeverFits;
   else if (overOwnLimit(Job))
@@ -145,7 +204,7 @@
     Explanation.Reason = wait_reason::ReservedForStarved;
     Explanation.ReservedFor = ReservedFor;
   } else if (Customer && !Scratch.customer(*Customer).Guarantees.empty() &&
-             guaranteeLeft(*Customer, ownCells(*Customer)) < Job.Accelerators)
+             guaranteeLeft(guaranteedCells(*Customer)) < Job.Accelerators)
     Explanation.Reason = wait_reason::GuaranteeInUse;
   return Explanation;
 }
@@ -161,6 +220,9 @@
   capacity_claim Claim{Token, Job.Job->Customer, Assignments, Job.Job->Needs};
   if (Scratch.claim(Claim, Plan.Victims) != capacity_check::Ok)
     return false;
+  Free.reset();
+  if (!Plan.Victims.empty())
+    Failed.clear();
   for (fencing_token Victim : Plan.Victims) {
     Prices.erase(Victim);
     RemainingSeconds.erase(Victim);
--- a/src/core/placement/internal/gangplanner.cpp
+++ b/src/core/placement/internal/gangplanner.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-/// Cost of an accelerator that the offer calls dear.
-constexpr double DearCost = 3;
 /// Cost of one accelerator second of lost work.
 constexpr double VictimCostPerSecond = 1.0 / 60;
 
@@ -69,6 +67,10 @@
 
 /// What a plan in the making has taken.
 struct gang_planner::attempt_state {
+  attempt_state(const gang_planner &Planner, const capacity_offer &Offer,
+                const plan_request &Request)
+      : Planner(Planner), Offer(Offer), Request(Request) {}
+
   struct choice {
     double Cost = std::numeric_limits<double>::infinity();
     topology_index Worker = 0;
@@ -80,6 +82,10 @@
   const plan_request &Request;
   std::vector<accelerator_mask> Left; ///< by position in the group
   std::vector<resources> Host;        ///< by position in the group
+  std::optional<cell_simulation> Cells;
+  const std::vector<topology_index> *Group = nullptr;
+  std::vector<choice> Choices; ///< cheapest per position for the last need
+  bool AppraiseAll = false;
   gang_plan Plan;
 
   bool chosen(fencing_token Token) const {
@@ -104,8 +110,9 @@
     return Sum;
   }
 
-  double cost(topology_index Worker, accelerator_mask Before,
-              accelerator_mask Mask, int Split, bool Scattered) const {
+  double cost(topology_index Worker, std::size_t Position,
+              accelerator_mask Before, accelerator_mask Mask, int Split,
+              bool Scattered) const {
     worker_fit Fit;
     Fit.Accelerators = std::popcount(Mask);
     Fit.FreeBefore = std::popcount(Before);
@@ -113,63 +120,99 @@
         std::popcount(Planner.Account.workers().worker(Worker).Accelerators);
     Fit.SplitLevels = Split;
     Fit.Scattered = Scattered;
-    if (!Offer.LatestEnd.empty())
-      Fit.LifetimeGapSeconds =
-          std::max(0.0, Request.EstimatedSeconds - Offer.LatestEnd[Worker]);
+    Fit.LifetimeGapSeconds =
+        std::max(0.0, Request.EstimatedSeconds - Offer.latestEnd(Worker));
     double Cost = Planner.Strategy.fitCost(Fit);
-    if (!Offer.Dear.empty())
-      Cost += DearCost * std::popcount(Mask & Offer.Dear[Worker]);
+    if (Cells)
+      Cost += Offer.CellWeight * Cells->cost(Position, Mask);
     if (Offer.Prices != nullptr)
       Cost += VictimCostPerSecond * price(Worker, Mask);
     return Cost;
   }
 
-  void consider(topology_index Worker, accelerator_mask Before, int Count,
-                choice &Best) const {
+  void consider(topology_index Worker, std::size_t Position,
+                accelerator_mask Before, int Count, choice &Best) const {
     int Size = static_cast<int>(std::bit_ceil(static_cast<unsigned>(Count)));
     bool Found = false;
-    for (int First = 0; First < MaxAcceleratorsPerWorker; First += Size) {
+    for (int First = 0; (Before >> First) != 0; First += Size) {
       accelerator_mask Inside = Before & aligned(First, Size);
       if (std::popcount(Inside) < Count)
         continue;
       Found = true;
       accelerator_mask Mask = lowest(Inside, Count);
-      double Cost =
-          cost(Worker, Before, Mask, splitLevels(Before, First, Size), false);
+      double Cost = cost(Worker, Position, Before, Mask,
+                         splitLevels(Before, First, Size), false);
       if (Cost < Best.Cost)
         Best = {Cost, Worker, Mask};
     }
     if (Found || std::popcount(Before) < Count)
       return;
     accelerator_mask Mask = lowest(Before, Count);
-    double Cost = cost(Worker, Before, Mask, 0, true);
+    double Cost = cost(Worker, Position, Before, Mask, 0, true);
     if (Cost < Best.Cost)
       Best = {Cost, Worker, Mask};
   }
 
-  bool placeWithAccelerators(std::uint32_t Task,
-                             const std::vector<topology_index> &Group) {
+  void appraise(const resources &Need, std::size_t Position) {
+    choice &Choice = Choices[Position];
+    Choice = {};
+    if (Left[Position] == 0)
+      return;
+    topology_index Worker = (*Group)[Position];
+    const worker_node &Node = Planner.Account.workers().worker(Worker);
+    int Count = acceleratorsFor(Need, Node);
+    if (std::popcount(Left[Position]) >= Count)
+      consider(Worker, Position, Left[Position], Count, Choice);
+  }
+
+  /// True if two positions look the same to a borrowing gang.
+  bool alike(std::size_t One, std::size_t Other) const {
+    topology_index First = (*Group)[One];
+    topology_index Second = (*Group)[Other];
     const topology &Topology = Planner.Account.workers();
-    choice Best;
-    std::size_t BestPosition = 0;
-    for (std::size_t Position = 0; Position < Group.size(); ++Position) {
-      if (Left[Position] == 0)
-        continue;
-      const worker_node &Node = Topology.worker(Group[Position]);
-      int Count = acceleratorsFor(Request.Needs[Task], Node);
-      if (std::popcount(Left[Position]) < Count)
+    return Left[One] == Left[Other] &&
+           Offer.latestEnd(First) == Offer.latestEnd(Second) &&
+           Topology.worker(First).PerAccelerator ==
+               Topology.worker(Second).PerAccelerator &&
+           Topology.worker(First).Accelerators ==
+               Topology.worker(Second).Accelerators;
+  }
+
+  void appraiseAll(const resources &Need) {
+    bool Comparable = !Cells && Offer.Prices == nullptr;
+    for (std::size_t Position = 0; Position < Left.size(); ++Position) {
+      bool Repeats =
+          Comparable && Position > 0 && alike(Position - 1, Position);
+      if (!Repeats) {
+        appraise(Need, Position);
         continue;
-      double Before = Best.Cost;
-      consider(Group[Position], Left[Position], Count, Best);
-      if (Best.Cost < Before)
-        BestPosition = Position;
+      }
+      Choices[Position] = Choices[Position - 1];
+      Choices[Position].Worker = (*Group)[Position];
     }
-    if (Best.Accelerators == 0)
+  }
+
+  /// Places a task whose need is that of the task before if \p Repeated, so
+  /// that only what the last step changed is appraised again.
+  bool placeWithAccelerators(std::uint32_t Task, bool Repeated) {
+    const resources &Need = Request.Needs[Task];
+    if (!Repeated || AppraiseAll)
+      appraiseAll(Need);
+    AppraiseAll = false;
+    auto Best = std::ranges::min_element(Choices, {}, &choice::Cost);
+    if (Best == Choices.end() || Best->Accelerators == 0)
       return false;
-    take(Best.Worker, Best.Accelerators);
-    Left[BestPosition] &= ~Best.Accelerators;
-    Plan.Cost += Best.Cost;
-    Plan.Tasks.push_back({Task, Best.Worker, Best.Accelerators});
+    auto Position = static_cast<std::size_t>(Best - Choices.begin());
+    choice Taken = *Best;
+    std::size_t Victims = Plan.Victims.size();
+    take(Taken.Worker, Taken.Accelerators);
+    AppraiseAll = Plan.Victims.size() != Victims;
+    if (Cells)
+      AppraiseAll |= Cells->take(Position, Taken.Accelerators);
+    Left[Position] &= ~Taken.Accelerators;
+    appraise(Need, Position);
+    Plan.Cost += Taken.Cost;
+    Plan.Tasks.push_back({Task, Taken.Worker, Taken.Accelerators});
     return true;
   }
 
@@ -262,19 +305,27 @@
 std::optional<gang_plan> gang_planner::planGroup(
     const capacity_offer &Offer, const plan_request &Request,
     std::span<const std::uint32_t> Order, const worker_group &Group) const {
-  attempt_state State{*this, Offer, Request, {}, {}, {}};
+  attempt_state State(*this, Offer, Request);
+  if (Offer.Cells != nullptr)
+    State.Cells.emplace(Account, *Offer.Cells, Group);
+  State.Group = &Group;
+  State.Choices.resize(Group.size());
   State.Left.reserve(Group.size());
   State.Host.reserve(Group.size());
   for (topology_index Worker : Group) {
     State.Left.push_back(Offer.Accelerators[Worker]);
     State.Host.push_back(Offer.Host[Worker]);
   }
+  const resources *Last = nullptr;
   for (std::uint32_t Task : Order) {
-    bool OnHost = Request.Needs[Task].Accelerators <= 0;
+    const resources &Need = Request.Needs[Task];
+    bool OnHost = Need.Accelerators <= 0;
+    bool Repeated = Last != nullptr && *Last == Need;
     bool Placed = OnHost ? State.placeOnHost(Task, Group)
-                         : State.placeWithAccelerators(Task, Group);
+                         : State.placeWithAccelerators(Task, Repeated);
     if (!Placed)
       return std::nullopt;
+    Last = &Need;
   }
   return std::move(State.Plan);
 }
--- a/src/core/placement/topology.h
+++ b/src/core/placement/topology.h
@@ -41,9 +41,11 @@
 /// A rack, named within its zone.
 struct rack_node {
   rack_id Id;
+  availability_zone_id ZoneId;
+  region_id RegionId;
   topology_index Zone = 0;
   topology_index Region = 0;
-  std::vector<topology_index> Workers;
+  std::vector<topology_index> Workers; ///< ascending
 
   friend bool operator==(const rack_node &, const rack_node &) = default;
 };
@@ -51,6 +53,9 @@
 /// The registered workers and where they stand: region, zone, rack, worker.
 class topology {
 public:
+  /// Adds a rack without workers, unless it is known; returns its position.
+  topology_index putRack(const region_id &Region,
+                         const availability_zone_id &Zone, const rack_id &Rack);
   /// Adds \p Worker or replaces its description; returns its position.
   topology_index put(const worker_info &Worker);
 
@@ -61,17 +66,22 @@
   const rack_node &rack(topology_index Index) const { return Racks[Index]; }
   std::span<const worker_node> workers() const { return Workers; }
   std::span<const rack_node> racks() const { return Racks; }
+  /// Rises with every change.
+  std::uint64_t version() const { return Version; }
   std::size_t zoneCount() const { return Zones.size(); }
   std::size_t regionCount() const { return Regions.size(); }
 
-  friend bool operator==(const topology &, const topology &) = default;
+  /// Equal workers, racks and positions; the version does not count.
+  friend bool operator==(const topology &Left, const topology &Right) {
+    return Left.Workers == Right.Workers && Left.Racks == Right.Racks &&
+           Left.Zones == Right.Zones && Left.Regions == Right.Regions;
+  }
 
 private:
   using zone_key = std::tuple<region_id, availability_zone_id>;
   using rack_key = std::tuple<region_id, availability_zone_id, rack_id>;
 
-  topology_index rackOf(const worker_info &Worker);
-
+  std::uint64_t Version = 0;
   std::vector<worker_node> Workers;
   std::vector<rack_node> Racks;
   std::map<worker_id, topology_index> WorkerIndex;
--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -4,14 +4,13 @@
 #include "transport/address.h"
 #include "transport/internal/evptr.h"
 #include "transport/internal/httpheaders.h"
-#include "transport/internal/httpmethod.h"
+#include "transport/internal/httprequest.h"
 
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 
 #include <algorithm>
 #include <cerrno>
-#include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unordered_map>
@@ -23,58 +22,14 @@
 
 /// One request whose answer has not been written out. Owned by its connection.
 struct exchange {
+  explicit exchange(evhttp_request *Request) : Request(Request) {}
+
   evhttp_request *Request;
   event_ptr Watch; ///< waits for an end-of-stream of the caller
   std::function<void()> Gone;
   bool Answered = false;
 };
 
-struct free_uri_text {
-  void operator()(char *Text) const { free(Text); }
-};
-
-std::string decodedPath(const evhttp_request *Request) {
-  const evhttp_uri *Uri = evhttp_request_get_evhttp_uri(Request);
-  const char *Path = Uri == nullptr ? nullptr : evhttp_uri_get_path(Uri);
-  if (Path == nullptr || *Path == '\0') {
-    return "/";
-  }
-  std::size_t Size = 0;
-  const std::unique_ptr<char, free_uri_text> Text(
-      evhttp_uridecode(Path, /*decode_plus=*/0, &Size));
-  return {Text.get(), Size};
-}
-
-std::string_view queryOf(const evhttp_request *Request) {
-  const evhttp_uri *Uri = evhttp_request_get_evhttp_uri(Request);
-  const char *Query = Uri == nullptr ? nullptr : evhttp_uri_get_query(Uri);
-  return Query == nullptr ? std::string_view() : std::string_view(Query);
-}
-
-/// evhttp would read the body of such a request as the next request.
-bool isFramingAmbiguous(const http_method &Method,
-                        std::span<const http_header> Headers) {
-  const std::string *Length = findHeader(Headers, "Content-Length");
-  const bool Chunked = findHeader(Headers, "Transfer-Encoding") != nullptr;
-  if (!Method.HasBody) {
-    return Chunked || (Length != nullptr && *Length != "0");
-  }
-  const auto Lengths = std::count_if(
-      Headers.begin(), Headers.end(), [](const http_header &Header) {
-        return equalNames(Header.Name, "Content-Length");
-      });
-  return (Chunked && Length != nullptr) || Lengths > 1;
-}
-
-std::uint16_t boundPort(int Descriptor) {
-  sockaddr_storage Address{};
-  socklen_t Size = sizeof Address;
-  ::getsockname(Descriptor, reinterpret_cast<sockaddr *>(&Address), &Size);
-  return ntohs(Address.ss_family == AF_INET6
-                   ? reinterpret_cast<sockaddr_in6 &>(Address).sin6_port
-                   : reinterpret_cast<sockaddr_in &>(Address).sin_port);
-}
-
 } // namespace
 
 class http_server::impl {
@@ -94,6 +49,9 @@
 
 private:
   struct connection {
+    connection(impl &Server, evhttp_connection *Raw)
+        : Server(Server), Raw(Raw) {}
+
     impl &Server;
     evhttp_connection *Raw;
     std::shared_ptr<exchange> Current;
@@ -237,7 +195,7 @@
     const int NoDelay = 1;
     ::setsockopt(bufferevent_getfd(Buffer), IPPROTO_TCP, TCP_NODELAY, &NoDelay,
                  sizeof NoDelay);
-    auto Connection = std::make_unique<connection>(*this, Raw, nullptr);
+    auto Connection = std::make_unique<connection>(*this, Raw);
     evhttp_connection_set_closecb(Raw, &impl::onClosed, Connection.get());
     Connections.emplace(Raw, std::move(Connection));
   }
@@ -301,7 +259,7 @@
 
 void http_server::impl::handle(connection &Connection,
                                evhttp_request *Request) {
-  const auto Open = std::make_shared<exchange>(Request, nullptr, nullptr);
+  const auto Open = std::make_shared<exchange>(Request);
   Connection.Current = Open;
   ++OpenRequests;
   const auto Responder = std::make_shared<responder>(*this, Open);
--- a/src/transport/tests/peertest.cpp
+++ b/src/transport/tests/peertest.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::size_t Megabyte = 1024 * 1024;
+constexpr std::size_t Megabyte = std::size_t{1024} * 1024;
 
 /// A server that echoes bodies unless told to keep calls, and a client.
 class peer_pair {
@@ -227,6 +227,17 @@
   CHECK(Pair.Results.front().Status == call_status::Lost);
 }
 
+TEST(Peer, TheLastConnectionMayEndRightAfterItsCall) {
+  constexpr int Rounds = 100; // the order of the threads differs
+  for (int Round = 0; Round < Rounds; ++Round) {
+    peer_pair Pair(Test.Loop);
+    Pair.call();
+    CHECK(answered(Pair));
+    Pair.Client.reset();
+    Pair.Server.reset();
+  }
+}
+
 TEST(Peer, AClientMayEndWithCallsOpen) {
   peer_pair Pair(Test.Loop);
   Pair.keepCalls();
