placement: the adjacency of a running attempt goes last, as callers list members

Change: the member is last; a driver that leaves it out has its attempts taken as movable anywhere, which only makes the check of a move too hopeful.

--- a/bench/placementbench.cpp
+++ b/bench/placementbench.cpp
@@ -10,7 +10,7 @@
 
 // Replays generated arrivals over virtual time and prints, for each user's
 // weights, the project's scheduler beside two baselines on the same list.
-//   placementbench [small|target] [seeds]
+//   gp_placementbench [small|target] [seeds]
 
 using namespace geraniumpaddle;
 using namespace geraniumpaddle::bench;
--- a/src/core/placement/types/schedule.h
+++ b/src/core/placement/types/schedule.h
@@ -35,13 +35,13 @@
   job_id Job;
   fencing_token Token{};
   customer_id Customer;
-  adjacency Adjacency = adjacency::Any;
   bool Borrowed = false;  ///< any task lies beyond its customer's guarantee
   bool Idempotent = true; ///< false: it could not run again if preempted
   bool Urgent = false;
   std::chrono::seconds DeclaredRunTime{0};
   time_point StartedAt;
   time_point CheckpointAt; ///< last checkpoint; StartedAt if there is none
+  adjacency Adjacency = adjacency::Any; ///< as the job asked for
 };
 
 /// The state a decision is made on.
