Measure demand once for the heartbeats of one turn

Cause: the router counts arrivals since it was last asked, and was asked once for each other entry, so all but the first were told a demand of about zero. Ruled out: a window inside the router; one exchange is one measurement. Change: the entry keeps the measurement of a turn.

--- a/src/entry/entryrole.h
+++ b/src/entry/entryrole.h
@@ -25,7 +25,9 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
+#include <vector>
 
 namespace geraniumpaddle {
 
@@ -78,6 +80,7 @@
                        const peer_responder &Respond);
   void answerEntryHeartbeat(const proto::PeerRequest &Request,
                             const peer_responder &Respond);
+  std::span<const customer_demand> currentDemand();
   std::optional<std::string> relayAddress() const;
   proto::EntryStatus status() const;
   void registerMetrics();
@@ -89,6 +92,8 @@
   entry_announced Announcement;
   bool Draining = false;
   config_version RoutedVersion{};
+  time_point DemandAt{};
+  std::vector<customer_demand> Demand;
   entry_rank Rank;
   live_members Members;
   entry_members Entries;
--- a/src/entry/internal/entryrole.cpp
+++ b/src/entry/internal/entryrole.cpp
@@ -232,7 +232,7 @@
   *Out.mutable_entry() = toProto(Announcement);
   Out.set_folded(raw(Log.state().folded()));
   Out.set_config_version(raw(Log.state().version()));
-  for (const customer_demand &Demand : Requests.demand()) {
+  for (const customer_demand &Demand : currentDemand()) {
     proto::CustomerDemand &To = *Out.add_demand();
     To.set_customer(Demand.Customer.str());
     To.set_in_flight(Demand.InFlight);
@@ -243,6 +243,16 @@
   return Out;
 }
 
+/// One measurement for the heartbeats to all entries of one turn.
+std::span<const customer_demand> entry_role::currentDemand() {
+  if (DemandAt != Environment.Loop.now()) {
+    DemandAt = Environment.Loop.now();
+    auto Measured = Requests.demand();
+    Demand.assign(Measured.begin(), Measured.end());
+  }
+  return Demand;
+}
+
 void entry_role::learnHeartbeat(const node_id &Entry,
                                 const proto::EntryHeartbeat &Heartbeat) {
   peer_demand_reported Event{Entry, {}};
