--- a/src/agent/internal/agentrole.cpp
+++ b/src/agent/internal/agentrole.cpp
@@ -163,6 +163,7 @@
   Out.set_draining(Draining);
   Out.set_endpoint_healthy(Requests.endpointHealthy());
   Out.set_config_version(raw(Customers.version()));
+  Out.set_lease_ms(static_cast<std::uint64_t>(Settings.LeaseDuration.count()));
   if (!WithRegistration || !Capacity)
     return Out;
   worker_registered Registration;
--- a/src/agent/tests/agenttest.cpp
+++ b/src/agent/tests/agenttest.cpp
@@ -143,7 +143,7 @@
     Request.mutable_deliver()->set_customer("c");
     Request.mutable_deliver()->set_method("GET");
     Request.mutable_deliver()->set_deadline_ms(5000);
-    CHECK(Host.handle(Request, [this](proto::PeerResponse Response) {
+    CHECK(Host.handle(Request, [this](const proto::PeerResponse &Response) {
       Reports.push_back(Response.attempt());
     }));
   }
@@ -193,7 +193,7 @@
   proto::PeerRequest Request;
   Request.mutable_deliver()->set_attempt("nonsense");
   CHECK_THROWS(malformed_message_error,
-               Host.handle(Request, [](proto::PeerResponse) {}));
+               Host.handle(Request, [](const proto::PeerResponse &) {}));
 }
 
 TEST_GROUP(GangHost) {
@@ -208,7 +208,7 @@
   const worker_result Idle{call_status::Completed, false, {}, {}};
 
   void send(const proto::PeerRequest &Request) {
-    CHECK(Host.handle(Request, [this](proto::PeerResponse Response) {
+    CHECK(Host.handle(Request, [this](const proto::PeerResponse &Response) {
       States.push_back(Response.member().state());
     }));
   }
--- a/src/cli/apiclient.h
+++ b/src/cli/apiclient.h
@@ -51,7 +51,8 @@
   /// A caller's request, sent to one entry only unless nothing was written.
   /// \throws api_failure if no entry gave an answer of any kind.
   http_result request(const std::string &Method, const std::string &Target,
-                      std::vector<http_header> Headers, std::string Body);
+                      std::vector<http_header> Headers,
+                      const std::string &Body);
 
 private:
   http_result callOnce(const std::string &Entry, const std::string &Method,
--- a/src/cli/commandline.h
+++ b/src/cli/commandline.h
@@ -58,6 +58,7 @@
   int configHistory(arguments Arguments);
   int customersList(arguments Arguments);
   int customersSetToken(arguments Arguments);
+  int tokenHash(arguments Arguments);
   int jobSubmit(arguments Arguments);
   int jobStatus(arguments Arguments);
   int jobList(arguments Arguments);
--- a/src/cli/internal/apiclient.cpp
+++ b/src/cli/internal/apiclient.cpp
@@ -82,7 +82,7 @@
 http_result api_client::request(const std::string &Method,
                                 const std::string &Target,
                                 std::vector<http_header> Headers,
-                                std::string Body) {
+                                const std::string &Body) {
   for (http_header &Header : ownHeaders())
     Headers.push_back(std::move(Header));
   for (const std::string &Entry : Entries) {
--- a/src/cli/internal/commandline.cpp
+++ b/src/cli/internal/commandline.cpp
@@ -36,6 +36,9 @@
       {"customers", "set-token", 2, "CUSTOMER TOKEN",
        "set a customer's token; only its hash is stored",
        &c::customersSetToken},
+      {"token", "hash", 1, "TOKEN",
+       "print the salted hash of a token, for entry.operator_token_hash",
+       &c::tokenHash},
       {"job", "submit", 1, "JOB",
        "submit a job --customer=C [--tasks=N] [--accelerators=N] "
        "[--milli_cores=N] [--memory_mb=N] [--adjacency=A] [--urgent] "
--- a/src/cli/internal/customercommands.cpp
+++ b/src/cli/internal/customercommands.cpp
@@ -135,6 +135,11 @@
   return ExitOk;
 }
 
+int command_line::tokenHash(arguments Arguments) {
+  Out << hashToken(Arguments[0]) << '\n';
+  return ExitOk;
+}
+
 int command_line::customersSetToken(arguments Arguments) {
   proto::CustomerList List;
   Client.get("/v1/customers", List);
--- a/src/cli/internal/jobcommands.cpp
+++ b/src/cli/internal/jobcommands.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <strings.h>
 
 namespace geraniumpaddle {
 
@@ -26,13 +27,21 @@
 proto::Adjacency adjacencyOf(std::string_view Name) {
   static constexpr auto Names = std::to_array<std::string_view>(
       {"any", "region", "zone", "rack", "worker"});
-  auto Found = std::find(Names.begin(), Names.end(), Name);
+  const auto *Found = std::find(Names.begin(), Names.end(), Name);
   if (Found == Names.end())
     throw invalid_argument_error(
         "--adjacency is any, region, zone, rack or worker");
   return static_cast<proto::Adjacency>(Found - Names.begin());
 }
 
+/// What the entry says of the request; empty if it says nothing.
+std::string outcomeOf(const http_result &Result) {
+  for (const http_header &Header : Result.Headers)
+    if (strcasecmp(Header.Name.c_str(), "X-Outcome") == 0)
+      return Header.Value;
+  return "";
+}
+
 } // namespace
 
 int command_line::jobSubmit(arguments Arguments) {
@@ -115,13 +124,11 @@
       Client.request(Options.Method, "/call/" + Arguments[0] + Path,
                      std::move(Headers), Options.Data);
   Out << Result.Body;
-  auto Outcome = std::find_if(
-      Result.Headers.begin(), Result.Headers.end(),
-      [](const http_header &Header) { return Header.Name == "X-Outcome"; });
-  if (Outcome == Result.Headers.end() || Outcome->Value == "answered")
+  std::string Outcome = outcomeOf(Result);
+  if (Outcome == "answered")
     return ExitOk;
-  return exitCodeOf(Outcome->Value == "undetermined" ? error_kind::Undetermined
-                                                     : error_kind::Unavailable);
+  return exitCodeOf(Outcome == "not_run" ? error_kind::Unavailable
+                                         : error_kind::Undetermined);
 }
 
 } // namespace geraniumpaddle
--- a/src/cli/tests/clitest.cpp
+++ b/src/cli/tests/clitest.cpp
@@ -64,8 +64,8 @@
     return "127.0.0.1:" + std::to_string(Server.port());
   }
 
-  int run(std::vector<std::string> Words, command_options Options = {},
-          std::vector<std::string> Entries = {}) {
+  int runTool(std::vector<std::string> Words, command_options Options = {},
+              std::vector<std::string> Entries = {}) {
     if (Entries.empty())
       Entries = {address()};
     api_client Client(Loop, Http, std::move(Entries), {},
@@ -75,7 +75,7 @@
 
   error_kind failureOf(const std::vector<std::string> &Words) {
     try {
-      run(Words);
+      runTool(Words);
     } catch (const error &Failure) {
       return Failure.kind();
     }
@@ -101,13 +101,13 @@
 
 TEST(CommandLine, TheNextEntryIsTriedWhenOneCannotBeReached) {
   Answer = R"({"node":"entry-2"})";
-  LONGS_EQUAL(0, run({"status"}, {}, {"127.0.0.1:1", address()}));
+  LONGS_EQUAL(0, runTool({"status"}, {}, {"127.0.0.1:1", address()}));
   CHECK(Out.str().find("entry-2") != std::string::npos);
 }
 
 TEST(CommandLine, NoEntryAtAllIsUnavailable) {
   try {
-    run({"status"}, {}, {"127.0.0.1:1"});
+    runTool({"status"}, {}, {"127.0.0.1:1"});
     FAIL("no failure");
   } catch (const api_failure &Failure) {
     CHECK(Failure.kind() == error_kind::Unavailable);
@@ -118,7 +118,7 @@
   Answer = R"({"node":"entry-1","folded":"12"})";
   command_options Options;
   Options.Output = output_format::Json;
-  LONGS_EQUAL(0, run({"status"}, Options));
+  LONGS_EQUAL(0, runTool({"status"}, Options));
   CHECK(Out.str().find("\"folded\": \"12\"") != std::string::npos);
 }
 
@@ -128,7 +128,7 @@
                          .string();
   std::ofstream(Path) << "customer,guarantee_eight\na,many\n";
   LONGS_EQUAL(exitCodeOf(error_kind::InvalidArgument),
-              run({"sheet", "apply", Path}));
+              runTool({"sheet", "apply", Path}));
   std::filesystem::remove(Path);
   CHECK(Asked.empty());
   CHECK(Out.str().find("guarantee_rack") != std::string::npos);
@@ -136,7 +136,7 @@
 
 TEST(CommandLine, TheTokenItselfIsNeverSent) {
   Answer = R"({"version":"3","customers":[{"id":"a"}]})";
-  run({"customers", "set-token", "a", "hunter2"});
+  runTool({"customers", "set-token", "a", "hunter2"});
   LONGS_EQUAL(2, Asked.size());
   STRCMP_EQUAL("PUT /v1/customers", Asked[1].c_str());
   CHECK(failureOf({"customers", "set-token", "b", "x"}) ==
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -47,7 +47,8 @@
   entry_role Role({Host.loop(), Host.peers(), Log, Host.metrics()}, Settings,
                   Host.identity(), [&Host] { Host.stop(); });
   Host.listen(
-      [&Role](const proto::PeerRequest &Request, peer_responder Respond) {
+      [&Role](const proto::PeerRequest &Request,
+              const peer_responder &Respond) {
         Role.handlePeer(Request, Respond);
       },
       [&Role](const http_request_view &Request,
@@ -66,7 +67,8 @@
       {Host.loop(), Host.peers(), Host.http(), Worker, Host.metrics()},
       Settings, Host.identity(), [&Host] { Host.stop(); });
   Host.listen(
-      [&Role](const proto::PeerRequest &Request, peer_responder Respond) {
+      [&Role](const proto::PeerRequest &Request,
+              const peer_responder &Respond) {
         Role.handlePeer(Request, Respond);
       },
       [&Role](const http_request_view &Request,
--- a/src/daemon/tests/childprocess.cpp
+++ b/src/daemon/tests/childprocess.cpp
@@ -8,8 +8,7 @@
 #include <spawn.h>
 #include <sstream>
 #include <sys/wait.h>
-
-extern char **environ;
+#include <unistd.h>
 
 namespace geraniumpaddle::tests {
 
@@ -28,6 +27,7 @@
                              const std::string &OutputStem)
     : Stem(OutputStem) {
   std::vector<char *> Arguments;
+  Arguments.reserve(Command.size() + 1);
   for (const std::string &Word : Command)
     Arguments.push_back(const_cast<char *>(Word.c_str()));
   Arguments.push_back(nullptr);
--- a/src/daemon/tests/gangfaulttest.cpp
+++ b/src/daemon/tests/gangfaulttest.cpp
@@ -218,3 +218,24 @@
   CHECK(WorkerIs("active"));
   CHECK(jobIs("later", "succeeded"));
 }
+
+TEST(GangFaults, AnAgentThatComesBackIsActiveAgainWhicheverRegionsHaveEntries) {
+  Cluster.startLog();
+  Cluster.startEntry("entry-1");
+  Cluster.startEntry("entry-2", "pilbara-north", "karratha");
+  Cluster.startAgent({.Name = "1"});
+  Cluster.startAgent({.Name = "2"});
+  Cluster.startAgent({.Name = "3"});
+  CHECK(Cluster.waitFor([&] { return Cluster.linkedAgents("entry-1", 3); }));
+  for (const char *Agent : {"agent-1", "agent-2", "agent-3"}) {
+    std::string Worker = "worker-" + std::string(Agent).substr(6);
+    Cluster.process(Agent).signal(SIGSTOP);
+    CHECK(Cluster.waitFor(
+        [&] { return Cluster.worker("entry-1", Worker).state() == "lost"; }));
+    Cluster.process(Agent).signal(SIGCONT);
+    CHECK_TEXT(Cluster.waitFor([&] {
+      return Cluster.worker("entry-1", Worker).state() == "active";
+    }),
+               Agent);
+  }
+}
--- a/src/daemon/tests/logfaulttest.cpp
+++ b/src/daemon/tests/logfaulttest.cpp
@@ -4,6 +4,7 @@
 #include "platform.pb.h"
 
 #include <CppUTest/TestHarness.h>
+#include <algorithm>
 #include <csignal>
 
 using namespace geraniumpaddle;
@@ -38,8 +39,15 @@
   startTwoEntries();
   LONGS_EQUAL(200, Cluster.putCustomer("entry-1", "a", 0, 0).Code);
   CHECK(versionIs("entry-2", 1, 4s));
-  http_result First = Cluster.putCustomer("entry-1", "b", 1, 0);
-  http_result Second = Cluster.putCustomer("entry-2", "c", 1, 0);
+  std::vector<http_result> Results;
+  auto Keep = [&](const http_result &Result) { Results.push_back(Result); };
+  Cluster.putCustomerLater("entry-1", "b", 1, 0, Keep);
+  Cluster.putCustomerLater("entry-2", "c", 1, 0, Keep);
+  CHECK(Cluster.waitFor([&] { return Results.size() == 2; }));
+  std::sort(Results.begin(), Results.end(),
+            [](const auto &A, const auto &B) { return A.Code < B.Code; });
+  const http_result &First = Results[0];
+  const http_result &Second = Results[1];
   LONGS_EQUAL(200, First.Code);
   LONGS_EQUAL(409, Second.Code);
   proto::ChangeAccepted Accepted;
--- a/src/daemon/tests/processcluster.cpp
+++ b/src/daemon/tests/processcluster.cpp
@@ -198,6 +198,16 @@
 http_result process_cluster::putCustomer(const std::string &Entry,
                                          const std::string &Customer,
                                          std::uint64_t Base, int Eights) {
+  std::optional<http_result> Answer;
+  putCustomerLater(Entry, Customer, Base, Eights,
+                   [&](const http_result &Result) { Answer = Result; });
+  waitFor([&] { return Answer.has_value(); });
+  return *Answer;
+}
+
+void process_cluster::putCustomerLater(
+    const std::string &Entry, const std::string &Customer, std::uint64_t Base,
+    int Eights, std::function<void(const http_result &)> Done) {
   static const std::string Hash = hashToken("secret");
   proto::ChangeCustomers Change;
   Change.set_base(Base);
@@ -210,12 +220,13 @@
   Guarantee.set_count(Eights);
   if (Eights == 0)
     Config.clear_guarantees();
-  return call({address(Entry),
-               "PUT",
-               "/v1/customers",
-               {},
-               printJson(Change),
-               std::chrono::seconds(10)});
+  Http.send({address(Entry),
+             "PUT",
+             "/v1/customers",
+             {},
+             printJson(Change),
+             std::chrono::seconds(10)},
+            std::move(Done));
 }
 
 std::uint64_t process_cluster::version(const std::string &Entry) {
--- a/src/daemon/tests/processcluster.h
+++ b/src/daemon/tests/processcluster.h
@@ -75,6 +75,10 @@
   /// Puts one customer on top of the version in force.
   http_result putCustomer(const std::string &Entry, const std::string &Customer,
                           std::uint64_t Base, int Eights = 1);
+  /// The same without waiting; \p Done gets the answer in some later wait.
+  void putCustomerLater(const std::string &Entry, const std::string &Customer,
+                        std::uint64_t Base, int Eights,
+                        std::function<void(const http_result &)> Done);
   std::uint64_t version(const std::string &Entry);
   bool linkedAgents(const std::string &Entry, std::size_t Count);
   http_result submitJob(const std::string &Entry, const std::string &Job,
--- a/src/daemon/tests/requestfaulttest.cpp
+++ b/src/daemon/tests/requestfaulttest.cpp
@@ -126,7 +126,12 @@
   CHECK(Cluster.waitFor([&] { return Cluster.linkedAgents("entry-2", 2); }));
   for (int I = 0; I < 6; ++I)
     Requests.send("entry-1", "n" + std::to_string(I), false, 600);
-  CHECK(Cluster.waitFor([&] { return runs("n0", 2) == 1; }));
+  CHECK(Cluster.waitFor([&] {
+    int Runs = 0;
+    for (int I = 0; I < 6; ++I)
+      Runs += runs("n" + std::to_string(I), 2);
+    return Runs == 6;
+  }));
   Cluster.process("entry-1").kill();
   CHECK(Cluster.waitFor([&] { return Requests.allAnswered(); }));
   for (int I = 0; I < 6; ++I)
--- a/src/entry/apimessages.h
+++ b/src/entry/apimessages.h
@@ -24,6 +24,9 @@
 /// The state that the last part of /v1/workers/ID/STATE asks for.
 std::optional<worker_state> requestedState(std::string_view Verb);
 
+/// Name of a cell level, as in the sheet's columns.
+std::string_view levelName(cell_level Level);
+
 /// Why a job waits, for people.
 std::string explanationText(const job_explanation &Explanation);
 /// The latest step that tells why a job is where it is, for people.
--- a/src/entry/httputil.h
+++ b/src/entry/httputil.h
@@ -29,4 +29,11 @@
 http_response errorResponse(error_kind Kind, std::string_view Reason,
                             std::string_view Message, std::uint64_t Winner = 0);
 
+/// Header that tells the caller the outcome: answered, not_run, undetermined.
+constexpr std::string_view OutcomeHeader = "X-Outcome";
+http_response withOutcome(http_response Response, std::string_view Outcome);
+/// An ApiError that says with proof that nothing was run.
+http_response notRunResponse(error_kind Kind, std::string_view Reason,
+                             std::string_view Message);
+
 } // namespace geraniumpaddle
--- a/src/entry/internal/adminapi.cpp
+++ b/src/entry/internal/adminapi.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <bit>
 #include <charconv>
 #include <utility>
 
@@ -60,6 +61,21 @@
   return Value;
 }
 
+/// True if the version that follows the change's base is this very change:
+/// the caller repeats it after a lost answer.
+bool isInForce(const customers_changed &Change, const ledger &State) {
+  if (raw(State.version()) != raw(Change.Base) + 1)
+    return false;
+  auto Same = [&](const customer_config &Wanted) {
+    const customer_entry *Found = State.customer(Wanted.Id);
+    return Found && Found->Config == Wanted &&
+           Found->LastChange.Offset == State.versionOffset();
+  };
+  auto Gone = [&](const customer_id &Id) { return !State.customer(Id); };
+  return std::all_of(Change.Put.begin(), Change.Put.end(), Same) &&
+         std::all_of(Change.Removed.begin(), Change.Removed.end(), Gone);
+}
+
 } // namespace
 
 /// One path of the interface. A star in the pattern stands for a name.
@@ -163,12 +179,15 @@
 void admin_api::putCustomers(const call &Call) {
   proto::ChangeCustomers Body;
   parseJson(Call.Request.Body, Body);
-  propose(Call, customersChange(Body), [this](const proposal_answered &Answer) {
-    if (!Answer.Verdict.accepted())
+  customers_changed Change = customersChange(Body);
+  propose(Call, Change, [this, Change](const proposal_answered &Answer) {
+    bool Repeat = Answer.Verdict.Reason == rejection::VersionConflict &&
+                  isInForce(Change, Log.state());
+    if (!Answer.Verdict.accepted() && !Repeat)
       return rejectionResponse(Answer.Verdict);
     proto::ChangeAccepted Out;
     Out.set_version(raw(Log.state().version()));
-    Out.set_offset(raw(Answer.Offset));
+    Out.set_offset(raw(Repeat ? Log.state().versionOffset() : Answer.Offset));
     return jsonResponse(200, Out);
   });
 }
@@ -261,6 +280,9 @@
     Out.set_in_flight(Link->Load.InFlight);
     Out.set_config_version(raw(Link->Version));
   }
+  const capacity_account &Account = Log.state().account();
+  if (auto Index = Account.workers().find(Worker.Info.Id))
+    Out.set_accelerators_free(std::popcount(Account.freeMask(*Index)));
   return Out;
 }
 
--- a/src/entry/internal/agentdirectory.cpp
+++ b/src/entry/internal/agentdirectory.cpp
@@ -116,7 +116,7 @@
 
 void agent_directory::considerState(const agent_link &Link,
                                     const worker_entry &Worker) {
-  if (!Members.ownsNode(Link.Agent))
+  if (!Members.ownsAgent(Link.Agent, Worker.Info.Region))
     return;
   worker_state_changed Change{Worker.Info.Id, Link.Incarnation,
                               worker_state::Active, state_cause::Announced};
@@ -191,7 +191,8 @@
   *Request.mutable_customers() = customersInForce();
   for (const auto &[Agent, Link] : Links) {
     const worker_entry *Worker = workerOf(Agent);
-    if (!Worker || Link.Silent || !Members.ownsNode(Agent))
+    if (!Worker || Link.Silent ||
+        !Members.ownsAgent(Agent, Worker->Info.Region))
       continue;
     Peers.call(Worker->PeerAddress, Request, PushTimeout,
                [this, Agent = Agent, Version,
--- a/src/entry/internal/apimessages.cpp
+++ b/src/entry/internal/apimessages.cpp
@@ -145,6 +145,12 @@
   return std::nullopt;
 }
 
+std::string_view levelName(cell_level Level) {
+  static constexpr auto Names = std::to_array<std::string_view>(
+      {"one", "two", "four", "eight", "worker", "rack"});
+  return Names[static_cast<std::size_t>(Level)];
+}
+
 std::string explanationText(const job_explanation &Explanation) {
   switch (Explanation.Reason) {
   case wait_reason::Proposed:
--- a/src/entry/internal/entryrole.cpp
+++ b/src/entry/internal/entryrole.cpp
@@ -2,6 +2,8 @@
 
 #include "codec/protoconvert.h"
 #include "core/base/error.h"
+#include "core/gang/types/gangtiming.h"
+#include "entry/apimessages.h"
 #include "entry/httputil.h"
 
 #include <chrono>
@@ -15,8 +17,8 @@
 constexpr duration AnnounceTimeout = std::chrono::seconds(10);
 constexpr duration AnnounceRetryInterval = std::chrono::seconds(1);
 constexpr duration DrainPoll = std::chrono::milliseconds(50);
-/// Drift and delivery margins of a lease, on top of its duration.
-constexpr duration LapseMargin = std::chrono::seconds(2);
+/// The loss of a lead may be in the log a little before its last renewal.
+constexpr duration LapseMargin = std::chrono::seconds(1);
 
 log_driver_settings logSettings(const settings &Settings) {
   log_driver_settings Log;
@@ -41,7 +43,9 @@
 
 supervision_settings supervisionSettings(const settings &Settings) {
   supervision_settings Supervision;
-  Supervision.LapseAfter = Settings.LeaseDuration + LapseMargin;
+  gang_timing Timing;
+  Timing.Lease = Settings.LeaseDuration;
+  Supervision.LapseAfter = Timing.lapseAfter(Timing.Lease) + LapseMargin;
   return Supervision;
 }
 
@@ -207,6 +211,13 @@
                                  const peer_responder &Respond) {
   if (!Log.ready())
     return Respond(makeResponse(proto::REFUSAL_NOT_READY));
+  // A longer lease there would outlast the time after which an entry takes a
+  // lost gang for stopped.
+  auto Lease = std::chrono::milliseconds(Request.heartbeat().lease_ms());
+  if (Lease > Settings.LeaseDuration) {
+    Logger.error("agent has a longer lease than this entry: " + Request.node());
+    return Respond(makeResponse(proto::REFUSAL_INVALID));
+  }
   proto::PeerResponse Response = makeResponse(proto::REFUSAL_NONE);
   *Response.mutable_heartbeat() = Agents.onHeartbeat(
       node_id(Request.node()), incarnation{Request.incarnation()},
@@ -277,7 +288,7 @@
                             const std::shared_ptr<ihttp_responder> &Responder) {
   if (Request.Path.starts_with(CallPrefix))
     return Log.ready() ? Requests.handle(Request, Responder, Log.state())
-                       : Responder->respond(errorResponse(
+                       : Responder->respond(notRunResponse(
                              error_kind::Unavailable, "not_ready",
                              "this entry is starting; nothing was run"));
   if (Request.Path.starts_with("/v1/"))
@@ -326,7 +337,8 @@
                                 Entry.PeerAddress, Entry.HttpAddress});
   for (const guarantee_shortfall &Short : Log.state().account().shortfalls())
     Out.add_shortfalls(Short.Customer.str() + ": " +
-                       std::to_string(Short.Missing) + " cells missing");
+                       std::to_string(Short.Missing) + " of " +
+                       std::string(levelName(Short.Level)) + " missing");
   return Out;
 }
 
--- a/src/entry/internal/healthdriver.cpp
+++ b/src/entry/internal/healthdriver.cpp
@@ -67,7 +67,8 @@
 
 const worker_entry *health_driver::ownWorker(const worker_id &Id) const {
   const worker_entry *Worker = Log.state().worker(Id);
-  bool Own = Worker && Log.ready() && Members.ownsNode(Worker->Agent);
+  bool Own = Worker && Log.ready() &&
+             Members.ownsAgent(Worker->Agent, Worker->Info.Region);
   return Own ? Worker : nullptr;
 }
 
--- a/src/entry/internal/httputil.cpp
+++ b/src/entry/internal/httputil.cpp
@@ -1,6 +1,7 @@
 #include "entry/httputil.h"
 
 #include "codec/protojson.h"
+#include "core/routing/types/requestoutcome.h"
 
 #include "api.pb.h"
 
@@ -115,4 +116,16 @@
   return jsonResponse(statusOf(Kind), Error);
 }
 
+http_response withOutcome(http_response Response, std::string_view Outcome) {
+  Response.Headers.push_back(
+      {std::string(OutcomeHeader), std::string(Outcome)});
+  return Response;
+}
+
+http_response notRunResponse(error_kind Kind, std::string_view Reason,
+                             std::string_view Message) {
+  return withOutcome(errorResponse(Kind, Reason, Message),
+                     name(outcome_kind::NotRun));
+}
+
 } // namespace geraniumpaddle
--- a/src/entry/internal/logdriver.cpp
+++ b/src/entry/internal/logdriver.cpp
@@ -51,12 +51,12 @@
       proposal_made{Id, Actor, Loop.wallNow(), std::move(Body), Timeout});
 }
 
-void log_driver::pushFollower(follower_event Event) {
+void log_driver::pushFollower(const follower_event &Event) {
   using table =
       member_table<&log_driver::onRead, &log_driver::onFold,
                    &log_driver::onScan, &log_driver::onFindState,
                    &log_driver::onInstall, &log_driver::onBecomeReady>;
-  FollowerEvents.push(std::move(Event), [this](const follower_event &Next) {
+  FollowerEvents.push(Event, [this](const follower_event &Next) {
     for (const follower_command &Command : Follower.handle(Next, Loop.now()))
       table::dispatch(*this, Command);
   });
--- a/src/entry/internal/requestgateway.cpp
+++ b/src/entry/internal/requestgateway.cpp
@@ -94,18 +94,6 @@
   }
 }
 
-http_response withOutcome(http_response Response, std::string_view Outcome) {
-  Response.Headers.push_back(
-      {std::string(OutcomeHeader), std::string(Outcome)});
-  return Response;
-}
-
-http_response notRun(error_kind Kind, std::string_view Reason,
-                     std::string_view Message) {
-  return withOutcome(errorResponse(Kind, Reason, Message),
-                     name(outcome_kind::NotRun));
-}
-
 attempt_state lostState(call_status Status) {
   return Status == call_status::NotSent ? attempt_state::NotSent
                                         : attempt_state::Lost;
@@ -134,16 +122,16 @@
   caller_identity Caller =
       Auth.identify(bearerToken(Request.Headers), Customer, State);
   if (Caller.Kind != caller_kind::Customer)
-    return Responder->respond(notRun(error_kind::PermissionDenied,
-                                     "token_invalid",
-                                     "no valid customer and token"));
+    return Responder->respond(notRunResponse(error_kind::PermissionDenied,
+                                             "token_invalid",
+                                             "no valid customer and token"));
   auto Idempotent = isIdempotent(Request);
   auto Timeout = callerTimeout(Request);
   if (!Idempotent || !Timeout)
     return Responder->respond(
-        notRun(error_kind::InvalidArgument, "invalid_header",
-               !Idempotent ? "X-Idempotent is neither true nor false"
-                           : "X-Timeout-Ms is not a positive number"));
+        notRunResponse(error_kind::InvalidArgument, "invalid_header",
+                       !Idempotent ? "X-Idempotent is neither true nor false"
+                                   : "X-Timeout-Ms is not a positive number"));
   call_target Target = splitTarget(Request);
   request_handle Handle{++LastRequest};
   open_request &Entry = Open[LastRequest];
@@ -261,9 +249,9 @@
   if (Outcome.Kind == outcome_kind::Answered)
     Request.Responder->respond(withOutcome(answered(Outcome.Attempt), Kind));
   else if (Outcome.Kind == outcome_kind::NotRun)
-    Request.Responder->respond(notRun(kindOf(Outcome.Reason),
-                                      name(Outcome.Reason),
-                                      "the request was not run"));
+    Request.Responder->respond(notRunResponse(kindOf(Outcome.Reason),
+                                              name(Outcome.Reason),
+                                              "the request was not run"));
   else
     Request.Responder->respond(
         withOutcome(errorResponse(error_kind::Undetermined, Kind,
--- a/src/entry/livemembers.h
+++ b/src/entry/livemembers.h
@@ -20,21 +20,17 @@
   explicit live_members(const entry_rank &Rank, node_id Self)
       : Rank(Rank), Self(std::move(Self)) {}
 
-  bool owns(fencing_token Token) const override {
-    return isOwner(raw(Token) * MixingFactor);
-  }
-  /// Whether this entry looks after the node of that name.
-  bool ownsNode(const node_id &Node) const {
-    return isOwner(std::hash<node_id>{}(Node)*MixingFactor);
-  }
+  bool owns(fencing_token Token) const override;
+  /// Whether this entry looks after an agent. Agents send heartbeats to the
+  /// entries of their own region only, so one of these does; any entry may if
+  /// none of them lives.
+  bool ownsAgent(const node_id &Agent, const region_id &Region) const;
   /// Whether the entry of that name is alive, as seen here.
   bool isLive(const node_id &Node) const;
 
 private:
   static constexpr std::uint64_t MixingFactor = 0x9e3779b97f4a7c15U;
 
-  bool isOwner(std::uint64_t Hash) const;
-
   const entry_rank &Rank;
   const node_id Self;
 };
--- a/src/entry/logdriver.h
+++ b/src/entry/logdriver.h
@@ -25,7 +25,7 @@
   appender_settings Appender;
   follower_settings Follower;
   snapshot_settings Snapshot;
-  std::size_t SnapshotChunkBytes = 64 * 1024;
+  std::size_t SnapshotChunkBytes = 64UL * 1024;
 };
 
 /// Keeps the ledger of an entry: follows the log, folds its records, appends
@@ -56,7 +56,7 @@
                std::function<void(const proposal_answered &)> Done) override;
 
 private:
-  void pushFollower(follower_event Event);
+  void pushFollower(const follower_event &Event);
   void onRead(const read_log &Command);
   void onFold(const fold_items &Command);
   void onScan(const scan_items &Command);
--- a/src/entry/relayedlog.h
+++ b/src/entry/relayedlog.h
@@ -25,7 +25,7 @@
 class relayed_log final : public ilog_service {
 public:
   static constexpr std::size_t MaxKeptItems = 4096;
-  static constexpr std::size_t MaxKeptBytes = 8 * 1024 * 1024;
+  static constexpr std::size_t MaxKeptBytes = 8UL * 1024 * 1024;
 
   relayed_log(ievent_loop &Loop, ilog_service &Direct, ipeer_client &Peers,
               const peer_identity &Self, relay_source Source);
--- a/src/entry/requestgateway.h
+++ b/src/entry/requestgateway.h
@@ -18,8 +18,6 @@
 
 namespace geraniumpaddle {
 
-/// Header that tells the caller the outcome: answered, not_run, undetermined.
-constexpr std::string_view OutcomeHeader = "X-Outcome";
 /// Header by which a caller marks its request: true or false. Without it GET,
 /// HEAD, PUT, DELETE and OPTIONS count as idempotent.
 constexpr std::string_view IdempotentHeader = "X-Idempotent";
--- a/src/entry/stateserver.h
+++ b/src/entry/stateserver.h
@@ -13,7 +13,7 @@
 /// log.
 class state_server {
 public:
-  static constexpr std::size_t ChunkBytes = 1024 * 1024;
+  static constexpr std::size_t ChunkBytes = 1024UL * 1024;
 
   explicit state_server(const iproposer &Log) : Log(Log) {}
 
--- a/src/entry/tests/entrytest.cpp
+++ b/src/entry/tests/entrytest.cpp
@@ -53,9 +53,8 @@
 public:
   void append(std::span<const std::string>,
               std::function<void(const append_result &)>) override {}
-  void read(log_offset From, std::uint32_t, duration,
+  void read(log_offset, std::uint32_t, duration,
             std::function<void(const read_result &)> Done) override {
-    From_ = From;
     Reads.push_back(std::move(Done));
   }
   void answer(std::uint64_t First, std::size_t Count) {
@@ -69,7 +68,6 @@
     Done(Result);
   }
 
-  log_offset From_{};
   std::vector<std::function<void(const read_result &)>> Reads;
 };
 
@@ -115,8 +113,9 @@
              [this](const read_result &Given) { Result = Given; });
   }
   void serve(std::uint64_t From) {
-    Log.serve(fetchFrom(From).fetch_records(),
-              [this](proto::PeerResponse Response) { Served = Response; });
+    Log.serve(
+        fetchFrom(From).fetch_records(),
+        [this](const proto::PeerResponse &Response) { Served = Response; });
   }
 };
 
@@ -326,6 +325,20 @@
   LONGS_EQUAL(1, Log.State.waitingJobs().size());
 }
 
+TEST(AdminApi, AChangeRepeatedAfterALostAnswerIsNoConflictWithItself) {
+  addCustomers();
+  const char *Change = R"({"base":1,"put":[{"id":"c"}],"removed":["a"]})";
+  LONGS_EQUAL(200, call("PUT", "/v1/customers", Change, "operator").Code);
+  http_response Again = call("PUT", "/v1/customers", Change, "operator");
+  LONGS_EQUAL(200, Again.Code);
+  proto::ChangeAccepted Accepted;
+  CHECK(tryParseJson(Again.Body, Accepted));
+  LONGS_EQUAL(2, Accepted.version());
+  LONGS_EQUAL(raw(Log.State.versionOffset()), Accepted.offset());
+  const char *Other = R"({"base":1,"put":[{"id":"d"}]})";
+  LONGS_EQUAL(409, call("PUT", "/v1/customers", Other, "operator").Code);
+}
+
 TEST(AdminApi, AnEntryThatIsNotReadySaysSo) {
   Log.Ready = false;
   LONGS_EQUAL(503, call("GET", "/v1/customers", "", "operator").Code);
--- a/src/peercodec/internal/gangcodec.cpp
+++ b/src/peercodec/internal/gangcodec.cpp
@@ -12,7 +12,7 @@
 constexpr int MaxGangTasks = 64;
 
 duration leaseOf(std::uint64_t Milliseconds) {
-  constexpr std::uint64_t MaxLeaseMs = 3600 * 1000;
+  constexpr std::uint64_t MaxLeaseMs = 3600UL * 1000;
   if (Milliseconds > MaxLeaseMs)
     throw malformed_message_error("lease_ms: longer than an hour");
   return std::chrono::milliseconds(Milliseconds);
--- a/src/settings/internal/settingsschema.cpp
+++ b/src/settings/internal/settingsschema.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::int64_t MaxMilliseconds = 600000;
+constexpr std::int64_t MaxLeaseMilliseconds = 60000;
 constexpr std::int64_t MaxCount = 1000000;
 constexpr std::int64_t MaxBytes = 256LL * 1024 * 1024;
 
@@ -106,7 +107,9 @@
            "requests that may wait for a slot"),
     time("timing.heartbeat_ms", &s::HeartbeatInterval,
          "least time between heartbeats"),
-    time("timing.lease_ms", &s::LeaseDuration, "lease of a running task"),
+    {"timing.lease_ms", &s::LeaseDuration, rule::None, needed_by::Nobody, 1000,
+     MaxLeaseMilliseconds,
+     "lease of a running task; an agent's must not be longer than an entry's"},
     time("timing.probe_back_off_ms", &s::ProbeBackOff,
          "from a worker's quarantine to its first probe"),
     text("entry.probe_command", &s::ProbeCommand, rule::None, needed_by::Nobody,
--- a/src/settings/types/settings.h
+++ b/src/settings/types/settings.h
@@ -39,7 +39,7 @@
   std::int64_t SnapshotRecords = 20000;
   std::string OperatorTokenHash;
   std::int64_t MaxConnections = 2048;
-  std::int64_t MaxBodyBytes = 8 * 1024 * 1024;
+  std::int64_t MaxBodyBytes = 8LL * 1024 * 1024;
   std::chrono::milliseconds RequestTimeout{30000};
   std::int64_t RequestQueue = 1024;
   std::vector<std::string> Peers;
