--- a/src/core/routing/endpointpool.h
+++ b/src/core/routing/endpointpool.h
@@ -58,6 +58,8 @@
   void drain(const node_id &Agent, incarnation AgentIncarnation);
 
   bool serves(const service_id &Service) const;
+  /// True if an endpoint of the service could take requests but for its load.
+  bool anyUsable(const service_id &Service, time_point Now) const;
   std::size_t size() const { return ByAgent.size(); }
   const pooled_endpoint &at(endpoint_index Index) const;
 
--- a/src/core/routing/internal/endpointpool.cpp
+++ b/src/core/routing/internal/endpointpool.cpp
@@ -149,6 +149,14 @@
   return Services.contains(Service);
 }
 
+bool endpoint_pool::anyUsable(const service_id &Service, time_point Now) const {
+  const auto Found = Services.find(Service);
+  return Found != Services.end() &&
+         std::ranges::any_of(Found->second.ByTier, [&](const auto &Tier) {
+           return anyLive(Tier, choice{}, Now);
+         });
+}
+
 bool endpoint_pool::live(const pooled_endpoint &Endpoint, const choice &Choice,
                          time_point Now) const {
   const bool Usable = Endpoint.Healthy && !Endpoint.Draining &&
--- a/src/core/routing/internal/requestrouter.cpp
+++ b/src/core/routing/internal/requestrouter.cpp
@@ -12,6 +12,8 @@
 /// How often queued requests look for room that no event announces: a reported
 /// load that faded, an ejection that is over.
 constexpr duration PumpInterval = std::chrono::milliseconds(20);
+/// Slow services may queue for this many times the median latency.
+constexpr int QueueTimeInMedians = 4;
 
 not_run_reason reasonOf(attempt_refusal Refusal) {
   switch (Refusal) {
@@ -111,6 +113,7 @@
 void request_router::enqueue(request_handle Handle, request &Request,
                              time_point Now) {
   Request.Queued = true;
+  Request.QueuedAt = Now;
   PumpAt = std::min(PumpAt, Now + PumpInterval);
   const std::optional<request_handle> Loser =
       serviceOf(Request.Service).Queue.push(Request.Customer, Handle);
@@ -128,12 +131,13 @@
   while (const request_handle *Next = Queue.front()) {
     const request_handle Handle = *Next;
     request &Request = Requests.at(Handle);
-    const bool TooLate = expiresBeforeAnswer(Request, Now);
-    if (!TooLate && !trySend(Handle, Request, Now))
+    const bool Expired = expiresBeforeAnswer(Request, Now);
+    const bool Sent = !Expired && trySend(Handle, Request, Now);
+    if (!Sent && !Expired && !waitedTooLong(Request, Now))
       return;
     Queue.pop();
     Request.Queued = false;
-    if (TooLate)
+    if (!Sent)
       giveUp(Handle, Request, not_run_reason::Overloaded);
   }
 }
@@ -155,6 +159,17 @@
   return Request.Deadline - Now <= Median.value_or(duration::zero());
 }
 
+/// Under overload a longer queue makes every answer late. While no endpoint
+/// can be used at all, a request waits for one up to its deadline.
+bool request_router::waitedTooLong(const request &Request, time_point Now) {
+  if (Now - Request.QueuedAt <= Settings.MaxQueueTime)
+    return false;
+  const duration Median =
+      serviceOf(Request.Service).Latency.median().value_or(duration::zero());
+  return Now - Request.QueuedAt > QueueTimeInMedians * Median &&
+         Pool.anyUsable(Request.Service, Now);
+}
+
 /// An endpoint with room, rather one that the request has not been to.
 std::optional<endpoint_index> request_router::choose(const request &Request,
                                                      bool FreeSlotOnly,
--- a/src/core/routing/requestrouter.h
+++ b/src/core/routing/requestrouter.h
@@ -66,6 +66,7 @@
     std::uint32_t Bytes = 0;
     std::uint32_t Attempts = 0;
     time_point Deadline;
+    time_point QueuedAt{};
     time_point HedgeAt = time_point::max();
     std::vector<node_id> Tried;
     std::vector<std::uint64_t> Open; ///< attempts whose fate is not known
@@ -139,6 +140,7 @@
   void pump(const service_id &Service, time_point Now);
   void pumpAll(time_point Now);
   bool expiresBeforeAnswer(const request &Request, time_point Now);
+  bool waitedTooLong(const request &Request, time_point Now);
   bool trySend(request_handle Handle, request &Request, time_point Now);
   void hedge(request_handle Handle, request &Request, time_point Now);
   void retryOrGiveUp(request_handle Handle, request &Request,
--- a/src/core/routing/tests/faulttest.cpp
+++ b/src/core/routing/tests/faulttest.cpp
@@ -177,3 +177,29 @@
   CHECK(Outcomes.front().Kind == outcome_kind::Undetermined);
   LONGS_EQUAL(0, Router.openRequests());
 }
+
+TEST(LostAgent, ARequestThatWaitsTooLongForASlotIsNotRun) {
+  constexpr std::uint64_t Requests = 16; // more than eight slots take
+  std::uint64_t Sent = 0;
+  std::uint64_t Shed = 0;
+  auto Count = [&](std::span<const router_command> Commands) {
+    for (const router_command &Command : Commands) {
+      Sent += std::holds_alternative<send_attempt>(Command);
+      const auto *Answer = std::get_if<answer_caller>(&Command);
+      if (Answer) {
+        ++Shed;
+        CHECK(Answer->Outcome.Reason == not_run_reason::Overloaded);
+      }
+    }
+  };
+  for (std::uint64_t I = 1; I <= Requests; ++I)
+    Count(Router.handle(request_arrived{request_handle{I}, customer_id("c1"),
+                                        service_id("s"), false, 0, 30s},
+                        time_point{}));
+  const duration Limit = router_settings{}.MaxQueueTime;
+  Count(Router.handle(router_timer_fired{}, time_point{} + Limit));
+  LONGS_EQUAL(0, Shed);
+  Count(Router.handle(router_timer_fired{}, time_point{} + Limit + 100ms));
+  LONGS_EQUAL(Requests - Sent, Shed);
+  CHECK(Shed > 0);
+}
--- a/src/core/routing/types/routersettings.h
+++ b/src/core/routing/types/routersettings.h
@@ -25,6 +25,9 @@
   duration MaxTimeout = std::chrono::seconds(60);
   /// Requests waiting for an endpoint, of all customers of one service.
   std::size_t QueueLimit = 256;
+  /// Wait for room at endpoints that can be used, after which a request is not
+  /// run; slow services may queue longer.
+  duration MaxQueueTime = std::chrono::milliseconds(500);
   /// Requests sent to an agent beyond its endpoint's slots, as a share of them.
   double OverCommit = 0.25;
   std::uint32_t MaxAttempts = 4; ///< for one request
