--- a/bench/placementreplay.cpp
+++ b/bench/placementreplay.cpp
@@ -1,5 +1,7 @@
 #include "placementreplay.h"
 
+#include "core/base/error.h"
+
 #include <algorithm>
 #include <bit>
 #include <chrono>
@@ -49,7 +51,7 @@
   for (const worker_info &Worker : Load.Workers)
     Account.registerWorker(Worker);
   if (Account.setGuarantees(Load.Customers) != capacity_check::Ok)
-    throw std::runtime_error("the workload's guarantees do not pack");
+    throw internal_error("the workload's guarantees do not pack");
   for (std::size_t Job = 0; Job < Load.Jobs.size(); ++Job) {
     const replay_job &Spec = Load.Jobs[Job];
     ByName[Spec.Job] = Job;
