Routing: one function takes the reports of deliveries and of queries

Cause: onAttempt and onQuery were the same lines but for the flag of the call that ended and for where the report came from (found by duplicates). Ruled out: one event for both, since the front end has to tell them apart. Change: takeReport gets the flag as a member pointer. Behaviour as before.

--- a/src/core/routing/internal/requestattempts.cpp
+++ b/src/core/routing/internal/requestattempts.cpp
@@ -68,40 +68,32 @@
 }
 
 void request_router::onAttempt(const attempt_reported &Event, time_point Now) {
-  const auto Found = Attempts.find(Event.Attempt);
-  if (Found == Attempts.end())
-    return;
-  attempt &Attempt = Found->second;
-  const service_id Service = Attempt.Service;
-  Attempt.DeliveryOpen = false;
-  if (!Attempt.Settled) {
-    const report Report{Event.Refusal, Event.ServerError, false};
-    (this->*ReportHandlers[raw(Event.State)])(Event.Attempt, Attempt, Report,
-                                              Now);
-  }
-  if (reportsLoad(Event.State))
-    Pool.updateLoad(Attempt.Endpoint, Attempt.Agent, Attempt.AgentIncarnation,
-                    Event.Load, Now);
-  forgetIfClosed(Event.Attempt);
-  pump(Service, Now);
+  takeReport(Event, &attempt::DeliveryOpen, Now);
 }
 
 void request_router::onQuery(const query_reported &Event, time_point Now) {
-  const auto Found = Attempts.find(Event.Attempt);
+  takeReport(Event, &attempt::QueryOpen, Now);
+}
+
+template <typename Event>
+void request_router::takeReport(const Event &Reported, bool attempt::*OpenCall,
+                                time_point Now) {
+  const auto Found = Attempts.find(Reported.Attempt);
   if (Found == Attempts.end())
     return;
   attempt &Attempt = Found->second;
   const service_id Service = Attempt.Service;
-  Attempt.QueryOpen = false;
+  Attempt.*OpenCall = false;
   if (!Attempt.Settled) {
-    const report Report{Event.Refusal, Event.ServerError, true};
-    (this->*ReportHandlers[raw(Event.State)])(Event.Attempt, Attempt, Report,
-                                              Now);
+    const report Report{Reported.Refusal, Reported.ServerError,
+                        OpenCall == &attempt::QueryOpen};
+    (this->*ReportHandlers[raw(Reported.State)])(Reported.Attempt, Attempt,
+                                                 Report, Now);
   }
-  if (reportsLoad(Event.State))
+  if (reportsLoad(Reported.State))
     Pool.updateLoad(Attempt.Endpoint, Attempt.Agent, Attempt.AgentIncarnation,
-                    Event.Load, Now);
-  forgetIfClosed(Event.Attempt);
+                    Reported.Load, Now);
+  forgetIfClosed(Reported.Attempt);
   pump(Service, Now);
 }
 
--- a/src/core/routing/requestrouter.h
+++ b/src/core/routing/requestrouter.h
@@ -161,6 +161,10 @@
   void queryAfter(std::uint64_t Number, attempt &Attempt, duration Delay,
                   time_point Now);
   void backOff(std::uint64_t Number, attempt &Attempt, time_point Now);
+  /// The call that \p OpenCall stands for has ended with a report.
+  template <typename Event>
+  void takeReport(const Event &Reported, bool attempt::*OpenCall,
+                  time_point Now);
   request *requestOf(const attempt &Attempt);
   void queryAllAt(const node_id &Agent, incarnation AgentIncarnation,
                   time_point Now);
