--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -13,7 +13,7 @@
     target_link_libraries(gp_${NAME} INTERFACE ${ARG_DEPENDS})
     target_include_directories(gp_${NAME} INTERFACE ${PROJECT_SOURCE_DIR}/src)
   endif()
-  if(ARG_TESTS)
+  if(ARG_TESTS AND GP_TESTS)
     add_executable(gp_${NAME}_tests ${ARG_TESTS} ${PROJECT_SOURCE_DIR}/src/testmain/testmain.cpp)
     target_link_libraries(gp_${NAME}_tests PRIVATE gp_${NAME} ${ARG_TEST_DEPENDS} gp_testing gp_warnings)
     add_test(NAME ${NAME}
--- a/proto/generate.sh
+++ b/proto/generate.sh
@@ -5,5 +5,5 @@
 cd "$(dirname "$0")"
 out=../src/codec/generated
 mkdir -p "$out"
-protoc -I. --cpp_out="$out" records.proto snapshot.proto peer.proto platform.proto api.proto
+protoc -I. --cpp_out="$out" records.proto snapshot.proto peer.proto platform.proto api.proto work.proto
 protoc -I. --grpc_out="$out" --plugin=protoc-gen-grpc="$(command -v grpc_cpp_plugin)" peer.proto
--- /dev/null
+++ b/src/core/topics/internal/topicfollower.cpp
@@ -0,0 +1,122 @@
+#include "core/topics/topicfollower.h"
+
+#include "core/base/membertable.h"
+
+#include <algorithm>
+
+namespace geraniumpaddle {
+
+namespace {
+
+/// Pause after a read that failed; grows with each failure in a row.
+constexpr duration RetryStep = std::chrono::milliseconds(50);
+constexpr int MaxRetrySteps = 6;
+
+} // namespace
+
+std::span<const topic_command> topic_follower::handle(const topic_event &Event,
+                                                      time_point Now) {
+  Commands.clear();
+  using table =
+      member_table<&topic_follower::onNewest, &topic_follower::onBatch,
+                   &topic_follower::onGone, &topic_follower::onFailed,
+                   &topic_follower::onTimePassed>;
+  table::dispatch(*this, Event, Now);
+  return Commands;
+}
+
+void topic_follower::readOn() {
+  Reading = true;
+  if (Phase == phase::Tail)
+    Commands.emplace_back(read_topic{Next});
+  else
+    Commands.emplace_back(read_newest{PageEnd});
+}
+
+void topic_follower::onTimePassed(const topic_time_passed &,
+                                  const time_point &Now) {
+  if (Reading)
+    return;
+  if (Phase == phase::Start) {
+    Phase = phase::Newest;
+    FirstPage = true;
+    PageEnd.clear();
+    SeenKeys.clear();
+  }
+  if (Now < RetryAt)
+    Commands.emplace_back(topic_wake_at{RetryAt});
+  else
+    readOn();
+}
+
+void topic_follower::deliver(const keyed_record &Record) {
+  if (Record.Dropped)
+    Keys.erase(Record.Key);
+  else
+    Keys.insert(Record.Key);
+  Commands.emplace_back(deliver_record{Record});
+}
+
+void topic_follower::onNewest(const newest_page &Event,
+                              const time_point &Now) {
+  Reading = false;
+  if (Phase != phase::Newest)
+    return;
+  Failures = 0;
+  LastAnswer = Now;
+  // What is appended from here on is read again from the log.
+  if (FirstPage)
+    Next = Event.End;
+  FirstPage = false;
+  for (const keyed_record &Record : Event.Records) {
+    SeenKeys.insert(Record.Key);
+    deliver(Record);
+    PageEnd = Record.Key;
+  }
+  if (!Event.HasMore || Event.Records.empty()) {
+    dropMissing();
+    Phase = phase::Tail;
+    Loaded = true;
+    Commands.emplace_back(topic_loaded{});
+  }
+  readOn();
+}
+
+void topic_follower::dropMissing() {
+  std::vector<std::string> Missing;
+  std::set_difference(Keys.begin(), Keys.end(), SeenKeys.begin(),
+                      SeenKeys.end(), std::back_inserter(Missing));
+  for (const std::string &Key : Missing)
+    deliver({.Key = Key, .Dropped = true, .Offset = Next});
+}
+
+void topic_follower::onBatch(const topic_batch &Event, const time_point &Now) {
+  Reading = false;
+  if (Phase != phase::Tail)
+    return;
+  Failures = 0;
+  LastAnswer = Now;
+  for (const keyed_record &Record : Event.Records) {
+    if (Record.Offset < Next)
+      continue;
+    deliver(Record);
+    Next = Record.Offset + 1;
+  }
+  readOn();
+}
+
+void topic_follower::onGone(const history_gone &, const time_point &Now) {
+  Reading = false;
+  Phase = phase::Start;
+  onTimePassed({}, Now);
+}
+
+void topic_follower::onFailed(const topic_read_failed &,
+                              const time_point &Now) {
+  Reading = false;
+  Failures = std::min(Failures + 1, MaxRetrySteps);
+  RetryAt = Now + RetryStep * Failures;
+  Commands.emplace_back(topic_wake_at{RetryAt});
+}
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/core/topics/types/topicevents.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "core/base/types/time.h"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace geraniumpaddle {
+
+/// A record of a topic that keeps the newest record of each key.
+struct keyed_record {
+  std::string Key;
+  std::string Value;
+  bool Dropped = false; ///< the key has no value any more
+  std::uint64_t Offset = 0;
+};
+
+// Events of a topic_follower.
+
+/// One page of the newest records. Pages are no snapshot.
+struct newest_page {
+  std::vector<keyed_record> Records;
+  bool HasMore = false;
+  std::uint64_t End = 0; ///< offset after the last record of the topic
+};
+/// Records from \c From on, in order; maybe none.
+struct topic_batch {
+  std::uint64_t From = 0;
+  std::uint64_t End = 0;
+  std::vector<keyed_record> Records;
+};
+/// The records that were asked for are not kept any more.
+struct history_gone {};
+struct topic_read_failed {};
+struct topic_time_passed {};
+
+using topic_event = std::variant<newest_page, topic_batch, history_gone,
+                                 topic_read_failed, topic_time_passed>;
+
+// Commands.
+
+struct read_newest {
+  std::string After; ///< key of the last record of the page before
+};
+struct read_topic {
+  std::uint64_t From = 0;
+};
+struct deliver_record {
+  keyed_record Record;
+};
+/// Everything that was in the topic when its reading began was delivered.
+struct topic_loaded {};
+struct topic_wake_at {
+  time_point At{};
+};
+
+using topic_command = std::variant<read_newest, read_topic, deliver_record,
+                                   topic_loaded, topic_wake_at>;
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/core/work/internal/workbook.cpp
@@ -0,0 +1,114 @@
+#include "core/work/workbook.h"
+
+namespace geraniumpaddle::work {
+
+namespace {
+
+constexpr std::string_view SubmissionPrefix = "job.";
+constexpr std::string_view CancellationPrefix = "cancel.";
+constexpr std::string_view ProgressPrefix = "progress.";
+constexpr std::string_view EntryPrefix = "entry.";
+
+std::string keyOf(std::string_view Prefix, std::string_view Name) {
+  return std::string(Prefix).append(Name);
+}
+
+} // namespace
+
+std::string submissionKey(const job_id &Job) {
+  return keyOf(SubmissionPrefix, Job.view());
+}
+std::string cancellationKey(const job_id &Job) {
+  return keyOf(CancellationPrefix, Job.view());
+}
+std::string progressKey(const job_id &Job) {
+  return keyOf(ProgressPrefix, Job.view());
+}
+std::string entryKey(const node_id &Node) {
+  return keyOf(EntryPrefix, Node.view());
+}
+
+job_state book_entry::state() const {
+  return Cancelled && !ended(Progress.State) ? job_state::Cancelled
+                                             : Progress.State;
+}
+
+bool work_book::advance(const record_position &Position) {
+  // Offsets count from 0 in each topic; a key stands in one topic only.
+  auto [Found, IsNew] =
+      Offsets.try_emplace(std::string(Position.Key), Position.Offset);
+  if (IsNew)
+    return true;
+  if (Found->second >= Position.Offset)
+    return false;
+  Found->second = Position.Offset;
+  return true;
+}
+
+void work_book::apply(const record_position &Position,
+                      const work_record &Record) {
+  if (advance(Position))
+    std::visit([this](const auto &Each) { applyRecord(Each); }, Record);
+}
+
+void work_book::forget(const record_position &Position) {
+  if (!advance(Position))
+    return;
+  const std::string_view Key = Position.Key;
+  if (Key.starts_with(SubmissionPrefix)) {
+    const auto Found = Jobs.find(job_id(Key.substr(SubmissionPrefix.size())));
+    if (Found == Jobs.end())
+      return;
+    countPending(Found->second, -1);
+    Jobs.erase(Found);
+  } else if (Key.starts_with(EntryPrefix)) {
+    Entries.erase(node_id(Key.substr(EntryPrefix.size())));
+  }
+}
+
+template <typename Change>
+void work_book::changeJob(const job_id &Job, const Change &Apply) {
+  book_entry &Entry = Jobs[Job];
+  countPending(Entry, -1);
+  Apply(Entry);
+  countPending(Entry, 1);
+}
+
+void work_book::countPending(const book_entry &Entry, int By) {
+  if (!Entry.Spec || Entry.state() != job_state::Queued)
+    return;
+  Pending[Entry.Spec->Terms.Queue] += static_cast<std::size_t>(By);
+}
+
+void work_book::applyRecord(const job_submitted &Record) {
+  changeJob(Record.Spec.Id, [&](book_entry &Entry) {
+    // A repeated submission of a known job changes nothing.
+    if (!Entry.Spec)
+      Entry.Spec = std::make_shared<const job_spec>(Record.Spec);
+  });
+}
+
+void work_book::applyRecord(const job_cancelled &Record) {
+  changeJob(Record.Job, [](book_entry &Entry) { Entry.Cancelled = true; });
+}
+
+void work_book::applyRecord(const job_progressed &Record) {
+  changeJob(Record.Job,
+            [&](book_entry &Entry) { Entry.Progress = Record.Progress; });
+}
+
+void work_book::applyRecord(const entry_present &Record) {
+  Entries[Record.Node] = Record;
+}
+
+const book_entry *work_book::find(const job_id &Job) const {
+  const auto Found = Jobs.find(Job);
+  return Found == Jobs.end() || !Found->second.Spec ? nullptr : &Found->second;
+}
+
+std::size_t work_book::pending(std::string_view Queue) const {
+  const auto Found = Pending.find(Queue);
+  return Found == Pending.end() ? 0 : Found->second;
+}
+
+} // namespace geraniumpaddle::work
--- /dev/null
+++ b/src/core/work/internal/workerpool.cpp
@@ -0,0 +1,44 @@
+#include "core/work/workerpool.h"
+
+namespace geraniumpaddle::work {
+
+pool_worker *worker_pool::find(const worker_id &Worker) {
+  const auto Found = Workers.find(Worker);
+  return Found == Workers.end() ? nullptr : &Found->second;
+}
+
+pool_worker *worker_pool::find(const worker_life &Life) {
+  pool_worker *Found = find(Life.Worker);
+  return Found && Found->Description.Life == Life ? Found : nullptr;
+}
+
+const pool_worker *worker_pool::find(const worker_life &Life) const {
+  const auto Found = Workers.find(Life.Worker);
+  return Found != Workers.end() && Found->second.Description.Life == Life
+             ? &Found->second
+             : nullptr;
+}
+
+pool_worker &worker_pool::expect(const worker_life &Life, time_point LeaseEnd) {
+  pool_worker &Worker = Workers[Life.Worker];
+  Worker.Description.Life = Life;
+  Worker.LeaseEnd = LeaseEnd;
+  return Worker;
+}
+
+pool_worker &worker_pool::heard(const worker_report &Report, time_point Now) {
+  pool_worker &Worker = Workers[Report.Description.Life.Worker];
+  Worker.Description = Report.Description;
+  Worker.Described = true;
+  Worker.Reachable = Report.Reachable;
+  Worker.LeaseEnd = leaseEnd(Now);
+  return Worker;
+}
+
+time_point worker_pool::leaseEnd(time_point Now) const {
+  const auto Longest = std::chrono::duration_cast<duration>(
+      Limits.Lease * (1.0 + WorkerClockError));
+  return Now + Longest + LeaseMargin;
+}
+
+} // namespace geraniumpaddle::work
--- /dev/null
+++ b/src/core/work/livejobs.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "core/work/types/progress.h"
+
+#include <memory>
+#include <span>
+#include <vector>
+
+namespace geraniumpaddle::work {
+
+/// A step of one occurrence of a job.
+struct step_ref {
+  job_id Job;
+  std::uint32_t Occurrence = 0;
+  std::uint32_t Step = 0;
+
+  friend auto operator<=>(const step_ref &, const step_ref &) = default;
+};
+
+/// A job that has not ended, as the scheduler changes it.
+class live_job {
+public:
+  live_job(std::shared_ptr<const job_spec> Spec, job_progress Progress,
+           time_point KnownAt);
+
+  const job_spec &spec() const { return *Spec; }
+  const step_spec &step(std::uint32_t Step) const { return Spec->Steps[Step]; }
+  const job_progress &progress() const { return Progress; }
+  const task_layout &layout() const { return Layout; }
+  time_point knownAt() const { return KnownAt; }
+  task_progress &task(const task_position &Position) {
+    return Progress.Tasks[Layout.ordinal(Position)];
+  }
+
+  /// Positions of the tasks of a step that wait for a run.
+  std::vector<task_position> waiting(const step_ref &Step) const;
+  /// True once the steps that it depends on are done and its time has come.
+  bool ready(const step_ref &Step, wall_time Wall) const;
+  /// Start of an occurrence; the epoch for a job without start times.
+  wall_time dueAt(std::uint32_t Occurrence) const;
+  std::span<const step_ref> steps() const { return Steps; }
+
+  void setDone(const task_position &Position);
+  /// Counts a failed run of a task, or of its whole gang.
+  /// \returns the failures so far.
+  std::uint32_t countFailure(const task_position &Position, std::uint32_t Run);
+  void setState(job_state State) { Progress.State = State; }
+  void end(job_state State, wall_time At);
+  bool allDone() const { return OpenTasks == 0; }
+
+private:
+  std::size_t stepIndex(std::uint32_t Occurrence, std::uint32_t Step) const {
+    return Occurrence * Spec->Steps.size() + Step;
+  }
+
+  std::shared_ptr<const job_spec> Spec;
+  job_progress Progress;
+  task_layout Layout;
+  time_point KnownAt;
+  std::vector<step_ref> Steps;
+  std::vector<std::uint32_t> OpenByStep; ///< tasks not done, by stepIndex
+  std::vector<std::uint32_t> FailedRun;  ///< of gangs: the last one counted
+  std::size_t OpenTasks = 0;
+};
+
+} // namespace geraniumpaddle::work
--- /dev/null
+++ b/src/core/work/types/configuration.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "core/work/types/job.h"
+
+#include <string>
+#include <vector>
+
+namespace geraniumpaddle::work {
+
+/// A queue and the callers' address of it.
+struct queue_route {
+  std::string Host;
+  std::string PathPrefix;
+  bool Anonymous = false; ///< calls need no key
+  queue_terms Terms;
+};
+
+struct service_config {
+  service_id Name;
+  bool GuardsCapacity = false; ///< its workers refuse what does not fit
+  bool Standby = false;        ///< its workers are switched off
+};
+
+struct customer_config {
+  customer_id Name;
+  std::vector<std::string> Keys;
+  std::int32_t GuaranteedAccelerators = 0;
+};
+
+/// What operators set, whole, at one version.
+struct configuration {
+  std::uint64_t Version = 0; ///< 0: none yet
+  std::vector<queue_route> Routes;
+  std::vector<service_config> Services;
+  std::vector<customer_config> Customers;
+};
+
+} // namespace geraniumpaddle::work
--- /dev/null
+++ b/src/core/work/types/job.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "core/base/types/ids.h"
+#include "core/base/types/resources.h"
+#include "core/base/types/time.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace geraniumpaddle::work {
+
+/// One step of a job: tasks that are alike.
+struct step_spec {
+  std::uint32_t Count = 1;
+  resources Need;
+  duration Estimate{};              ///< of one task, as declared; rough
+  std::vector<std::uint32_t> After; ///< earlier steps that must be done first
+  bool Checkpointing = false;
+  bool Gang = false; ///< all tasks run at the same time, or none does
+  bool SameRack = false;
+  bool Speculative = false;
+  bool LongRunning = false; ///< runs until the job is cancelled
+  bool Fills = false;       ///< processor demand is not held against capacity
+  std::string RequiredLabel;
+  std::string DataRack;
+  std::string Image;
+  std::uint32_t MaxPerWorker = 0; ///< 0: no limit
+  duration TailLatencyTarget{};   ///< 0: none
+  std::uint32_t MaxUnavailable = 0;
+
+  friend bool operator==(const step_spec &, const step_spec &) = default;
+};
+
+/// What a task of \p Step holds on its worker.
+resources heldBy(const step_spec &Step);
+
+/// What a queue's configuration promises to its jobs.
+struct queue_terms {
+  std::string Queue;
+  service_id Service;
+  std::uint32_t Priority = 0; ///< 0 is the most urgent and may preempt
+  std::uint32_t Attempts = 1; ///< failed runs of one task or gang, at most
+  double SlackFactor = 1;     ///< objective as a multiple of the work
+  duration TargetLatency{};   ///< added to the objective
+
+  friend bool operator==(const queue_terms &, const queue_terms &) = default;
+};
+
+struct job_spec {
+  job_id Id;
+  customer_id Customer;
+  queue_terms Terms;
+  std::string Payload; ///< handed to every task as it came
+  std::vector<step_spec> Steps;
+  wall_time SubmittedAt{};
+  wall_time FirstStart{}; ///< of the first occurrence; 0: at once
+  duration Interval{};
+  std::uint32_t Occurrences = 1;
+  bool Scheduled = false; ///< occurrences have start times
+
+  friend bool operator==(const job_spec &, const job_spec &) = default;
+};
+
+struct task_position {
+  std::uint32_t Occurrence = 0;
+  std::uint32_t Step = 0;
+  std::uint32_t Index = 0;
+
+  friend auto operator<=>(const task_position &,
+                          const task_position &) = default;
+};
+
+struct task_ref {
+  job_id Job;
+  task_position Position;
+
+  friend auto operator<=>(const task_ref &, const task_ref &) = default;
+};
+
+/// One start of a task. Runs count from 1; members of a gang share the number.
+struct run_ref {
+  task_ref Task;
+  std::uint32_t Run = 0;
+
+  friend auto operator<=>(const run_ref &, const run_ref &) = default;
+};
+
+/// Maps the tasks of a job to consecutive numbers.
+class task_layout {
+public:
+  task_layout() = default;
+  explicit task_layout(const job_spec &Spec);
+
+  std::size_t size() const { return Total; }
+  std::size_t tasksPerOccurrence() const { return PerOccurrence; }
+  /// \p Position has to be in the job; see contains().
+  std::size_t ordinal(const task_position &Position) const;
+  bool contains(const task_position &Position) const;
+  task_position position(std::size_t Ordinal) const;
+
+private:
+  std::vector<std::uint32_t> Starts; ///< of each step; the last is the end
+  std::size_t PerOccurrence = 0;
+  std::size_t Total = 0;
+};
+
+} // namespace geraniumpaddle::work
--- /dev/null
+++ b/src/core/work/types/limits.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "core/base/types/time.h"
+
+namespace geraniumpaddle::work {
+
+/// What the scheduler has to keep to. Figures without another source are the
+/// platform's bounds, from the settings.
+struct scheduler_limits {
+  /// Lease of a worker, on its own clock, from the listing it was granted on.
+  duration Lease = std::chrono::seconds(6);
+  /// An earlier scheduler may have granted leases this long after another took
+  /// office: it does so while its last answer from the store is younger.
+  duration EarlierTerm = std::chrono::seconds(12);
+  /// Time for a gang's members to start before the run is given up. Shorter
+  /// than the platform's own limit, so that members are stopped, not left.
+  duration GangStart = std::chrono::milliseconds(1500);
+};
+
+/// The platform allows a worker's clock to run this much slow.
+constexpr double WorkerClockError = 0.02;
+/// Beyond the lease itself: the worker may list an end a little late.
+constexpr duration LeaseMargin = std::chrono::milliseconds(300);
+
+} // namespace geraniumpaddle::work
--- /dev/null
+++ b/src/core/work/workerpool.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "core/work/types/limits.h"
+#include "core/work/types/worker.h"
+
+#include <deque>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace geraniumpaddle::work {
+
+/// One life of a worker as the scheduler knows it.
+struct pool_worker {
+  worker_description Description;
+  bool Described = false; ///< false: known only from runs in the log
+  bool HasListing = false; ///< its runs were listed since it is known
+  bool Reachable = false;
+  resources Used;  ///< by runs that have not ended, those being stopped too
+  resources Freed; ///< part of Used that is being stopped
+  std::set<run_ref> Runs;
+  time_point LeaseEnd{}; ///< nothing runs there after this without a report
+  std::uint64_t Listed = 0;       ///< highest number of an end taken in
+  std::uint64_t Acknowledged = 0; ///< ends up to here are in the log
+  /// Ends that wait for a batch: {batch, number}.
+  std::deque<std::pair<std::uint64_t, std::uint64_t>> WaitingEnds;
+  std::uint64_t OrderNumber = 1;
+  std::set<run_ref> Known; ///< runs that the last report listed
+
+  bool usable() const {
+    return Described && HasListing && Reachable && !Description.Draining;
+  }
+  resources free() const {
+    resources Free = Description.Capacity;
+    Free -= Used;
+    return Free;
+  }
+};
+
+/// All workers, by name; each in one life at a time.
+class worker_pool {
+public:
+  explicit worker_pool(const scheduler_limits &Limits) : Limits(Limits) {}
+
+  pool_worker *find(const worker_life &Life);
+  const pool_worker *find(const worker_life &Life) const;
+  pool_worker *find(const worker_id &Worker);
+  std::map<worker_id, pool_worker> &all() { return Workers; }
+  const std::map<worker_id, pool_worker> &all() const { return Workers; }
+
+  /// A life that only the log knows; it may hold leases until \p LeaseEnd.
+  pool_worker &expect(const worker_life &Life, time_point LeaseEnd);
+  /// Takes what a worker says of itself and extends its lease.
+  pool_worker &heard(const worker_report &Report, time_point Now);
+  void erase(const worker_id &Worker) { Workers.erase(Worker); }
+
+  /// When the lease that is granted now is over for certain.
+  time_point leaseEnd(time_point Now) const;
+
+private:
+  scheduler_limits Limits;
+  std::map<worker_id, pool_worker> Workers;
+};
+
+} // namespace geraniumpaddle::work
--- /dev/null
+++ b/src/core/work/workscheduler.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "core/work/livejobs.h"
+#include "core/work/placementround.h"
+#include "core/work/queuedirectory.h"
+#include "core/work/types/limits.h"
+#include "core/work/types/schedulerevents.h"
+#include "core/work/workbook.h"
+#include "core/work/workerpool.h"
+
+#include <map>
+#include <set>
+#include <span>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace geraniumpaddle::work {
+
+/// Decides which task runs where, for one term of office.
+///
+/// A run is recorded before its worker is told of it, and an end before it is
+/// acknowledged. Each worker gets the whole list of what it shall run, so a
+/// repeated or lost message changes nothing, and a scheduler that takes office
+/// goes on from the log and from what the agents report.
+class work_scheduler {
+public:
+  /// \param Book has every record up to the start of the term; it outlives the
+  ///        scheduler.
+  /// \param Queues the configuration in force; outlives the scheduler.
+  work_scheduler(std::uint64_t Term, const scheduler_limits &Limits,
+                 const work_book &Book, const queue_directory &Queues,
+                 present_time Present);
+
+  /// \returns commands that are valid until the next call.
+  std::span<const scheduler_command> handle(const scheduler_event &Event,
+                                            present_time Present);
+
+  std::uint64_t term() const { return Term; }
+  /// What \p Worker shall run now; nothing for a life that is not known.
+  std::optional<worker_orders> orders(const worker_life &Worker) const;
+
+  std::size_t runningRuns() const { return Runs.size(); }
+  std::size_t openJobs() const { return Jobs.size(); }
+  const worker_pool &workers() const { return Pool; }
+
+private:
+  void onArrived(const job_arrived &Event, const present_time &Present);
+  void onCancel(const job_cancel_wanted &Event, const present_time &Present);
+  void onReported(const worker_reported &Event, const present_time &Present);
+  void onStored(const progress_stored &Event, const present_time &Present);
+  void onTimePassed(const time_passed &Event, const present_time &Present);
+
+  void adoptBook(const present_time &Present);
+  void adoptRuns(const live_job &Job, const present_time &Present);
+  live_job *findJob(const job_id &Job);
+  void addRun(live_run Run);
+  void eraseRun(const run_ref &Run);
+  void markChanged(const job_id &Job);
+  void ordersChanged(pool_worker &Worker);
+
+  void takeListing(pool_worker &Worker, const worker_report &Report,
+                   const present_time &Present);
+  void takeRunning(pool_worker &Worker, const running_run &Row,
+                   const present_time &Present);
+  void takeForeign(pool_worker &Worker, const running_run &Row,
+                   const present_time &Present);
+  void takeFinished(pool_worker &Worker, const finished_run &Row,
+                    const present_time &Present);
+  void dropUnlisted(pool_worker &Worker, const worker_report &Report,
+                    const present_time &Present);
+  void runOver(const live_run &Run, run_end How, const std::string &Checkpoint,
+               const present_time &Present);
+  void taskDone(live_job &Job, const run_ref &Run, const present_time &Present);
+  void taskFailed(live_job &Job, const run_ref &Run,
+                  const present_time &Present);
+  void runLost(const run_ref &Run, decision_kind Kind, std::string_view Why,
+               const present_time &Present);
+  void loseAll(pool_worker &Worker, std::string_view Why,
+               const present_time &Present);
+  void releaseTask(live_job &Job, const run_ref &Run,
+                   const std::string &Checkpoint);
+  void stopRun(const run_ref &Run, std::string_view Why);
+  void stopGang(const live_job &Job, const run_ref &Member,
+                std::string_view Why);
+  void endJob(const job_id &Job, job_state State, const present_time &Present);
+
+  void decide(const present_time &Present);
+  void expireWorkers(const present_time &Present);
+  void expireGangs(const present_time &Present);
+  std::vector<step_ref> readySteps(const present_time &Present);
+  placement_request requestFor(const live_job &Job, const step_ref &Step,
+                               std::span<const task_position> Tasks) const;
+  void startRuns(live_job &Job, const step_ref &Step,
+                 std::span<const assignment> Assignments,
+                 const present_time &Present);
+  bool mayPreempt(const live_job &Job) const;
+  void makeRoom(placement_round &Round, const placement_request &Request,
+                const present_time &Present);
+  void flush();
+  void askWake(time_point At);
+  void note(decision_kind Kind, const run_ref &Run, const worker_life &Worker,
+            std::string_view Detail = {});
+  const queue_terms &termsOf(const live_job &Job) const;
+
+  const std::uint64_t Term;
+  const scheduler_limits Limits;
+  const work_book &Book;
+  const queue_directory &Queues;
+  std::unordered_map<job_id, live_job> Jobs;
+  std::map<run_ref, live_run> Runs;
+  worker_pool Pool;
+  std::set<job_id> Waiting; ///< jobs with tasks that wait
+  std::unordered_set<job_id> EndedJobs; ///< in this term
+  std::map<job_id, job_progress> Changed; ///< to be recorded
+  std::uint64_t NextBatch = 1;   ///< that takes the changes from now on
+  std::uint64_t StoredBatch = 0; ///< the last one in the log
+  bool Appending = false;
+  std::optional<time_point> Wake;
+  std::vector<scheduler_command> Commands;
+};
+
+} // namespace geraniumpaddle::work
--- a/src/daemon/internal/processhost.cpp
+++ b/src/daemon/internal/processhost.cpp
@@ -2,6 +2,7 @@
 
 #include "transport/address.h"
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <cstdio>
@@ -57,6 +58,12 @@
   std::fflush(stdout);
 }
 
+void process_host::listenAlso(const std::string &Listen,
+                              http_handler Handler) {
+  MoreServers.push_back(std::make_unique<http_server>(
+      Loop, Listen, serverLimits(Settings), std::move(Handler)));
+}
+
 std::string process_host::peerAddress() const {
   return withPort(Settings.PeerListen, PeerServer->port());
 }
@@ -74,13 +81,19 @@
 void process_host::stop() {
   HttpServer->stopAccepting();
   PeerServer->stopAccepting();
+  for (const auto &Server : MoreServers)
+    Server->stopAccepting();
   endWhenWritten(MaxExitDelays);
 }
 
 void process_host::endWhenWritten(int DelaysLeft) {
   Loop.startTimer(ExitDelay, [this, DelaysLeft] {
-    bool Busy =
-        HttpServer->openConnections() > 0 || PeerServer->openCalls() > 0;
+    const bool Busy =
+        HttpServer->openConnections() > 0 || PeerServer->openCalls() > 0 ||
+        std::any_of(MoreServers.begin(), MoreServers.end(),
+                    [](const auto &Server) {
+                      return Server->openConnections() > 0;
+                    });
     if (Busy && DelaysLeft > 0)
       endWhenWritten(DelaysLeft - 1);
     else
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -2,14 +2,22 @@
 #include "core/base/error.h"
 #include "daemon/processhost.h"
 #include "entry/entryrole.h"
+#include "jobagent/jobagentrole.h"
+#include "jobentry/jobentryrole.h"
 #include "logging/logging.h"
+#include "logging/standardoutput.h"
 #include "platform/httplogservice.h"
+#include "platform/httpstoretransport.h"
 #include "platform/httpworker.h"
+#include "platform/storeclient.h"
+#include "platform/taskworkerclient.h"
 #include "settings/settingsreader.h"
 
+#include <array>
 #include <cstdio>
 #include <gflags/gflags.h>
 #include <sysexits.h>
+#include <unistd.h>
 
 DEFINE_string(settings, "", "YAML file with the settings of this process");
 DEFINE_bool(check, false, "check the settings and exit");
@@ -79,6 +87,69 @@
   Host.run([&Role] { Role.drain(); });
 }
 
+/// Limit of a call to the store beyond the time that it may wait. An outage
+/// often shows only as silence.
+constexpr duration StoreGrace = std::chrono::milliseconds(800);
+/// Limit of a call to the worker beside the agent, beyond the time it may wait.
+constexpr duration TaskTimeout = std::chrono::milliseconds(600);
+
+void runJobEntry(const settings &Settings) {
+  process_host Host(Settings);
+  http_store_transport Transport(Host.http(), Settings.StoreAddress);
+  store_client Store(Transport, StoreGrace);
+  job_entry_role Role({Host.loop(), Store, Host.metrics()}, Settings,
+                      Host.identity(), [&Host] { Host.stop(); });
+  Host.listen(
+      [&Role](const proto::PeerRequest &Request,
+              const peer_responder &Respond) {
+        Role.handlePeer(Request, Respond);
+      },
+      [&Role](const http_request_view &Request,
+              const std::shared_ptr<ihttp_responder> &Responder) {
+        Role.handleHttp(Request, Responder);
+      });
+  Host.listenAlso(Settings.FrontListen,
+                  [&Role](const http_request_view &Request,
+                          const std::shared_ptr<ihttp_responder> &Responder) {
+                    Role.handleFront(Request, Responder);
+                  });
+  Host.listenAlso(Settings.ReadinessListen,
+                  [&Role](const http_request_view &Request,
+                          const std::shared_ptr<ihttp_responder> &Responder) {
+                    Role.handleReadiness(Request, Responder);
+                  });
+  Role.start(Host.peerAddress());
+  Host.run([&Role] { Role.drain(); });
+}
+
+void runJobAgent(const settings &Settings) {
+  process_host Host(Settings);
+  http_store_transport Transport(Host.http(), Settings.StoreAddress);
+  store_client Store(Transport, StoreGrace);
+  task_worker_client Worker(Host.http(), TaskTimeout);
+  job_agent_role Role(
+      {Host.loop(), Host.peers(), Store, Worker, Host.metrics()}, Settings,
+      Host.identity(), [&Host] { Host.stop(); });
+  Host.listen(
+      [](const proto::PeerRequest &, const peer_responder &Respond) {
+        // Agents ask; nobody asks them.
+        proto::PeerResponse Response;
+        Response.set_refusal(proto::REFUSAL_INVALID);
+        Respond(std::move(Response));
+      },
+      [&Role](const http_request_view &Request,
+              const std::shared_ptr<ihttp_responder> &Responder) {
+        Role.handleHttp(Request, Responder);
+      });
+  Host.listenAlso(Settings.ControlListen,
+                  [&Role](const http_request_view &Request,
+                          const std::shared_ptr<ihttp_responder> &Responder) {
+                    Role.handleControl(Request, Responder);
+                  });
+  Role.start();
+  Host.run([&Role] { Role.drain(); });
+}
+
 int runDaemon() {
   settings Settings = readSettingsFile(FLAGS_settings);
   if (FLAGS_print_settings) {
@@ -87,14 +158,17 @@
   }
   if (FLAGS_check)
     return EX_OK;
-  startLogging(
-      {severityOf(Settings), Settings.LogFormat == log_format_setting::Json
-                                 ? log_format::Json
-                                 : log_format::KeyValue});
-  if (Settings.Role == node_role::Entry)
-    runEntry(Settings);
-  else
-    runAgent(Settings);
+  static standard_output Output(
+      STDOUT_FILENO, static_cast<std::uint32_t>(Settings.LogLinesPerSecond));
+  startLogging({.Threshold = severityOf(Settings),
+                .Format = Settings.LogFormat == log_format_setting::Json
+                              ? log_format::Json
+                              : log_format::KeyValue,
+                .Output = &Output});
+  using role_function = void (*)(const settings &);
+  static constexpr std::array<role_function, 4> Roles{
+      &runEntry, &runAgent, &runJobEntry, &runJobAgent};
+  Roles.at(static_cast<std::size_t>(Settings.Role))(Settings);
   return EX_OK;
 }
 
--- a/src/daemon/processhost.h
+++ b/src/daemon/processhost.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace geraniumpaddle {
 
@@ -31,6 +32,8 @@
   /// Binds both interfaces and prints their ports on standard output.
   /// \throws bind_error
   void listen(peer_handler Peer, http_handler Http);
+  /// Binds one more HTTP interface.
+  void listenAlso(const std::string &Listen, http_handler Handler);
   std::string peerAddress() const;
   std::string httpAddress() const;
   /// Runs until stop(); \p Drain is called on SIGTERM and SIGINT.
@@ -51,6 +54,7 @@
   peer_identity Self;
   std::unique_ptr<peer_server> PeerServer;
   std::unique_ptr<http_server> HttpServer;
+  std::vector<std::unique_ptr<http_server>> MoreServers;
 };
 
 } // namespace geraniumpaddle
--- /dev/null
+++ b/src/jobagent/internal/jobagentrole.cpp
@@ -0,0 +1,144 @@
+#include "jobagent/jobagentrole.h"
+
+#include "core/base/error.h"
+#include "platform/platformdecode.h"
+#include "transport/address.h"
+
+#include <utility>
+
+namespace geraniumpaddle {
+
+namespace {
+
+constexpr int Success = 200;
+constexpr int BadRequest = 400;
+constexpr int NotFound = 404;
+
+/// A worker that has not been heard this long is gone; its leases are over by
+/// then as well.
+constexpr duration SilentAfter = std::chrono::seconds(15);
+constexpr duration SweepInterval = std::chrono::seconds(5);
+
+/// Entries listen on the same port as this agent, on all VMs alike.
+std::vector<std::string> peerAddresses(const settings &Settings) {
+  const std::uint16_t Port = parseAddress(Settings.PeerListen).Port;
+  std::vector<std::string> Addresses;
+  for (const std::string &Seed : Settings.EntryAddresses) {
+    socket_address Address = parseAddress(Seed);
+    Address.Port = Port;
+    Addresses.push_back(Address.str());
+  }
+  return Addresses;
+}
+
+work::host_limits limitsFrom(const settings &Settings) {
+  work::host_limits Limits;
+  Limits.Lease = Settings.LeaseDuration;
+  return Limits;
+}
+
+} // namespace
+
+job_agent_role::job_agent_role(const job_agent_environment &Environment,
+                               const settings &Settings,
+                               const peer_identity &Self,
+                               std::function<void()> Stopped)
+    : Environment(Environment), Settings(Settings), Self(Self),
+      Stopped(std::move(Stopped)), Fencing(raw(Self.Incarnation)),
+      Link(Environment.Loop, Environment.Peers, Environment.Store, Self,
+           peerAddresses(Settings)),
+      Sweep(Environment.Loop) {}
+
+void job_agent_role::start() {
+  Log.event("start", {{"node", Self.Node.view()}});
+  Link.start();
+  dropSilent();
+}
+
+void job_agent_role::drain() {
+  Log.event("drain_begins", {});
+  Stopped();
+}
+
+void job_agent_role::dropSilent() {
+  const time_point Now = Environment.Loop.now();
+  std::erase_if(Sessions, [&](const auto &Each) {
+    return Now - Each.second->lastHeartbeat() > SilentAfter;
+  });
+  Sweep.start(SweepInterval, [this] { dropSilent(); });
+}
+
+void job_agent_role::handleControl(
+    const http_request_view &Request,
+    const std::shared_ptr<ihttp_responder> &Responder) {
+  const worker_call_path Call = parseWorkerPath(Request.Method, Request.Path);
+  switch (Call.Kind) {
+  case worker_message::Heartbeat:
+    heartbeat(Call.Worker, Request, *Responder);
+    return;
+  case worker_message::Leaves:
+    Log.event("worker_leaves", {{"worker", Call.Worker}});
+    Responder->respond(encodeEmpty(Success));
+    return;
+  case worker_message::Other:
+    break;
+  }
+  Responder->respond(encodeError(NotFound, "no_call", "no such call"));
+}
+
+void job_agent_role::heartbeat(std::string_view Worker,
+                               const http_request_view &Request,
+                               ihttp_responder &Responder) {
+  worker_heartbeat Beat;
+  try {
+    Beat = decodeHeartbeat(Worker, Request.Body);
+  } catch (const malformed_message_error &Problem) {
+    Log.problem("heartbeat_unreadable",
+                {{"worker", Worker}, {"problem", Problem.what()}});
+    Responder.respond(encodeError(BadRequest, "malformed", Problem.what()));
+    return;
+  }
+  const work::worker_life &Life = Beat.Description.Life;
+  const auto Found = Sessions.find(Life.Worker);
+  if (Found == Sessions.end() || Found->second->life().Born < Life.Born)
+    beginSession(Beat.Description, Beat.Address);
+  else if (Found->second->life().Born == Life.Born)
+    Found->second->described(Beat.Description);
+  Responder.respond(encodeEmpty(Success));
+}
+
+void job_agent_role::beginSession(const work::worker_description &Description,
+                                  const std::string &Address) {
+  const std::string &Called =
+      Address.empty() ? Settings.WorkerAddress : Address;
+  // A late heartbeat of a life that has ended at this address.
+  for (const auto &[Id, Session] : Sessions)
+    if (Session->address() == Called &&
+        Session->life().Born > Description.Life.Born)
+      return;
+  std::erase_if(Sessions, [&](const auto &Each) {
+    return Each.second->address() == Called ||
+           Each.first == Description.Life.Worker;
+  });
+  auto Session = std::make_unique<worker_session>(
+      Environment.Loop, Environment.Worker, Link, Fencing,
+      limitsFrom(Settings), Called, Description);
+  worker_session &Added = *Session;
+  Sessions[Description.Life.Worker] = std::move(Session);
+  Added.start();
+}
+
+void job_agent_role::handleHttp(
+    const http_request_view &Request,
+    const std::shared_ptr<ihttp_responder> &Responder) {
+  http_response Response{.Code = Success};
+  if (Request.Path == "/metrics")
+    Response.Body = Environment.Metrics.render();
+  else if (Request.Path == "/healthz")
+    Response.Body = "ok\n";
+  else
+    Response.Code = NotFound;
+  Responder->respond(std::move(Response));
+}
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/jobentry/internal/jobapi.cpp
@@ -0,0 +1,273 @@
+#include "jobentry/jobapi.h"
+
+#include "core/base/error.h"
+#include "entry/httputil.h"
+#include "platform/platformdecode.h"
+#include "workcodec/workcodec.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+#include <utility>
+
+namespace geraniumpaddle {
+
+namespace {
+
+constexpr int Success = 200;
+constexpr int BadRequest = 400;
+constexpr int Unauthorized = 401;
+constexpr int NotFound = 404;
+constexpr int MethodNotAllowed = 405;
+constexpr int Gone = 410;
+constexpr int Unavailable = 503;
+constexpr int Undetermined = 504;
+
+/// Used for callers that do not say how long they wait.
+constexpr duration DefaultTimeout = std::chrono::seconds(3);
+/// Time for the answer to reach the caller.
+constexpr duration AnswerTime = std::chrono::milliseconds(150);
+/// Limit of one append; a lost answer is found out by then.
+constexpr duration AppendTimeout = std::chrono::milliseconds(900);
+constexpr duration AppendRetryDelay = std::chrono::milliseconds(40);
+/// A store that refuses is asked for this long before the caller is told.
+constexpr duration RefusedFor = std::chrono::milliseconds(400);
+/// An outage of the store takes seconds; callers come back after this.
+constexpr duration StoreRetryAfter = std::chrono::seconds(1);
+/// A job id is this many hexadecimal digits.
+constexpr std::size_t JobIdDigits = 16;
+/// Tasks of one job, over all its occurrences. Bounds the size of its record.
+constexpr std::uint64_t MaxTasks = 4096;
+
+bool isJobId(std::string_view Text) {
+  return Text.size() == JobIdDigits &&
+         std::all_of(Text.begin(), Text.end(), [](char C) {
+           return std::isxdigit(static_cast<unsigned char>(C)) != 0;
+         });
+}
+
+/// The host that a call names, without a port, in lower case.
+std::string hostOf(const http_request_view &Request) {
+  std::string_view Host = headerValue(Request.Headers, "Host");
+  Host = Host.substr(0, Host.find(':'));
+  std::string Lower(Host);
+  std::transform(Lower.begin(), Lower.end(), Lower.begin(), [](char C) {
+    return static_cast<char>(std::tolower(static_cast<unsigned char>(C)));
+  });
+  return Lower;
+}
+
+std::uint64_t taskCount(const work::job_spec &Spec) {
+  std::uint64_t Count = 0;
+  for (const work::step_spec &Step : Spec.Steps)
+    Count += Step.Count;
+  return Count * Spec.Occurrences;
+}
+
+http_response refusalFor(work::admission Verdict) {
+  switch (Verdict) {
+  case work::admission::NoConfiguration:
+    return encodeError(Unavailable, "not_ready", "no configuration is known",
+                       StoreRetryAfter);
+  case work::admission::NoQueue:
+    return encodeError(NotFound, "no_queue", "no queue has this address");
+  case work::admission::UnknownKey:
+  case work::admission::Allowed:
+    break;
+  }
+  return encodeError(Unauthorized, "unknown_key", "the key is not known");
+}
+
+} // namespace
+
+job_api::job_api(ievent_loop &Loop, istore &Store, topic_reader &Jobs,
+                 metric_registry &Metrics, const work::work_book &Book,
+                 const work::queue_directory &Queues)
+    : Loop(Loop), Store(Store), Jobs(Jobs), Metrics(Metrics), Book(Book),
+      Queues(Queues) {}
+
+time_point job_api::deadlineOf(const http_request_view &Request) const {
+  const std::string_view Text = headerValue(Request.Headers, TimeoutHeader);
+  std::int64_t Milliseconds = 0;
+  const auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Milliseconds);
+  const bool Given = Error == std::errc() && Milliseconds > 0;
+  const duration Timeout =
+      Given ? duration(std::chrono::milliseconds(Milliseconds))
+            : DefaultTimeout;
+  return Loop.now() + std::max(Timeout - AnswerTime, Timeout / 2);
+}
+
+void job_api::handle(const http_request_view &Request,
+                     const std::shared_ptr<ihttp_responder> &Responder) {
+  static constexpr auto Routes = std::to_array<route>(
+      {{"POST", &job_api::submit},
+       {"GET", &job_api::show},
+       {"DELETE", &job_api::cancel}});
+  const work::admitted_call Admitted = Queues.admit(
+      hostOf(Request), Request.Path, bearerToken(Request.Headers));
+  job_call Call{.Responder = Responder,
+                .Until = deadlineOf(Request),
+                .Verb = std::string(Request.Method)};
+  if (Admitted.Verdict != work::admission::Allowed) {
+    finish(Call, refusalFor(Admitted.Verdict), "not_admitted");
+    return;
+  }
+  if (Admitted.Rest.empty() && Request.Method == "GET") {
+    finish(Call, encodePending(Book.pending(Admitted.Route->Terms.Queue)),
+           "counted");
+    return;
+  }
+  if (!isJobId(Admitted.Rest)) {
+    finish(Call, encodeError(NotFound, "no_job_id",
+                             "a job id has 16 hexadecimal digits"),
+           "no_job_id");
+    return;
+  }
+  Call.Job = job_id(Admitted.Rest);
+  const auto Found = std::find_if(
+      Routes.begin(), Routes.end(),
+      [&](const route &Each) { return Each.Method == Request.Method; });
+  if (Found == Routes.end())
+    finish(Call, encodeError(MethodNotAllowed, "method",
+                             "jobs take POST, GET and DELETE"),
+           "method");
+  else
+    (this->*Found->Handler)(std::move(Call), Admitted, Request);
+}
+
+void job_api::finish(const job_call &Call, http_response Response,
+                     std::string_view Reason) {
+  Metrics
+      .getCounter("geraniumpaddle_job_calls", "Answers to callers of jobs.",
+                  {{"method", Call.Verb},
+                   {"code", std::to_string(Response.Code)}})
+      .add();
+  // Successful looks at a job decide nothing.
+  if (Call.Verb != "GET" || Response.Code != Success)
+    Log.event("job_call", {{"method", Call.Verb},
+                           {"job", Call.Job.view()},
+                           {"code", Response.Code},
+                           {"reason", Reason},
+                           {"config", Queues.version()}});
+  Call.Responder->respond(std::move(Response));
+}
+
+void job_api::submit(job_call Call, const work::admitted_call &Admitted,
+                     const http_request_view &Request) {
+  if (Book.find(Call.Job)) {
+    finish(Call, encodeEmpty(Success), "known");
+    return;
+  }
+  work::job_submitted Record;
+  try {
+    Record.Spec = decodeJob(Request.Body);
+  } catch (const malformed_message_error &Problem) {
+    finish(Call, encodeError(BadRequest, "malformed", Problem.what()),
+           Problem.what());
+    return;
+  }
+  if (taskCount(Record.Spec) > MaxTasks) {
+    finish(Call, encodeError(BadRequest, "too_large",
+                             "a job has at most 4096 tasks"),
+           "too_large");
+    return;
+  }
+  Record.Spec.Id = Call.Job;
+  Record.Spec.Customer = Admitted.Customer;
+  Record.Spec.Terms = Admitted.Route->Terms;
+  Record.Spec.SubmittedAt = Loop.wallNow();
+  const std::string Key = work::submissionKey(Call.Job);
+  store(std::move(Call),
+        {.Topic = store_topic::Jobs,
+         .Records = {{Key, work::encodeRecord(std::move(Record))}}});
+}
+
+void job_api::show(job_call Call, const work::admitted_call &,
+                   const http_request_view &) {
+  whenKnown(std::move(Call), [this](const job_call &Known) {
+    finish(Known, encodeJobState(Book.find(Known.Job)->state()), "shown");
+  });
+}
+
+void job_api::cancel(job_call Call, const work::admitted_call &,
+                     const http_request_view &) {
+  whenKnown(std::move(Call), [this](job_call Known) {
+    const work::book_entry *Entry = Book.find(Known.Job);
+    if (Entry->Cancelled || ended(Entry->Progress.State)) {
+      finish(Known, encodeEmpty(Success), "ended_before");
+      return;
+    }
+    const std::string Key = work::cancellationKey(Known.Job);
+    const work::job_cancelled Record{Known.Job};
+    store(std::move(Known), {.Topic = store_topic::Jobs,
+                             .Records = {{Key, work::encodeRecord(Record)}}});
+  });
+}
+
+void job_api::whenKnown(job_call Call, std::function<void(job_call)> Then) {
+  if (Book.find(Call.Job)) {
+    Then(std::move(Call));
+    return;
+  }
+  const duration Limit = Call.Until - Loop.now();
+  Jobs.catchUp(Limit, [this, Life = Alive, Call = std::move(Call),
+                       Then = std::move(Then)](bool CaughtUp) {
+    if (!*Life)
+      return;
+    if (Book.find(Call.Job))
+      Then(Call);
+    else if (CaughtUp)
+      finish(Call, encodeError(Gone, "no_job", "no such job is known"),
+             "unknown_job");
+    else
+      finish(Call, encodeError(Unavailable, "store_unavailable",
+                               "the job cannot be looked up now",
+                               StoreRetryAfter),
+             "store_unavailable");
+  });
+}
+
+void job_api::store(job_call Call, append_call Append) {
+  const duration Left = Call.Until - Loop.now();
+  Append.Timeout = std::min(AppendTimeout, Left);
+  if (Append.Timeout <= duration{}) {
+    finish(Call, encodeError(Undetermined, "undetermined",
+                             "it may or may not have been recorded"),
+           "undetermined");
+    return;
+  }
+  const append_call Sent = Append;
+  Store.append(Sent, [this, Life = Alive, Call = std::move(Call),
+                      Append = std::move(Append)](
+                         const append_outcome &Outcome) mutable {
+    if (*Life)
+      stored(std::move(Call), std::move(Append), Outcome);
+  });
+}
+
+void job_api::stored(job_call Call, append_call Append,
+                     const append_outcome &Outcome) {
+  if (Outcome.Status == stored_status::Stored) {
+    finish(Call, encodeEmpty(Success), "stored");
+    return;
+  }
+  Call.Uncertain |= Outcome.Status == stored_status::Unknown;
+  const bool GiveUp = Loop.now() + AppendRetryDelay >= Call.Until;
+  if (!Call.Uncertain && (GiveUp || Loop.now() + RefusedFor >= Call.Until)) {
+    finish(Call, encodeError(Unavailable, "store_unavailable",
+                             "it was not recorded", StoreRetryAfter),
+           "store_refused");
+    return;
+  }
+  // A record replaces an equal one of its key, so a repeat does no harm.
+  Loop.startTimer(AppendRetryDelay, [this, Life = Alive,
+                                     Call = std::move(Call),
+                                     Append = std::move(Append)]() mutable {
+    if (*Life)
+      store(std::move(Call), std::move(Append));
+  });
+}
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/jobentry/internal/jobentryrole.cpp
@@ -0,0 +1,277 @@
+#include "jobentry/jobentryrole.h"
+
+#include "core/base/error.h"
+#include "platform/platformdecode.h"
+#include "workcodec/workcodec.h"
+
+#include <utility>
+
+namespace geraniumpaddle {
+
+namespace {
+
+/// A read waits this long for a record; a silent connection is noticed soon
+/// after it.
+constexpr duration ReadWait = std::chrono::seconds(1);
+/// Entries come and go rarely.
+constexpr duration EntriesWait = std::chrono::seconds(5);
+constexpr duration AnnounceTimeout = std::chrono::seconds(1);
+constexpr duration AnnounceRetryDelay = std::chrono::milliseconds(300);
+/// A new term waits for the log to be read; then it is tried again.
+constexpr duration CatchUpLimit = std::chrono::seconds(1);
+/// The balancer asks once a second and needs two misses.
+constexpr duration DrainServe = std::chrono::milliseconds(3000);
+
+work::scheduler_limits limitsFrom(const settings &Settings) {
+  work::scheduler_limits Limits;
+  Limits.Lease = Settings.LeaseDuration;
+  return Limits;
+}
+
+http_response plain(int Code, std::string Body) {
+  return {.Code = Code,
+          .Headers = {{"Content-Type", "text/plain"}},
+          .Body = std::move(Body)};
+}
+
+constexpr int Success = 200;
+constexpr int NotFound = 404;
+constexpr int Unavailable = 503;
+
+} // namespace
+
+job_entry_role::job_entry_role(const job_entry_environment &Environment,
+                               const settings &Settings,
+                               const peer_identity &Self,
+                               std::function<void()> Stopped)
+    : Environment(Environment), Settings(Settings), Self(Self),
+      Stopped(std::move(Stopped)),
+      Operator(Environment.Loop, Environment.Store, store_topic::Operator,
+               ReadWait, *this),
+      Jobs(Environment.Loop, Environment.Store, store_topic::Jobs, ReadWait,
+           *this),
+      Progress(Environment.Loop, Environment.Store, store_topic::Progress,
+               ReadWait, *this),
+      Entries(Environment.Loop, Environment.Store, store_topic::Entries,
+              EntriesWait, *this),
+      Office(Environment.Loop, Environment.Store, Self.Node.str(),
+             office_limits{}, *this),
+      Api(Environment.Loop, Environment.Store, Jobs, Environment.Metrics, Book,
+          Queues),
+      AnnounceRetry(Environment.Loop), DrainTimer(Environment.Loop),
+      TermRetry(Environment.Loop) {}
+
+void job_entry_role::start(std::string BoundPeerAddress) {
+  PeerAddress = std::move(BoundPeerAddress);
+  Log.event("start", {{"node", Self.Node.view()}, {"peer", PeerAddress}});
+  announce();
+  Operator.start();
+  Jobs.start();
+  Progress.start();
+  Entries.start();
+  Office.start();
+}
+
+void job_entry_role::announce() {
+  const work::entry_present Present{
+      .Node = Self.Node,
+      .Region = region_id(Settings.Region),
+      .PeerAddress = PeerAddress,
+      .StartedMs = raw(Self.Incarnation),
+      .Term = Term};
+  Environment.Store.append(
+      {.Topic = store_topic::Entries,
+       .Records = {{work::entryKey(Self.Node), work::encodeRecord(Present)}},
+       .Timeout = AnnounceTimeout},
+      [this, Life = Alive](const append_outcome &Outcome) {
+        if (!*Life || Outcome.Status == stored_status::Stored)
+          return;
+        AnnounceRetry.start(AnnounceRetryDelay, [this] { announce(); });
+      });
+}
+
+bool job_entry_role::loaded() const {
+  return Operator.loaded() && Jobs.loaded() && Progress.loaded();
+}
+
+bool job_entry_role::ready() const {
+  return !Draining && loaded() && Queues.version() > 0;
+}
+
+// Records.
+
+void job_entry_role::onRecord(store_topic Topic, const keyed_record &Record) {
+  if (Topic == store_topic::Operator)
+    onOperatorRecord(Record);
+  else
+    onWorkRecord(Record);
+}
+
+void job_entry_role::onOperatorRecord(const keyed_record &Record) {
+  if (Record.Key != ConfigurationKey || Record.Dropped)
+    return;
+  try {
+    if (!Queues.replace(decodeConfiguration(Record.Value)))
+      return;
+  } catch (const error &Problem) {
+    Log.problem("configuration_unreadable",
+                {{"offset", Record.Offset}, {"problem", Problem.what()}});
+    return;
+  }
+  Log.event("configuration", {{"version", Queues.version()},
+                              {"offset", Record.Offset},
+                              {"routes", Queues.current().Routes.size()}});
+  if (Work)
+    Work->feed(work::time_passed{});
+}
+
+void job_entry_role::onWorkRecord(const keyed_record &Record) {
+  const work::record_position Position{Record.Key, Record.Offset};
+  if (Record.Dropped) {
+    Book.forget(Position);
+    return;
+  }
+  try {
+    const work::work_record Decoded = work::decodeRecord(Record.Value);
+    Book.apply(Position, Decoded);
+    if (Work)
+      tellScheduler(Decoded);
+  } catch (const error &Problem) {
+    Log.problem("record_unreadable", {{"key", Record.Key},
+                                      {"offset", Record.Offset},
+                                      {"problem", Problem.what()}});
+  }
+}
+
+void job_entry_role::tellScheduler(const work::work_record &Record) {
+  if (const auto *Submitted = std::get_if<work::job_submitted>(&Record)) {
+    const work::book_entry *Entry = Book.find(Submitted->Spec.Id);
+    if (Entry && !ended(Entry->state()))
+      Work->feed(work::job_arrived{Entry->Spec});
+  } else if (const auto *Cancelled =
+                 std::get_if<work::job_cancelled>(&Record)) {
+    Work->feed(work::job_cancel_wanted{Cancelled->Job});
+  }
+}
+
+void job_entry_role::onLoaded(store_topic Topic) {
+  Log.event("topic_loaded", {{"topic", static_cast<int>(Topic)}});
+}
+
+// The office.
+
+void job_entry_role::onOfficeWon(std::uint64_t NewTerm,
+                                 std::uint64_t TopicEnd) {
+  Term = NewTerm;
+  announce();
+  auto Begin = [this, NewTerm, TopicEnd, Life = Alive](bool CaughtUp) {
+    if (!*Life || Office.term() != NewTerm || Work)
+      return;
+    if (CaughtUp)
+      beginTerm(NewTerm);
+    else
+      TermRetry.start(AnnounceRetryDelay, [this, NewTerm, TopicEnd] {
+        onOfficeWon(NewTerm, TopicEnd);
+      });
+  };
+  // Every progress that is recorded belongs to a submission before it.
+  Progress.whenReached(
+      TopicEnd, CatchUpLimit, [this, Begin, Life = Alive](bool Reached) {
+        if (!*Life)
+          return;
+        if (Reached)
+          Jobs.catchUp(CatchUpLimit, Begin);
+        else
+          Begin(false);
+      });
+}
+
+void job_entry_role::beginTerm(std::uint64_t NewTerm) {
+  Work = std::make_unique<work_driver>(
+      Environment.Loop, Environment.Store, Office, Environment.Metrics,
+      limitsFrom(Settings), NewTerm, Book, Queues);
+}
+
+void job_entry_role::onOfficeLost() { Work.reset(); }
+
+bool job_entry_role::mayConfirm() const {
+  const work::scheduler_limits Limits = limitsFrom(Settings);
+  return Environment.Loop.now() - Office.lastAnswer() < Limits.EarlierTerm;
+}
+
+// Interfaces.
+
+void job_entry_role::exchange(const proto::work::WorkerReport &Report,
+                              const peer_responder &Respond) {
+  if (Work && mayConfirm()) {
+    Work->exchange(Report, Respond);
+    return;
+  }
+  proto::PeerResponse Response;
+  proto::work::WorkerOrders &Orders = *Response.mutable_worker_orders();
+  Orders.set_in_office(false);
+  for (const auto &[Node, Entry] : Book.entries())
+    *Orders.add_entries() = work::encodeEntry(Entry);
+  Respond(std::move(Response));
+}
+
+void job_entry_role::handlePeer(const proto::PeerRequest &Request,
+                                const peer_responder &Respond) {
+  if (Request.has_worker_report()) {
+    try {
+      exchange(Request.worker_report(), Respond);
+      return;
+    } catch (const malformed_message_error &Problem) {
+      Log.problem("report_unreadable",
+                  {{"node", Request.node()}, {"problem", Problem.what()}});
+    }
+  }
+  proto::PeerResponse Response;
+  Response.set_refusal(proto::REFUSAL_INVALID);
+  Respond(std::move(Response));
+}
+
+void job_entry_role::handleFront(
+    const http_request_view &Request,
+    const std::shared_ptr<ihttp_responder> &Responder) {
+  if (!loaded()) {
+    Responder->respond(encodeError(Unavailable, "not_ready",
+                                   "the jobs are being read",
+                                   AnnounceTimeout));
+    return;
+  }
+  Api.handle(Request, Responder);
+}
+
+void job_entry_role::handleReadiness(
+    const http_request_view &,
+    const std::shared_ptr<ihttp_responder> &Responder) {
+  if (ready() && !EverReady) {
+    EverReady = true;
+    Log.event("ready", {{"config", Queues.version()}});
+  }
+  Responder->respond(ready() ? plain(Success, "ready\n")
+                             : plain(Unavailable, "not ready\n"));
+}
+
+void job_entry_role::handleHttp(
+    const http_request_view &Request,
+    const std::shared_ptr<ihttp_responder> &Responder) {
+  if (Request.Path == "/metrics")
+    Responder->respond(plain(Success, Environment.Metrics.render()));
+  else if (Request.Path == "/healthz")
+    Responder->respond(plain(Success, "ok\n"));
+  else
+    Responder->respond(plain(NotFound, "not found\n"));
+}
+
+void job_entry_role::drain() {
+  if (Draining)
+    return;
+  Draining = true;
+  Log.event("drain_begins", {});
+  Office.feed(retire{});
+  DrainTimer.start(DrainServe, [this] { Stopped(); });
+}
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/jobentry/internal/workdriver.cpp
@@ -0,0 +1,168 @@
+#include "jobentry/workdriver.h"
+
+#include "core/base/error.h"
+#include "workcodec/workcodec.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace geraniumpaddle {
+
+namespace {
+
+/// Limit of one append, and the pause before it is repeated.
+constexpr duration AppendTimeout = std::chrono::milliseconds(1200);
+constexpr duration AppendRetryDelay = std::chrono::milliseconds(50);
+/// An agent may not keep its report waiting longer than this.
+constexpr std::uint64_t MaxWaitMs = 5000;
+
+std::string taskText(const work::task_position &Position) {
+  return std::to_string(Position.Occurrence) + "." +
+         std::to_string(Position.Step) + "." + std::to_string(Position.Index);
+}
+
+} // namespace
+
+work_driver::work_driver(ievent_loop &Loop, istore &Store,
+                         office_driver &Office, metric_registry &Metrics,
+                         const work::scheduler_limits &Limits,
+                         std::uint64_t Term, const work::work_book &Book,
+                         const work::queue_directory &Queues)
+    : Loop(Loop), Store(Store), Office(Office), Metrics(Metrics),
+      Scheduler(Term, Limits, Book, Queues, present()), Wake(Loop),
+      AppendRetry(Loop) {
+  Log.event("term_begins", {{"term", Term},
+                            {"jobs", Scheduler.openJobs()},
+                            {"runs", Scheduler.runningRuns()}});
+  feed(work::time_passed{});
+}
+
+work_driver::~work_driver() {
+  *Alive = false;
+  // The agents ask elsewhere at once.
+  for (auto &[Worker, Waiting] : Pending) {
+    proto::PeerResponse Response;
+    Response.mutable_worker_orders()->set_in_office(false);
+    Waiting.Respond(Response);
+  }
+}
+
+work::present_time work_driver::present() const {
+  return {Loop.now(), Loop.wallNow()};
+}
+
+void work_driver::feed(const work::scheduler_event &Event) {
+  const auto Commands = Scheduler.handle(Event, present());
+  std::vector<work::scheduler_command> Copy(Commands.begin(), Commands.end());
+  for (work::scheduler_command &Command : Copy)
+    std::visit([this](auto &Each) { carryOut(Each); }, Command);
+}
+
+void work_driver::carryOut(work::append_progress &Command) {
+  append_call Call{.Topic = store_topic::Progress,
+                   .Stamp = producer_stamp{Scheduler.term(), NextSequence},
+                   .Timeout = AppendTimeout};
+  for (work::job_progressed &Record : Command.Records)
+    Call.Records.push_back({work::progressKey(Record.Job),
+                            work::encodeRecord(std::move(Record))});
+  Batch = Command.Batch;
+  Append = std::move(Call);
+  append();
+}
+
+void work_driver::append() {
+  Store.append(*Append, [this, Life = Alive](const append_outcome &Outcome) {
+    if (*Life)
+      appended(Outcome);
+  });
+}
+
+void work_driver::appended(const append_outcome &Outcome) {
+  switch (Outcome.Status) {
+  case stored_status::Stored:
+    Office.confirmed();
+    NextSequence = Append->Stamp->Sequence + 1;
+    Append.reset();
+    feed(work::progress_stored{Batch});
+    return;
+  case stored_status::Fenced:
+    Log.problem("term_fenced", {{"term", Scheduler.term()}});
+    Office.feed(term_fenced{Scheduler.term()}); // destroys this driver
+    return;
+  case stored_status::OutOfSequence:
+    Log.problem("append_out_of_sequence",
+                {{"sent", Append->Stamp->Sequence},
+                 {"expected", Outcome.Sequence}});
+    Append->Stamp->Sequence = Outcome.Sequence;
+    break;
+  case stored_status::Refused:
+  case stored_status::Unknown:
+    break;
+  }
+  // The sequence number makes a repeat of a stored append harmless.
+  AppendRetry.start(AppendRetryDelay, [this] { append(); });
+}
+
+void work_driver::carryOut(const work::wake_at &Command) {
+  Wake.start(std::max(Command.At - Loop.now(), duration{}),
+             [this] { feed(work::time_passed{}); });
+}
+
+void work_driver::carryOut(const work::send_orders &Command) {
+  answer(Command.Worker);
+}
+
+void work_driver::carryOut(const work::decision_note &Command) {
+  Metrics
+      .getCounter("geraniumpaddle_decisions",
+                  "Decisions of the scheduler, by kind.",
+                  {{"kind", std::string(name(Command.Kind))}})
+      .add();
+  Log.event(name(Command.Kind),
+            {{"job", Command.Run.Task.Job.view()},
+             {"task", taskText(Command.Run.Task.Position)},
+             {"run", Command.Run.Run},
+             {"worker", Command.Worker.Worker.view()},
+             {"born", Command.Worker.Born},
+             {"detail", Command.Detail}});
+}
+
+void work_driver::exchange(const proto::work::WorkerReport &Message,
+                           peer_responder Respond) {
+  const work::worker_report Report = work::decodeReport(Message);
+  const worker_id Worker = Report.Description.Life.Worker;
+  // An agent asks again when it has news; the earlier question is answered.
+  if (Pending.contains(Worker))
+    answer(Worker);
+  auto [Added, IsNew] = Pending.try_emplace(Worker, Loop);
+  pending &Waiting = Added->second;
+  Waiting.Life = Report.Description.Life;
+  Waiting.Known = {Message.known_term(), Message.known_number()};
+  Waiting.Respond = std::move(Respond);
+  const auto WaitMs = std::min(Message.wait_ms(), MaxWaitMs);
+  Waiting.Limit.start(std::chrono::milliseconds(WaitMs),
+                      [this, Worker] { answer(Worker); });
+  feed(work::worker_reported{Report});
+  const auto Still = Pending.find(Worker);
+  if (Still == Pending.end())
+    return;
+  const auto Orders = Scheduler.orders(Still->second.Life);
+  if (!Orders || Orders->Version != Still->second.Known)
+    answer(Worker);
+}
+
+void work_driver::answer(const worker_id &Worker) {
+  auto Found = Pending.extract(Worker);
+  if (Found.empty())
+    return;
+  proto::PeerResponse Response;
+  proto::work::WorkerOrders &Message = *Response.mutable_worker_orders();
+  const auto Orders = Scheduler.orders(Found.mapped().Life);
+  Message.set_in_office(Orders.has_value());
+  if (Orders)
+    work::encodeOrders(*Orders, Message);
+  Found.mapped().Respond(std::move(Response));
+}
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/jobentry/jobentryrole.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "core/work/queuedirectory.h"
+#include "core/work/workbook.h"
+#include "jobentry/jobapi.h"
+#include "jobentry/officedriver.h"
+#include "jobentry/topicreader.h"
+#include "jobentry/workdriver.h"
+#include "logging/logging.h"
+#include "metrics/metrics.h"
+#include "peercodec/peercodec.h"
+#include "platform/istore.h"
+#include "settings/types/settings.h"
+#include "transport/ieventloop.h"
+#include "transport/ihttpserver.h"
+#include "transport/ipeerserver.h"
+#include "transport/timer.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace geraniumpaddle {
+
+struct job_entry_environment {
+  ievent_loop &Loop;
+  istore &Store;
+  metric_registry &Metrics;
+};
+
+/// The entry of the platform: follows the log, serves callers, and schedules
+/// while it holds the office.
+class job_entry_role final : public itopic_content, public ioffice_content {
+public:
+  /// \param Stopped called once a drain is over and the process may exit.
+  job_entry_role(const job_entry_environment &Environment,
+                 const settings &Settings, const peer_identity &Self,
+                 std::function<void()> Stopped);
+  ~job_entry_role() override { *Alive = false; }
+
+  /// Begins once the peer interface is bound to \p PeerAddress.
+  void start(std::string PeerAddress);
+  /// Hands the office over and fails the readiness check; callers may go on
+  /// for the time that the balancer takes to notice.
+  void drain();
+
+  void handlePeer(const proto::PeerRequest &Request,
+                  const peer_responder &Respond);
+  void handleFront(const http_request_view &Request,
+                   const std::shared_ptr<ihttp_responder> &Responder);
+  void handleReadiness(const http_request_view &Request,
+                       const std::shared_ptr<ihttp_responder> &Responder);
+  void handleHttp(const http_request_view &Request,
+                  const std::shared_ptr<ihttp_responder> &Responder);
+
+  void onRecord(store_topic Topic, const keyed_record &Record) override;
+  void onLoaded(store_topic Topic) override;
+  void onOfficeWon(std::uint64_t Term, std::uint64_t TopicEnd) override;
+  void onOfficeLost() override;
+
+private:
+  void onOperatorRecord(const keyed_record &Record);
+  void onWorkRecord(const keyed_record &Record);
+  void tellScheduler(const work::work_record &Record);
+  void beginTerm(std::uint64_t Term);
+  void announce();
+  void exchange(const proto::work::WorkerReport &Report,
+                const peer_responder &Respond);
+  bool loaded() const;
+  bool ready() const;
+  bool mayConfirm() const;
+
+  job_entry_environment Environment;
+  const settings Settings;
+  const peer_identity Self;
+  std::function<void()> Stopped;
+  std::string PeerAddress;
+  bool Draining = false;
+  bool EverReady = false;
+  std::uint64_t Term = 0; ///< of the last office
+  work::queue_directory Queues;
+  work::work_book Book;
+  topic_reader Operator;
+  topic_reader Jobs;
+  topic_reader Progress;
+  topic_reader Entries;
+  office_driver Office;
+  job_api Api;
+  std::unique_ptr<work_driver> Work;
+  timer AnnounceRetry;
+  timer DrainTimer;
+  timer TermRetry;
+  logger Log{"entry"};
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/jobentry/officedriver.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "core/topics/officeholder.h"
+#include "logging/logging.h"
+#include "platform/istore.h"
+#include "transport/ieventloop.h"
+#include "transport/timer.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace geraniumpaddle {
+
+/// What the owner of an office does when it comes and goes.
+class ioffice_content {
+public:
+  virtual ~ioffice_content() = default;
+
+  /// \param TopicEnd progress before it was recorded by earlier terms.
+  virtual void onOfficeWon(std::uint64_t Term, std::uint64_t TopicEnd) = 0;
+  virtual void onOfficeLost() = 0;
+};
+
+/// Carries out what the office_holder decides.
+class office_driver {
+public:
+  office_driver(ievent_loop &Loop, istore &Store, std::string Member,
+                const office_limits &Limits, ioffice_content &Content);
+  ~office_driver() { *Alive = false; }
+  office_driver(const office_driver &) = delete;
+  office_driver &operator=(const office_driver &) = delete;
+
+  void start() { feed(office_time_passed{}); }
+  void feed(const office_event &Event);
+  std::optional<std::uint64_t> term() const { return Holder.term(); }
+  /// When the store last confirmed the office.
+  time_point lastAnswer() const;
+  /// An append of the term was stored.
+  void confirmed() { LastAppend = Loop.now(); }
+
+private:
+  void carryOut(const send_join &Command);
+  void carryOut(const send_leave &Command);
+  void carryOut(const send_claim &Command);
+  void carryOut(const office_won &Command);
+  void carryOut(const office_lost &Command);
+  void carryOut(const office_wake_at &Command);
+
+  ievent_loop &Loop;
+  istore &Store;
+  const std::string Member;
+  ioffice_content &Content;
+  office_holder Holder;
+  time_point LastAppend{};
+  timer Wake;
+  logger Log{"office"};
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/jobentry/workdriver.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "core/work/workscheduler.h"
+#include "jobentry/officedriver.h"
+#include "logging/logging.h"
+#include "metrics/metrics.h"
+#include "platform/istore.h"
+#include "transport/ieventloop.h"
+#include "transport/ipeerserver.h"
+#include "transport/timer.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace geraniumpaddle {
+
+/// Runs the scheduler for one term of office: records its progress, and
+/// answers the agents' reports with its orders.
+class work_driver {
+public:
+  /// \param Book and \p Queues are those of the entry and outlive the driver.
+  work_driver(ievent_loop &Loop, istore &Store, office_driver &Office,
+              metric_registry &Metrics, const work::scheduler_limits &Limits,
+              std::uint64_t Term, const work::work_book &Book,
+              const work::queue_directory &Queues);
+  ~work_driver();
+  work_driver(const work_driver &) = delete;
+  work_driver &operator=(const work_driver &) = delete;
+
+  void feed(const work::scheduler_event &Event);
+  /// Answers now if there are new orders, otherwise when there are or when the
+  /// time that the agent waits is over.
+  void exchange(const proto::work::WorkerReport &Message,
+                peer_responder Respond);
+
+private:
+  struct pending {
+    explicit pending(ievent_loop &Loop) : Limit(Loop) {}
+    work::worker_life Life;
+    work::orders_version Known;
+    peer_responder Respond;
+    timer Limit;
+  };
+
+  void carryOut(work::append_progress &Command);
+  void carryOut(const work::send_orders &Command);
+  void carryOut(const work::wake_at &Command);
+  void carryOut(const work::decision_note &Command);
+  void append();
+  void appended(const append_outcome &Outcome);
+  void answer(const worker_id &Worker);
+  work::present_time present() const;
+
+  ievent_loop &Loop;
+  istore &Store;
+  office_driver &Office;
+  metric_registry &Metrics;
+  work::work_scheduler Scheduler;
+  std::map<worker_id, pending> Pending;
+  std::optional<append_call> Append; ///< the one in flight
+  std::uint64_t Batch = 0;           ///< of it
+  std::uint64_t NextSequence = 1;
+  timer Wake;
+  timer AppendRetry;
+  logger Log{"scheduler"};
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+} // namespace geraniumpaddle
--- a/src/logging/internal/logging.cpp
+++ b/src/logging/internal/logging.cpp
@@ -13,6 +13,7 @@
 #include <boost/log/utility/manipulators/add_value.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <iostream>
@@ -24,9 +25,24 @@
 
 namespace blog = boost::log;
 
-using backend = blog::sinks::text_ostream_backend;
+using stream_backend = blog::sinks::text_ostream_backend;
 
-using sink = blog::sinks::synchronous_sink<backend>;
+/// Hands formatted lines to an ilog_output.
+class output_backend final
+    : public blog::sinks::basic_formatted_sink_backend<
+          char, blog::sinks::synchronized_feeding> {
+public:
+  explicit output_backend(ilog_output &Output) : Output(Output) {}
+
+  void consume(const blog::record_view &, const string_type &Line) {
+    Output.write(Line + '\n');
+  }
+
+private:
+  ilog_output &Output;
+};
+
+using event_fields = const std::initializer_list<log_field> *;
 
 constexpr std::array<std::string_view, 4> SeverityNames{"debug", "info",
                                                         "warning", "error"};
@@ -38,6 +54,7 @@
   virtual ~field_writer() = default;
   virtual void text(std::string_view Name, std::string_view Value) = 0;
   virtual void number(std::string_view Name, std::uint64_t Value) = 0;
+  virtual void number(std::string_view Name, std::int64_t Value) = 0;
   virtual void end() {}
 
 protected:
@@ -86,6 +103,10 @@
     separate();
     Out << Name << '=' << Value;
   }
+  void number(std::string_view Name, std::int64_t Value) override {
+    separate();
+    Out << Name << '=' << Value;
+  }
 
 private:
   void separate() {
@@ -110,6 +131,10 @@
     key(Name);
     Out << Value;
   }
+  void number(std::string_view Name, std::int64_t Value) override {
+    key(Name);
+    Out << Value;
+  }
   void end() override { Out << '}'; }
 
 private:
@@ -123,6 +148,15 @@
   bool First = true;
 };
 
+/// Writes the value of one field of an event.
+struct value_writer {
+  field_writer &Line;
+  std::string_view Name;
+
+  void operator()(std::string_view Value) const { Line.text(Name, Value); }
+  void operator()(std::int64_t Value) const { Line.number(Name, Value); }
+};
+
 std::string timeText() {
   timespec Now{};
   clock_gettime(CLOCK_REALTIME, &Now);
@@ -167,6 +201,9 @@
   writeText(Line, Record, "job");
   writeNumber(Line, Record, "attempt");
   writeNumber(Line, Record, "offset");
+  if (const auto Fields = blog::extract<event_fields>("fields", Record))
+    for (const log_field &Field : **Fields)
+      std::visit(value_writer{Line, Field.Name}, Field.Value);
   Line.end();
 }
 
@@ -191,13 +228,10 @@
   }
 }
 
-} // namespace
-
-void startLogging(const logging_settings &Settings) {
-  const auto Backend = boost::make_shared<backend>();
-  Backend->add_stream(
-      boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
-  Backend->auto_flush(true);
+template <typename Target>
+void addSink(const boost::shared_ptr<Target> &Backend,
+             const logging_settings &Settings) {
+  using sink = blog::sinks::synchronous_sink<Target>;
   const auto Sink = boost::make_shared<sink>(Backend);
   Sink->set_formatter(Formats.at(static_cast<std::size_t>(Settings.Format)));
   const auto Threshold = Settings.Threshold;
@@ -209,6 +243,37 @@
   blog::core::get()->add_sink(Sink);
 }
 
+} // namespace
+
+void startLogging(const logging_settings &Settings) {
+  if (Settings.Output) {
+    addSink(boost::make_shared<output_backend>(*Settings.Output), Settings);
+    return;
+  }
+  const auto Backend = boost::make_shared<stream_backend>();
+  Backend->add_stream(
+      boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+  Backend->auto_flush(true);
+  addSink(Backend, Settings);
+}
+
+void logger::write(log_severity Severity, std::string_view Name,
+                   std::initializer_list<log_field> Fields) const {
+  blog::attribute_set Attributes;
+  Attributes.insert("Severity",
+                    blog::attributes::constant<log_severity>(Severity));
+  addText(Attributes, "component", Component);
+  Attributes.insert("fields",
+                    blog::attributes::constant<event_fields>(&Fields));
+  const auto Core = blog::core::get();
+  if (blog::record Record = Core->open_record(Attributes)) {
+    blog::record_ostream Out(Record);
+    Out << Name;
+    Out.flush();
+    Core->push_record(std::move(Record));
+  }
+}
+
 void logger::write(log_severity Severity, std::string_view Message,
                    const log_fields &Fields) const {
   blog::attribute_set Attributes;
--- a/src/logging/logging.h
+++ b/src/logging/logging.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include <concepts>
 #include <cstdint>
+#include <initializer_list>
 #include <string_view>
+#include <variant>
 
 namespace geraniumpaddle {
 
@@ -16,13 +19,35 @@
   std::uint64_t Offset = 0;
 };
 
+/// Where lines go.
+class ilog_output {
+public:
+  virtual ~ilog_output() = default;
+  /// Takes one line with its end, or leaves it out; never waits.
+  virtual void write(std::string_view Line) = 0;
+};
+
 struct logging_settings {
   log_severity Threshold = log_severity::Info;
   log_format Format = log_format::KeyValue;
+  ilog_output *Output = nullptr; ///< outlives the logging; null: std::clog
 };
 
-/// Sends log lines to standard error, one record a line, written by the
-/// calling thread. Called once at start; a later call replaces the settings.
+/// One named value of an event. It is copied when the line is written.
+struct log_field {
+  log_field(std::string_view Name, std::string_view Value)
+      : Name(Name), Value(Value) {}
+  log_field(std::string_view Name, const char *Value)
+      : Name(Name), Value(std::string_view(Value)) {}
+  log_field(std::string_view Name, std::integral auto Value)
+      : Name(Name), Value(static_cast<std::int64_t>(Value)) {}
+
+  std::string_view Name;
+  std::variant<std::string_view, std::int64_t> Value;
+};
+
+/// Sends log lines to the output, one record a line, written by the calling
+/// thread. Called once at start; a later call replaces the settings.
 void startLogging(const logging_settings &Settings);
 
 /// Writes lines of one component, such as "ledger".
@@ -43,9 +68,23 @@
     write(log_severity::Error, Message, Fields);
   }
 
+  /// A decision or a change of what the process believes: its name, the inputs
+  /// that decided it and the outcome.
+  void event(std::string_view Name,
+             std::initializer_list<log_field> Fields) const {
+    write(log_severity::Info, Name, Fields);
+  }
+  /// An event that an operator should look at.
+  void problem(std::string_view Name,
+               std::initializer_list<log_field> Fields) const {
+    write(log_severity::Warning, Name, Fields);
+  }
+
 private:
   void write(log_severity Severity, std::string_view Message,
              const log_fields &Fields) const;
+  void write(log_severity Severity, std::string_view Name,
+             std::initializer_list<log_field> Fields) const;
 
   std::string_view Component;
 };
--- /dev/null
+++ b/src/platform/internal/storeclient.cpp
@@ -0,0 +1,213 @@
+#include "platform/storeclient.h"
+
+#include "platform/internal/jsonfields.h"
+#include "platform/internal/storeframes.h"
+
+#include <array>
+
+namespace geraniumpaddle {
+
+namespace {
+
+constexpr std::array<std::string_view, 4> TopicNames{
+    "keyed.op", "keyed.jobs", "keyed.progress", "keyed.entries"};
+constexpr std::string_view ProducerName = "scheduler";
+constexpr std::string_view GroupName = "scheduler";
+/// Every topic is used in its first partition.
+constexpr std::string_view Partition = "&part=0";
+
+constexpr int Ok = 200;
+constexpr int Conflict = 409;
+constexpr int Gone = 410;
+
+std::string_view nameOf(store_topic Topic) {
+  return TopicNames.at(static_cast<std::size_t>(Topic));
+}
+
+std::string topicQuery(std::string_view Path, store_topic Topic) {
+  return std::string(Path).append("?Topic=").append(nameOf(Topic)).append(
+      Partition);
+}
+
+std::int64_t milliseconds(duration Time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
+}
+
+/// Refusals and 503 say that nothing was done.
+bool nothingDone(const store_reply &Reply) {
+  constexpr int FirstClientError = 400;
+  constexpr int FirstServerError = 500;
+  constexpr int Unavailable = 503;
+  constexpr int StorageFull = 507;
+  if (Reply.Status != call_status::Completed)
+    return Reply.Status == call_status::NotSent;
+  return (Reply.Code >= FirstClientError && Reply.Code < FirstServerError) ||
+         Reply.Code == Unavailable || Reply.Code == StorageFull;
+}
+
+append_outcome toOutcome(const store_reply &Reply) {
+  append_outcome Outcome{.Code = Reply.Code};
+  const auto Body = parseObject(Reply.Body);
+  if (Reply.Status == call_status::Completed && Reply.Code == Ok && Body) {
+    Outcome.Status = stored_status::Stored;
+    Outcome.End =
+        static_cast<std::uint64_t>(integerField(*Body, "End").value_or(0));
+    return Outcome;
+  }
+  if (!nothingDone(Reply))
+    return Outcome;
+  Outcome.Status = stored_status::Refused;
+  if (Reply.Code != Conflict || !Body)
+    return Outcome;
+  const bool Fenced = textField(*Body, "Reason") == "fenced";
+  Outcome.Status =
+      Fenced ? stored_status::Fenced : stored_status::OutOfSequence;
+  Outcome.Sequence =
+      static_cast<std::uint64_t>(integerField(*Body, "Seq").value_or(0));
+  return Outcome;
+}
+
+newest_outcome toNewest(const store_reply &Reply) {
+  newest_outcome Outcome;
+  if (Reply.Status != call_status::Completed || Reply.Code != Ok)
+    return Outcome;
+  const auto Body = parseObject(Reply.Body);
+  const json *Items = Body ? member(*Body, "items") : nullptr;
+  if (!Body || (Items && !Items->is_array()))
+    return Outcome;
+  Outcome.Ok = true;
+  Outcome.Page.HasMore = flagField(*Body, "HasMore").value_or(false);
+  Outcome.Page.End =
+      static_cast<std::uint64_t>(integerField(*Body, "End").value_or(0));
+  for (const json &Item : Items ? *Items : json::array()) {
+    if (!Item.is_object())
+      continue;
+    const auto Key = textField(Item, "Key");
+    const auto Value = textField(Item, "Value");
+    const auto Bytes = decodeBase64(Value.value_or(""));
+    if (!Key || !Bytes)
+      continue;
+    const auto Offset = integerField(Item, "Offset").value_or(0);
+    Outcome.Page.Records.push_back(
+        {.Key = *Key,
+         .Value = *Bytes,
+         .Dropped = Bytes->empty(),
+         .Offset = static_cast<std::uint64_t>(Offset)});
+  }
+  return Outcome;
+}
+
+join_outcome toJoin(const store_reply &Reply) {
+  join_outcome Outcome;
+  if (Reply.Status != call_status::Completed || Reply.Code != Ok)
+    return Outcome;
+  const auto Body = parseObject(Reply.Body);
+  if (!Body)
+    return Outcome;
+  Outcome.Ok = true;
+  Outcome.Generation =
+      static_cast<std::uint64_t>(integerField(*Body, "Generation").value_or(0));
+  const json *Rows = member(*Body, "parts");
+  for (const json &Row : Rows ? *Rows : json::array()) {
+    const bool Readable = Row.is_array() && Row.size() >= 2;
+    if (Readable && Row[0] == nameOf(store_topic::Progress) &&
+        asInteger(Row[1]) == 0)
+      Outcome.HoldsProgress = true;
+  }
+  return Outcome;
+}
+
+} // namespace
+
+void store_client::append(const append_call &Call,
+                          std::function<void(const append_outcome &)> Done) {
+  store_request Request{.Method = "POST",
+                        .Target = topicQuery("/api/log-append", Call.Topic),
+                        .Body = encodeFrames(Call.Records),
+                        .ContentType = "application/octet-stream",
+                        .Timeout = Call.Timeout};
+  if (Call.Stamp) {
+    Request.Target.append("&Producer=").append(ProducerName);
+    Request.Target.append("&epoch=").append(std::to_string(Call.Stamp->Term));
+    Request.Target.append("&Seq=").append(
+        std::to_string(Call.Stamp->Sequence));
+  }
+  Transport.call(std::move(Request),
+                 [this, Done = std::move(Done)](const store_reply &Reply) {
+                   const append_outcome Outcome = toOutcome(Reply);
+                   if (Outcome.Status != stored_status::Stored)
+                     Log.event("append_not_stored",
+                              {{"code", Reply.Code},
+                               {"call", name(Reply.Status)},
+                               {"answer", Reply.Body}});
+                   Done(Outcome);
+                 });
+}
+
+void store_client::read(store_topic Topic, std::uint64_t From, duration Wait,
+                        std::function<void(const read_outcome &)> Done) {
+  store_request Request{.Method = "GET",
+                        .Target = topicQuery("/api/log-read", Topic),
+                        .Timeout = Wait + ReadGrace};
+  Request.Target.append("&From=").append(std::to_string(From));
+  Request.Target.append("&WaitMs=").append(std::to_string(milliseconds(Wait)));
+  Transport.call(
+      std::move(Request),
+      [From, Done = std::move(Done)](const store_reply &Reply) {
+        read_outcome Outcome;
+        const bool Answered = Reply.Status == call_status::Completed;
+        Outcome.HistoryGone = Answered && Reply.Code == Gone;
+        if (Answered && Reply.Code == Ok)
+          if (auto Batch = decodeFrames(Reply.Body, From)) {
+            Outcome.Ok = true;
+            Outcome.Batch = std::move(*Batch);
+          }
+        Done(Outcome);
+      });
+}
+
+void store_client::newest(store_topic Topic, std::string_view After,
+                          std::function<void(const newest_outcome &)> Done) {
+  store_request Request{.Method = "GET",
+                        .Target = topicQuery("/api/log-newest", Topic),
+                        .Timeout = ReadGrace};
+  if (!After.empty())
+    Request.Target.append("&After=").append(After);
+  Transport.call(std::move(Request),
+                 [Done = std::move(Done)](const store_reply &Reply) {
+                   Done(toNewest(Reply));
+                 });
+}
+
+void store_client::join(const join_call &Call,
+                        std::function<void(const join_outcome &)> Done) {
+  const json Body = {{"group", GroupName},
+                     {"Member", Call.Member},
+                     {"Topics", {nameOf(store_topic::Progress)}},
+                     {"TtlMs", milliseconds(Call.TimeToLive)},
+                     {"Generation", Call.Generation}};
+  Transport.call({.Method = "POST",
+                  .Target = "/api/log-join",
+                  .Body = Body.dump(),
+                  .ContentType = "application/json",
+                  .Timeout = Call.Timeout},
+                 [Done = std::move(Done)](const store_reply &Reply) {
+                   Done(toJoin(Reply));
+                 });
+}
+
+void store_client::leave(std::string_view Member) {
+  constexpr duration Timeout = std::chrono::seconds(1);
+  const json Body = {{"group", GroupName}, {"Member", Member}};
+  Transport.call({.Method = "POST",
+                  .Target = "/api/log-leave",
+                  .Body = Body.dump(),
+                  .ContentType = "application/json",
+                  .Timeout = Timeout},
+                 [this](const store_reply &Reply) {
+                   if (Reply.Code != Ok)
+                     Log.event("leave_not_answered", {{"code", Reply.Code}});
+                 });
+}
+
+} // namespace geraniumpaddle
--- /dev/null
+++ b/src/platform/internal/taskworkerclient.cpp
@@ -0,0 +1,212 @@
+#include "platform/taskworkerclient.h"
+
+#include "platform/internal/jsonfields.h"
+#include "platform/internal/tasknames.h"
+
+#include <array>
+#include <utility>
+
+namespace geraniumpaddle {
+
+namespace {
+
+constexpr int Ok = 200;
+constexpr int BadRequest = 400;
+constexpr int Conflict = 409;
+constexpr int OtherInstance = 421;
+constexpr int TooManyRequests = 429;
+constexpr int Unavailable = 503;
+
+json runBody(const worker_target &Target, const work::run_ref &Run) {
+  return {{"Task", taskName(Run.Task)},
+          {"Run", Run.Run},
+          {"FencingToken", Target.FencingToken}};
+}
+
+work::start_refusal refusalOf(const std::string &Reason) {
+  static constexpr auto Names =
+      std::to_array<std::pair<std::string_view, work::start_refusal>>(
+          {{"fence", work::start_refusal::Fenced},
+           {"old", work::start_refusal::Stale},
+           {"late", work::start_refusal::Late},
+           {"room", work::start_refusal::NoRoom}});
+  for (const auto &[Name, Refusal] : Names)
+    if (Name == Reason)
+      return Refusal;
+  return work::start_refusal::Invalid;
+}
+
+start_outcome toStart(const http_result &Result) {
+  if (Result.Status == call_status::NotSent)
+    return {work::worker_call::Refused, work::start_refusal::Unhealthy};
+  if (Result.Status != call_status::Completed)
+    return {};
+  switch (Result.Code) {
+  case Ok:
+    return {work::worker_call::Done};
+  case Conflict: {
+    const auto Body = parseObject(Result.Body);
+    return {work::worker_call::Refused,
+            refusalOf(Body ? textField(*Body, "Reason").value_or("") : "")};
+  }
+  case BadRequest:
+    return {work::worker_call::Refused, work::start_refusal::Invalid};
+  case OtherInstance:
+    return {work::worker_call::Refused, work::start_refusal::Stale};
+  case TooManyRequests:
+  case Unavailable:
+    return {work::worker_call::Refused, work::start_refusal::Unhealthy};
+  default:
+    return {};
+  }
+}
+
+std::optional<work::running_run> toRunning(const json &Row) {
+  const bool Readable = Row.is_array() && Row.size() >= 3 &&
+                        Row[0].is_string() && asInteger(Row[1]) &&
+                        Row[2].is_string();
+  const auto Task = Readable ? parseTaskName(Row[0].get<std::string>())
+                             : std::nullopt;
+  if (!Task)
+    return std::nullopt;
+  const auto Run = static_cast<std::uint32_t>(*asInteger(Row[1]));
+  const auto Percent =
+      Row.size() > 3 ? asInteger(Row[3]).value_or(0) : std::int64_t{0};
+  return work::running_run{.Run = {*Task, Run},
+                           .Checkpoint = Row[2].get<std::string>(),
+                           .Percent = static_cast<std::int32_t>(Percent)};
+}
+
+std::optional<work::run_end> toEnd(const std::string &How) {
+  for (int I = 0; I <= static_cast<int>(work::run_end::Alone); ++I)
+    if (name(static_cast<work::run_end>(I)) == How)
+      return static_cast<work::run_end>(I);
+  return std::nullopt;
+}
+
+std::optional<work::finished_run> toFinished(const json &Row) {
+  const bool Readable = Row.is_array() && Row.size() >= 4 &&
+                        asInteger(Row[0]) && Row[1].is_string() &&
+                        asInteger(Row[2]) && Row[3].is_string();
+  if (!Readable)
+    return std::nullopt;
+  const auto Task = parseTaskName(Row[1].get<std::string>());
+  const auto How = toEnd(Row[3].get<std::string>());
+  if (!Task || !How)
+    return std::nullopt;
+  const bool HasCheckpoint = Row.size() > 4 && Row[4].is_string();
+  return work::finished_run{
+      .Number = static_cast<std::uint64_t>(*asInteger(Row[0])),
+      .Run = {*Task, static_cast<std::uint32_t>(*asInteger(Row[2]))},
+      .How = *How,
+      .Checkpoint = HasCheckpoint ? Row[4].get<std::string>() : ""};
+}
+
+std::optional<work::worker_listing> toListing(const json &Body) {
+  const auto Clock = integerField(Body, "ClockMs");
+  const auto Born = integerField(Body, "born");
+  if (!Clock || !Born)
+    return std::nullopt;
+  work::worker_listing Listing{.Born = static_cast<std::uint64_t>(*Born),
+                               .ClockMs = *Clock};
+  const json *Running = member(Body, "Running");
+  for (const json &Row : Running ? *Running : json::array())
+    if (auto Run = toRunning(Row))
+      Listing.Running.push_back(std::move(*Run));
+  const json *Finished = member(Body, "Finished");
+  for (const json &Row : Finished ? *Finished : json::array())
+    if (auto Run = toFinished(Row))
+      Listing.Finished.push_back(std::move(*Run));
+  return Listing;
+}
+
+listing_outcome toListingOutcome(const http_result &Result) {
+  listing_outcome Outcome;
+  Outcome.ConnectionRefused = Result.Status == call_status::NotSent;
+  if (Result.Status != call_status::Completed)
+    return Outcome;
+  Outcome.OtherLife = Result.Code == OtherInstance;
+  const auto Body = parseObject(Result.Body);
+  if (Result.Code == Conflict)
+    Outcome.Fenced = Body && textField(*Body, "Reason") == "fence";
+  if (Result.Code == Ok && Body)
+    Outcome.Listing = toListing(*Body);
+  return Outcome;
+}
+
+} // namespace
+
+void task_worker_client::post(const worker_target &Target,
+                              std::string_view Path, std::string Body,
+                              duration Limit,
+                              std::function<void(const http_result &)> Done) {
+  Http.send({.Address = Target.Address,
+             .Method = "POST",
+             .Target = std::string(Path),
+             .Headers = {{"Content-Type", "application/json"},
+                         {"X-Expected-Instance", Target.Worker.str()}},
+             .Body = std::move(Body),
+             .Timeout = Limit,
+             // Every order names its run and may be repeated.
+             .Reuse = connection_reuse::Always,
+             .Cause = "worker"},
+            std::move(Done));
+}
+
+void task_worker_client::start(const worker_target &Target,
+                               const work::start_run &Order,
+                               std::function<void(const start_outcome &)> Done) {
+  json Body = runBody(Target, Order.Run.Run);
+  Body["Spec"] = Order.Run.Payload;
+  Body["DeadlineMs"] = Order.LeaseEndMs;
+  if (!Order.Run.Checkpoint.empty())
+    Body["LastCheckpoint"] = Order.Run.Checkpoint;
+  post(Target, "/api/run-start", Body.dump(), Timeout,
+       [this, Name = taskName(Order.Run.Run.Task),
+        Done = std::move(Done)](const http_result &Result) {
+         if (!Result.ok())
+           Log.event("start_not_done", {{"task", Name},
+                                        {"code", Result.Code},
+                                        {"answer", Result.Body}});
+         Done(toStart(Result));
+       });
+}
+
+void task_worker_client::stop(const worker_target &Target,
+                              const work::run_ref &Run,
+                              std::function<void(work::worker_call)> Done) {
+  post(Target, "/api/run-stop", runBody(Target, Run).dump(), Timeout,
+       [this, Name = taskName(Run.Task),
+        Done = std::move(Done)](const http_result &Result) {
+         if (!Result.ok())
+           Log.event("stop_not_done", {{"task", Name},
+                                       {"code", Result.Code},
+                                       {"answer", Result.Body}});
+         Done(Result.ok() || Result.Code == OtherInstance
+                  ? work::worker_call::Done
+                  : work::worker_call::Unknown);
+       });
+}
+
+void task_worker_client::list(
+    const worker_target &Target, const work::list_runs &Order,
+    std::function<void(const listing_outcome &)> Done) {
+  const auto WaitMs =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Order.Wait).count();
+  json Body = {{"FencingToken", Target.FencingToken},
+               {"AckCursor", Order.AcknowledgedEnds}};
+  if (Order.LeaseEndMs)
+    Body["DeadlineMs"] = *Order.LeaseEndMs;
+  if (WaitMs > 0)
+    Body["WaitMs"] = WaitMs;
+  post(Target, "/api/hold", Body.dump(), Timeout + Order.Wait,
+       [this, Done = std::move(Done)](const http_result &Result) {
+         const listing_outcome Outcome = toListingOutcome(Result);
+         if (!Outcome.Listing)
+           Log.event("listing_failed",
+                     {{"code", Result.Code}, {"answer", Result.Body}});
+         Done(Outcome);
+       });
+}
+
+} // namespace geraniumpaddle
--- a/src/settings/internal/settingsreader.cpp
+++ b/src/settings/internal/settingsreader.cpp
@@ -22,7 +22,10 @@
 };
 
 constexpr auto RoleNames = std::to_array<named_value<node_role>>(
-    {{"entry", node_role::Entry}, {"agent", node_role::Agent}});
+    {{"entry", node_role::Entry},
+     {"agent", node_role::Agent},
+     {"job_entry", node_role::JobEntry},
+     {"job_agent", node_role::JobAgent}});
 constexpr auto ObjectiveNames = std::to_array<named_value<objective_setting>>(
     {{"completion_time", objective_setting::CompletionTime},
      {"fragmentation", objective_setting::Fragmentation}});
@@ -269,12 +272,33 @@
     Target = checkedChoice(Field, Node, FormatNames);
   }
 
+  static bool needs(node_role Role, needed_by Needed) {
+    const bool Jobs =
+        Role == node_role::JobEntry || Role == node_role::JobAgent;
+    switch (Needed) {
+    case needed_by::Nobody:
+      return false;
+    case needed_by::Entry:
+      return Role == node_role::Entry;
+    case needed_by::Agent:
+      return Role == node_role::Agent;
+    case needed_by::Both:
+      return !Jobs;
+    case needed_by::JobEntry:
+      return Role == node_role::JobEntry;
+    case needed_by::JobAgent:
+      return Role == node_role::JobAgent;
+    case needed_by::Jobs:
+      return Jobs;
+    case needed_by::Everybody:
+      return true;
+    }
+    return false;
+  }
+
   void checkNeeded() const {
-    needed_by Role =
-        Values.Role == node_role::Entry ? needed_by::Entry : needed_by::Agent;
     for (const setting_field &Field : settingsSchema())
-      if ((Field.Needed == Role || Field.Needed == needed_by::Both) &&
-          !Leaves.contains(Field.Key))
+      if (needs(Values.Role, Field.Needed) && !Leaves.contains(Field.Key))
         fail(1, Field.Key, "is missing");
   }
 
--- a/src/settings/internal/settingsschema.h
+++ b/src/settings/internal/settingsschema.h
@@ -25,7 +25,18 @@
   SaltedHash, ///< empty, or as printed by the tool's hash command
 };
 
-enum class needed_by : std::uint8_t { Nobody, Entry, Agent, Both };
+/// Which roles need a value. Both: the two of the project's own interface;
+/// Jobs: the two of the users' platform.
+enum class needed_by : std::uint8_t {
+  Nobody,
+  Entry,
+  Agent,
+  Both,
+  JobEntry,
+  JobAgent,
+  Jobs,
+  Everybody,
+};
 
 struct setting_field {
   std::string_view Key; ///< dotted path
--- a/src/settings/types/settings.h
+++ b/src/settings/types/settings.h
@@ -9,7 +9,9 @@
 
 namespace geraniumpaddle {
 
-enum class node_role : std::uint8_t { Entry, Agent };
+/// Entry and Agent serve the project's own interface; JobEntry and JobAgent the
+/// users' platform.
+enum class node_role : std::uint8_t { Entry, Agent, JobEntry, JobAgent };
 enum class objective_setting : std::uint8_t { CompletionTime, Fragmentation };
 enum class log_format_setting : std::uint8_t { KeyValue, Json };
 
@@ -22,6 +24,10 @@
 
   std::string PeerListen;
   std::string HttpListen;
+  std::string FrontListen;
+  std::string ReadinessListen;
+  std::string ControlListen;
+  std::string StoreAddress;
 
   log_format_setting LogFormat = log_format_setting::KeyValue;
   std::string LogLevel = "info";
@@ -39,6 +45,7 @@
   std::int64_t SnapshotRecords = 20000;
   std::string OperatorTokenHash;
   std::int64_t MaxConnections = 2048;
+  std::int64_t LogLinesPerSecond = 200;
   std::int64_t MaxBodyBytes = 8LL * 1024 * 1024;
   std::chrono::milliseconds RequestTimeout{30000};
   std::int64_t RequestQueue = 1024;
--- a/src/transport/ihttpclient.h
+++ b/src/transport/ihttpclient.h
@@ -23,6 +23,9 @@
   TimedOut,  ///< no whole answer within the time limit
 };
 
+/// Lower-case name, for logs.
+std::string_view name(call_status Status);
+
 /// Whether a call may go over a connection that was kept from an earlier one.
 /// A peer may close a kept connection just as the call is written; the call is
 /// then Lost although it was probably not handled.
--- a/src/transport/internal/httpmethod.cpp
+++ b/src/transport/internal/httpmethod.cpp
@@ -1,5 +1,7 @@
 #include "transport/internal/httpmethod.h"
 
+#include "transport/ihttpclient.h"
+
 #include <algorithm>
 #include <array>
 
@@ -45,4 +47,10 @@
   return static_cast<ev_uint16_t>(Mask);
 }
 
+std::string_view name(call_status Status) {
+  static constexpr std::array<std::string_view, 4> Names{
+      "completed", "not_sent", "lost", "timed_out"};
+  return Names.at(static_cast<std::size_t>(Status));
+}
+
 } // namespace geraniumpaddle
--- /dev/null
+++ b/src/workcodec/internal/convert.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "core/work/types/worker.h"
+
+#include "work.pb.h"
+
+#include <string_view>
+
+namespace geraniumpaddle::work {
+
+inline std::uint64_t millisecondsOf(duration Time) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Time).count());
+}
+inline duration fromMilliseconds(std::uint64_t Count) {
+  return std::chrono::milliseconds(Count);
+}
+inline std::uint64_t millisecondsOf(wall_time Time) {
+  return static_cast<std::uint64_t>(Time.time_since_epoch().count());
+}
+inline wall_time wallTime(std::uint64_t Count) {
+  return wall_time(std::chrono::milliseconds(Count));
+}
+
+/// The enumerator numbered \p Value, up to \p Last.
+/// \throws malformed_message_error if there is none.
+template <typename Enum>
+Enum checkedEnum(std::uint32_t Value, Enum Last, std::string_view Field);
+
+void toProto(const worker_life &Life, proto::work::WorkerLife &Message);
+worker_life fromProto(const proto::work::WorkerLife &Message);
+void toProto(const resources &Need, proto::work::TaskNeed &Message);
+resources fromProto(const proto::work::TaskNeed &Message);
+void toProto(const job_spec &Spec, proto::work::JobSubmitted &Message);
+/// \throws malformed_message_error if steps contradict each other.
+job_spec fromProto(const proto::work::JobSubmitted &Message);
+
+} // namespace geraniumpaddle::work
+
+#include "core/base/error.h"
+
+template <typename Enum>
+Enum geraniumpaddle::work::checkedEnum(std::uint32_t Value, Enum Last,
+                                       std::string_view Field) {
+  if (Value > static_cast<std::uint32_t>(Last))
+    throw malformed_message_error("unknown value of " + std::string(Field));
+  return static_cast<Enum>(Value);
+}
--- /dev/null
+++ b/src/workcodec/internal/recordconvert.cpp
@@ -0,0 +1,111 @@
+#include "workcodec/internal/convert.h"
+#include "workcodec/workcodec.h"
+
+#include "core/base/membertable.h"
+
+namespace geraniumpaddle::work {
+
+proto::work::EntryPresent encodeEntry(const entry_present &Entry) {
+  proto::work::EntryPresent Message;
+  Message.set_node(Entry.Node.str());
+  Message.set_region(Entry.Region.str());
+  Message.set_peer_address(Entry.PeerAddress);
+  Message.set_started_ms(Entry.StartedMs);
+  Message.set_term(Entry.Term);
+  return Message;
+}
+
+entry_present decodeEntry(const proto::work::EntryPresent &Message) {
+  return {.Node = node_id(Message.node()),
+          .Region = region_id(Message.region()),
+          .PeerAddress = Message.peer_address(),
+          .StartedMs = Message.started_ms(),
+          .Term = Message.term()};
+}
+
+namespace {
+
+class record_encoder {
+public:
+  explicit record_encoder(proto::work::WorkRecord &Message)
+      : Message(Message) {}
+
+  void encode(const work_record &Record) const {
+    using table =
+        member_table<&record_encoder::onSubmitted, &record_encoder::onCancelled,
+                     &record_encoder::onProgressed, &record_encoder::onEntry>;
+    table::dispatch(*this, Record);
+  }
+
+private:
+  void onSubmitted(const job_submitted &Record) const {
+    toProto(Record.Spec, *Message.mutable_submitted());
+  }
+  void onCancelled(const job_cancelled &Record) const {
+    Message.mutable_cancelled()->set_job(Record.Job.str());
+  }
+  void onProgressed(const job_progressed &Record) const {
+    proto::work::JobProgressed &Progressed = *Message.mutable_progressed();
+    Progressed.set_job(Record.Job.str());
+    Progressed.set_state(static_cast<std::uint32_t>(Record.Progress.State));
+    Progressed.set_ended_ms(millisecondsOf(Record.Progress.EndedAt));
+    for (const task_progress &Each : Record.Progress.Tasks) {
+      proto::work::TaskProgress &Task = *Progressed.add_tasks();
+      Task.set_state(static_cast<std::uint32_t>(Each.State));
+      Task.set_run(Each.Run);
+      Task.set_failures(Each.Failures);
+      if (Each.State == task_state::Running)
+        toProto(Each.Place, *Task.mutable_place());
+      Task.set_checkpoint(Each.Checkpoint);
+    }
+  }
+  void onEntry(const entry_present &Record) const {
+    *Message.mutable_entry() = encodeEntry(Record);
+  }
+
+  proto::work::WorkRecord &Message;
+};
+
+job_progressed decodeProgress(const proto::work::JobProgressed &Message) {
+  job_progressed Record{.Job = job_id(Message.job())};
+  Record.Progress.State =
+      checkedEnum(Message.state(), job_state::Cancelled, "job state");
+  Record.Progress.EndedAt = wallTime(Message.ended_ms());
+  for (const proto::work::TaskProgress &Each : Message.tasks())
+    Record.Progress.Tasks.push_back(
+        {.State = checkedEnum(Each.state(), task_state::Failed, "task state"),
+         .Run = Each.run(),
+         .Failures = Each.failures(),
+         .Place = fromProto(Each.place()),
+         .Checkpoint = Each.checkpoint()});
+  return Record;
+}
+
+} // namespace
+
+std::string encodeRecord(const work_record &Record) {
+  proto::work::WorkRecord Message;
+  record_encoder(Message).encode(Record);
+  return Message.SerializeAsString();
+}
+
+work_record decodeRecord(std::string_view Bytes) {
+  proto::work::WorkRecord Message;
+  if (!Message.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())))
+    throw malformed_message_error("a record of the log does not decode");
+  switch (Message.record_case()) {
+  case proto::work::WorkRecord::kSubmitted:
+    return job_submitted{fromProto(Message.submitted())};
+  case proto::work::WorkRecord::kCancelled:
+    return job_cancelled{job_id(Message.cancelled().job())};
+  case proto::work::WorkRecord::kProgressed:
+    return decodeProgress(Message.progressed());
+  case proto::work::WorkRecord::kEntry:
+    return decodeEntry(Message.entry());
+  case proto::work::WorkRecord::RECORD_NOT_SET:
+    break;
+  }
+  throw malformed_message_error("a record of the log has no known kind");
+}
+
+} // namespace geraniumpaddle::work
--- /dev/null
+++ b/src/workcodec/internal/specconvert.cpp
@@ -0,0 +1,115 @@
+#include "workcodec/internal/convert.h"
+
+namespace geraniumpaddle::work {
+
+void toProto(const worker_life &Life, proto::work::WorkerLife &Message) {
+  Message.set_worker(Life.Worker.str());
+  Message.set_born(Life.Born);
+}
+
+worker_life fromProto(const proto::work::WorkerLife &Message) {
+  return {worker_id(Message.worker()), Message.born()};
+}
+
+void toProto(const resources &Need, proto::work::TaskNeed &Message) {
+  Message.set_millicores(Need.MilliCores);
+  Message.set_memory_mb(Need.MemoryMb);
+  Message.set_accelerators(Need.Accelerators);
+}
+
+resources fromProto(const proto::work::TaskNeed &Message) {
+  return {Message.accelerators(), Message.millicores(), Message.memory_mb()};
+}
+
+namespace {
+
+void toProto(const step_spec &Step, proto::work::StepSpec &Message) {
+  Message.set_count(Step.Count);
+  work::toProto(Step.Need, *Message.mutable_need());
+  Message.set_estimate_ms(millisecondsOf(Step.Estimate));
+  for (const std::uint32_t Earlier : Step.After)
+    Message.add_after(Earlier);
+  Message.set_checkpointing(Step.Checkpointing);
+  Message.set_gang(Step.Gang);
+  Message.set_same_rack(Step.SameRack);
+  Message.set_speculative(Step.Speculative);
+  Message.set_long_running(Step.LongRunning);
+  Message.set_fills(Step.Fills);
+  Message.set_required_label(Step.RequiredLabel);
+  Message.set_data_rack(Step.DataRack);
+  Message.set_image(Step.Image);
+  Message.set_max_per_worker(Step.MaxPerWorker);
+  Message.set_tail_latency_target_ms(millisecondsOf(Step.TailLatencyTarget));
+  Message.set_max_unavailable(Step.MaxUnavailable);
+}
+
+step_spec fromProto(const proto::work::StepSpec &Message) {
+  step_spec Step;
+  Step.Count = Message.count();
+  Step.Need = work::fromProto(Message.need());
+  Step.Estimate = fromMilliseconds(Message.estimate_ms());
+  Step.After.assign(Message.after().begin(), Message.after().end());
+  Step.Checkpointing = Message.checkpointing();
+  Step.Gang = Message.gang();
+  Step.SameRack = Message.same_rack();
+  Step.Speculative = Message.speculative();
+  Step.LongRunning = Message.long_running();
+  Step.Fills = Message.fills();
+  Step.RequiredLabel = Message.required_label();
+  Step.DataRack = Message.data_rack();
+  Step.Image = Message.image();
+  Step.MaxPerWorker = Message.max_per_worker();
+  Step.TailLatencyTarget = fromMilliseconds(Message.tail_latency_target_ms());
+  Step.MaxUnavailable = Message.max_unavailable();
+  return Step;
+}
+
+} // namespace
+
+void toProto(const job_spec &Spec, proto::work::JobSubmitted &Message) {
+  Message.set_job(Spec.Id.str());
+  Message.set_customer(Spec.Customer.str());
+  proto::work::QueueTerms &Terms = *Message.mutable_terms();
+  Terms.set_queue(Spec.Terms.Queue);
+  Terms.set_service(Spec.Terms.Service.str());
+  Terms.set_priority(Spec.Terms.Priority);
+  Terms.set_attempts(Spec.Terms.Attempts);
+  Terms.set_slack_factor(Spec.Terms.SlackFactor);
+  Terms.set_target_latency_ms(millisecondsOf(Spec.Terms.TargetLatency));
+  Message.set_payload(Spec.Payload);
+  for (const step_spec &Step : Spec.Steps)
+    toProto(Step, *Message.add_steps());
+  Message.set_submitted_ms(millisecondsOf(Spec.SubmittedAt));
+  Message.set_scheduled(Spec.Scheduled);
+  Message.set_first_start_ms(millisecondsOf(Spec.FirstStart));
+  Message.set_interval_ms(millisecondsOf(Spec.Interval));
+  Message.set_occurrences(Spec.Occurrences);
+}
+
+job_spec fromProto(const proto::work::JobSubmitted &Message) {
+  job_spec Spec;
+  Spec.Id = job_id(Message.job());
+  Spec.Customer = customer_id(Message.customer());
+  const proto::work::QueueTerms &Terms = Message.terms();
+  Spec.Terms = {.Queue = Terms.queue(),
+                .Service = service_id(Terms.service()),
+                .Priority = Terms.priority(),
+                .Attempts = Terms.attempts(),
+                .SlackFactor = Terms.slack_factor(),
+                .TargetLatency = fromMilliseconds(Terms.target_latency_ms())};
+  Spec.Payload = Message.payload();
+  for (const proto::work::StepSpec &Step : Message.steps()) {
+    Spec.Steps.push_back(fromProto(Step));
+    for (const std::uint32_t Earlier : Spec.Steps.back().After)
+      if (Earlier + 1 >= Spec.Steps.size())
+        throw malformed_message_error("a step depends on itself or a later one");
+  }
+  Spec.SubmittedAt = wallTime(Message.submitted_ms());
+  Spec.Scheduled = Message.scheduled();
+  Spec.FirstStart = wallTime(Message.first_start_ms());
+  Spec.Interval = fromMilliseconds(Message.interval_ms());
+  Spec.Occurrences = Message.occurrences();
+  return Spec;
+}
+
+} // namespace geraniumpaddle::work
--- /dev/null
+++ b/src/workcodec/workcodec.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "core/work/types/records.h"
+#include "core/work/types/worker.h"
+
+#include "work.pb.h"
+
+#include <string>
+#include <string_view>
+
+namespace geraniumpaddle::work {
+
+/// A record as the bytes of a value in the log.
+std::string encodeRecord(const work_record &Record);
+/// \throws malformed_message_error
+work_record decodeRecord(std::string_view Bytes);
+
+proto::work::WorkerReport encodeReport(const worker_report &Report);
+/// \throws malformed_message_error
+worker_report decodeReport(const proto::work::WorkerReport &Message);
+
+void encodeOrders(const worker_orders &Orders,
+                  proto::work::WorkerOrders &Message);
+/// \throws malformed_message_error
+worker_orders decodeOrders(const proto::work::WorkerOrders &Message);
+
+proto::work::EntryPresent encodeEntry(const entry_present &Entry);
+entry_present decodeEntry(const proto::work::EntryPresent &Message);
+
+} // namespace geraniumpaddle::work
