Reload settings on SIGHUP and when the file changes

Ruled out: a crash (the code is that of the signal, at the times of 'hup'). Change: process_host reads the settings again on SIGHUP and every 5 s, logs what it did, and keeps what it has when the file is not valid; the agent takes new addresses of entries.

--- a/src/daemon/internal/processhost.cpp
+++ b/src/daemon/internal/processhost.cpp
@@ -1,5 +1,6 @@
 #include "daemon/processhost.h"
 
+#include "settings/settingsreader.h"
 #include "transport/address.h"
 
 #include <algorithm>
@@ -16,6 +17,8 @@
 constexpr duration ExitDelay = std::chrono::milliseconds(200);
 /// A kept connection of a caller may carry one more request until it closes.
 constexpr int MaxExitDelays = 10;
+/// The file may change without a signal; reading it takes under a millisecond.
+constexpr duration SettingsInterval = std::chrono::seconds(5);
 
 /// Later starts have larger incarnations, as long as a clock does not go back
 /// by more than the time between two starts.
@@ -43,7 +46,8 @@
     : Settings(Settings), Peers(Loop, peer_client_settings{}, Traffic),
       Http(Loop, http_client_limits{}, Traffic), Self{node_id(Settings.Node),
                                                       incarnationAt(
-                                                          Loop.wallNow())} {
+                                                          Loop.wallNow())},
+      SettingsLook(Loop) {
   registerTraffic();
 }
 
@@ -72,6 +76,37 @@
   return withPort(Settings.HttpListen, HttpServer->port());
 }
 
+void process_host::watchSettings(std::string Path,
+                                 std::function<void(const settings &)> Take) {
+  SettingsPath = std::move(Path);
+  SettingsText = printSettings(Settings);
+  TakeSettings = std::move(Take);
+  Loop.onSignal(SIGHUP, [this] { reloadSettings(); });
+  lookAtSettings();
+}
+
+void process_host::lookAtSettings() {
+  SettingsLook.start(SettingsInterval, [this] {
+    reloadSettings();
+    lookAtSettings();
+  });
+}
+
+void process_host::reloadSettings() {
+  try {
+    const settings Next = readSettingsFile(SettingsPath);
+    std::string Text = printSettings(Next);
+    if (Text == SettingsText)
+      return;
+    SettingsText = std::move(Text);
+    Log.event("settings_reloaded", {{"file", SettingsPath}});
+    TakeSettings(Next);
+  } catch (const error &Problem) {
+    // The process goes on with the settings that it has.
+    Log.problem("settings_not_reloaded", {{"problem", Problem.what()}});
+  }
+}
+
 void process_host::run(const std::function<void()> &Drain) {
   Loop.onSignal(SIGTERM, Drain);
   Loop.onSignal(SIGINT, Drain);
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -64,6 +64,7 @@
         Role.handleHttp(Request, Responder);
       });
   Role.start(Host.peerAddress(), Host.httpAddress());
+  Host.watchSettings(FLAGS_settings, [](const settings &) {});
   Host.run([&Role] { Role.drain(); });
 }
 
@@ -84,6 +85,7 @@
         Role.handleHttp(Request, Responder);
       });
   Role.start(Host.peerAddress());
+  Host.watchSettings(FLAGS_settings, [](const settings &) {});
   Host.run([&Role] { Role.drain(); });
 }
 
@@ -119,6 +121,7 @@
                     Role.handleReadiness(Request, Responder);
                   });
   Role.start(Host.peerAddress());
+  Host.watchSettings(FLAGS_settings, [](const settings &) {});
   Host.run([&Role] { Role.drain(); });
 }
 
@@ -147,6 +150,9 @@
                     Role.handleControl(Request, Responder);
                   });
   Role.start();
+  Host.watchSettings(FLAGS_settings, [&Role](const settings &Settings) {
+    Role.takeSettings(Settings);
+  });
   Host.run([&Role] { Role.drain(); });
 }
 
--- a/src/daemon/processhost.h
+++ b/src/daemon/processhost.h
@@ -9,6 +9,7 @@
 #include "transport/httpserver.h"
 #include "transport/peerclient.h"
 #include "transport/peerserver.h"
+#include "transport/timer.h"
 #include "transport/traffic.h"
 
 #include <functional>
@@ -38,10 +39,16 @@
   std::string httpAddress() const;
   /// Runs until stop(); \p Drain is called on SIGTERM and SIGINT.
   void run(const std::function<void()> &Drain);
+  /// Reads the settings at \p Path again on SIGHUP and when the file changes,
+  /// and hands valid ones to \p Take.
+  void watchSettings(std::string Path,
+                     std::function<void(const settings &)> Take);
   /// Stops listening and ends run() once the last answers are written out.
   void stop();
 
 private:
+  void reloadSettings();
+  void lookAtSettings();
   void endWhenWritten(int DelaysLeft);
   void registerTraffic();
 
@@ -54,6 +61,11 @@
   peer_identity Self;
   std::unique_ptr<peer_server> PeerServer;
   std::unique_ptr<http_server> HttpServer;
+  std::string SettingsPath;
+  std::string SettingsText; ///< as last read
+  std::function<void(const settings &)> TakeSettings;
+  timer SettingsLook;
+  logger Log{"settings"};
   std::vector<std::unique_ptr<http_server>> MoreServers;
 };
 
--- a/src/jobagent/internal/jobagentrole.cpp
+++ b/src/jobagent/internal/jobagentrole.cpp
@@ -55,6 +55,10 @@
   dropSilent();
 }
 
+void job_agent_role::takeSettings(const settings &Next) {
+  Link.addSeeds(peerAddresses(Next));
+}
+
 void job_agent_role::drain() {
   Log.event("drain_begins", {});
   Stopped();
--- a/src/jobagent/internal/schedulerlink.cpp
+++ b/src/jobagent/internal/schedulerlink.cpp
@@ -32,6 +32,13 @@
 
 void scheduler_link::start() { readEntries(); }
 
+void scheduler_link::addSeeds(std::span<const std::string> Seeds) {
+  for (const std::string &Seed : Seeds)
+    if (std::find(Candidates.begin(), Candidates.end(), Seed) ==
+        Candidates.end())
+      Candidates.push_back(Seed);
+}
+
 duration scheduler_link::retryDelay() const { return RetryDelay; }
 
 void scheduler_link::readEntries() {
--- a/src/jobagent/jobagentrole.h
+++ b/src/jobagent/jobagentrole.h
@@ -35,6 +35,8 @@
                  std::function<void()> Stopped);
 
   void start();
+  /// The addresses of entries may have changed.
+  void takeSettings(const settings &Next);
   /// Ends at once: leases keep the tasks alive until the next run of the agent.
   void drain();
 
--- a/src/jobagent/schedulerlink.h
+++ b/src/jobagent/schedulerlink.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,8 @@
   scheduler_link &operator=(const scheduler_link &) = delete;
 
   void start();
+  /// Further addresses to look for entries at.
+  void addSeeds(std::span<const std::string> Seeds);
   /// \param Done gets the orders, or null if this entry had none to give.
   void report(const proto::work::WorkerReport &Report,
               std::function<void(const proto::work::WorkerOrders *)> Done);
