A scheduler's term is higher than that of its earlier life in the same generation

Cause: an entry that is killed comes back under its name within 0.5 s, before the platform's group has noticed; the group deals it the office in the same generation, and it claimed the term that its earlier life had. Ruled out: a leak of capacity (the workers had room), a job missing in the log (it was placed). Change: the term is the generation and, below it, the start of the process.

--- a/src/core/topics/internal/officeholder.cpp
+++ b/src/core/topics/internal/officeholder.cpp
@@ -8,9 +8,10 @@
 
 namespace {
 
-/// Step over terms that an earlier group used, should its generations have
-/// begun anew.
-constexpr std::uint64_t TermStep = 1000;
+/// Terms of one generation: one for each millisecond in which a candidate may
+/// have started, over 49 days, so that one that comes back in a generation has
+/// a higher term than before. Terms stay below 2^53 for 2^21 generations.
+constexpr std::uint64_t TermsPerGeneration = std::uint64_t{1} << 32;
 
 } // namespace
 
@@ -74,7 +75,9 @@
     return;
   Phase = phase::Claiming;
   Claiming = true;
-  Term = std::max(Generation + TermOffset, Term + 1);
+  const std::uint64_t First = Generation * TermsPerGeneration + TermOffset +
+                              Incarnation % TermsPerGeneration;
+  Term = std::max(First, Term + 1);
   Commands.emplace_back(send_claim{Term});
 }
 
@@ -99,7 +102,8 @@
     return;
   if (Phase == phase::Claiming) {
     Claiming = false;
-    TermOffset += TermStep;
+    // The group's generations, or the clock, have begun anew.
+    TermOffset += TermsPerGeneration;
   }
   loseOffice();
 }
--- a/src/core/topics/officeholder.h
+++ b/src/core/topics/officeholder.h
@@ -13,7 +13,10 @@
 /// that an earlier holder can record nothing any more.
 class office_holder {
 public:
-  explicit office_holder(const office_limits &Limits) : Limits(Limits) {}
+  /// \param Incarnation rises with each start of this candidate; its terms in
+  ///        one generation of the group rise with it.
+  office_holder(const office_limits &Limits, std::uint64_t Incarnation)
+      : Limits(Limits), Incarnation(Incarnation) {}
 
   /// \returns commands that are valid until the next call.
   std::span<const office_command> handle(const office_event &Event,
@@ -39,6 +42,7 @@
   void planJoin(time_point At);
 
   const office_limits Limits;
+  const std::uint64_t Incarnation;
   phase Phase = phase::Candidate;
   std::uint64_t Generation = 0;
   std::uint64_t Term = 0;
--- /dev/null
+++ b/src/core/topics/tests/topicfollowertest.cpp
@@ -0,0 +1,92 @@
+#include "core/topics/topicfollower.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <optional>
+
+using namespace geraniumpaddle;
+
+TEST_GROUP(TopicFollower) {
+  topic_follower Follower;
+  time_point Now{std::chrono::hours(1)};
+  std::vector<keyed_record> Delivered;
+  std::optional<std::uint64_t> ReadFrom;
+  std::optional<std::string> NewestAfter;
+  bool Loaded = false;
+
+  void feed(const topic_event &Event) {
+    ReadFrom.reset();
+    NewestAfter.reset();
+    for (const topic_command &Each : Follower.handle(Event, Now)) {
+      if (const auto *Record = std::get_if<deliver_record>(&Each))
+        Delivered.push_back(Record->Record);
+      if (const auto *Read = std::get_if<read_topic>(&Each))
+        ReadFrom = Read->From;
+      if (const auto *Newest = std::get_if<read_newest>(&Each))
+        NewestAfter = Newest->After;
+      Loaded |= std::holds_alternative<topic_loaded>(Each);
+    }
+  }
+
+  static keyed_record record(const char *Key, std::uint64_t Offset) {
+    return {.Key = Key, .Value = "v", .Offset = Offset};
+  }
+};
+
+TEST(TopicFollower, ReadsTheNewestRecordsThenTheLogFromTheFirstPagesEnd) {
+  feed(topic_time_passed{});
+  STRCMP_EQUAL("", NewestAfter->c_str());
+  feed(newest_page{.Records = {record("a", 3)}, .HasMore = true, .End = 5});
+  STRCMP_EQUAL("a", NewestAfter->c_str());
+  CHECK(!Loaded);
+  // A record of a later page may be newer than the end of the first.
+  feed(newest_page{.Records = {record("b", 6)}, .HasMore = false, .End = 7});
+  CHECK(Loaded);
+  LONGS_EQUAL(5, *ReadFrom);
+  feed(topic_batch{.From = 5, .End = 7,
+                   .Records = {record("c", 5), record("b", 6)}});
+  LONGS_EQUAL(4, Delivered.size());
+  LONGS_EQUAL(7, *ReadFrom);
+}
+
+TEST(TopicFollower, AGapStartsAnewAndDropsWhatIsGone) {
+  feed(topic_time_passed{});
+  feed(newest_page{.Records = {record("a", 0), record("b", 1)}, .End = 2});
+  feed(history_gone{});
+  CHECK(NewestAfter.has_value());
+  feed(newest_page{.Records = {record("b", 9)}, .End = 10});
+  LONGS_EQUAL(4, Delivered.size());
+  STRCMP_EQUAL("a", Delivered.back().Key.c_str());
+  CHECK(Delivered.back().Dropped);
+  LONGS_EQUAL(10, *ReadFrom);
+}
+
+TEST(TopicFollower, TriesAgainAfterAFailure) {
+  feed(topic_time_passed{});
+  feed(topic_read_failed{});
+  CHECK(!NewestAfter);
+  Now += std::chrono::milliseconds(10);
+  feed(topic_time_passed{});
+  CHECK(!NewestAfter);
+  Now += std::chrono::milliseconds(50);
+  feed(topic_time_passed{});
+  CHECK(NewestAfter.has_value());
+}
+
+TEST(TopicFollower, DeliversARecordOfTheLogOnce) {
+  feed(topic_time_passed{});
+  feed(newest_page{.End = 0});
+  feed(topic_batch{.From = 0, .End = 2,
+                   .Records = {record("a", 0), record("a", 1)}});
+  feed(topic_batch{.From = 0, .End = 2,
+                   .Records = {record("a", 0), record("a", 1)}});
+  LONGS_EQUAL(2, Delivered.size());
+}
+
+TEST(TopicFollower, AnAnswerOfTheLogThatComesWhileTheNewestAreReadIsDropped) {
+  feed(topic_time_passed{});
+  feed(newest_page{.End = 4});
+  feed(history_gone{});
+  feed(topic_batch{.From = 4, .End = 5, .Records = {record("a", 4)}});
+  LONGS_EQUAL(0, Delivered.size());
+}
--- a/src/jobentry/internal/officedriver.cpp
+++ b/src/jobentry/internal/officedriver.cpp
@@ -17,9 +17,10 @@
 
 office_driver::office_driver(ievent_loop &Loop, istore &Store,
                              std::string Member, const office_limits &Limits,
+                             std::uint64_t Incarnation,
                              ioffice_content &Content)
     : Loop(Loop), Store(Store), Member(std::move(Member)), Content(Content),
-      Holder(Limits), Wake(Loop) {}
+      Holder(Limits, Incarnation), Wake(Loop) {}
 
 time_point office_driver::lastAnswer() const {
   return std::max(Holder.lastAnswer(), LastAppend);
--- a/src/jobentry/officedriver.h
+++ b/src/jobentry/officedriver.h
@@ -25,8 +25,10 @@
 /// Carries out what the office_holder decides.
 class office_driver {
 public:
+  /// \param Incarnation of this process, in milliseconds.
   office_driver(ievent_loop &Loop, istore &Store, std::string Member,
-                const office_limits &Limits, ioffice_content &Content);
+                const office_limits &Limits, std::uint64_t Incarnation,
+                ioffice_content &Content);
   ~office_driver() { *Alive = false; }
   office_driver(const office_driver &) = delete;
   office_driver &operator=(const office_driver &) = delete;
