Placement rounds over an indexed pool; forecasts, reservations, preemption by cost

Cause: on the grown sites the scheduler could not keep up: each report made it copy all runs and try every one as a victim; entries there have 0.12 of a core. Ruled out: the cost of the peer calls (agents idle at 0.0014 of a core). Change: rounds at most every 20 ms and only after something changed; runs and workers hold pointers to each other; preemption is planned worker by worker at the least work lost, and only where waiting would be too late or a guarantee asks for it; expected ends from progress; workers on which several jobs failed or a task stands still get nothing for a while.

--- a/src/core/work/internal/livejobs.cpp
+++ b/src/core/work/internal/livejobs.cpp
@@ -12,6 +12,7 @@
   this->Progress.Tasks.resize(Layout.size());
   const auto StepCount = static_cast<std::uint32_t>(this->Spec->Steps.size());
   OpenByStep.resize(StepCount * this->Spec->Occurrences);
+  WaitingByStep.resize(OpenByStep.size());
   FailedRun.resize(OpenByStep.size());
   for (std::uint32_t K = 0; K < this->Spec->Occurrences; ++K)
     for (std::uint32_t Step = 0; Step < StepCount; ++Step)
@@ -20,8 +21,11 @@
     if (this->Progress.Tasks[I].State == task_state::Done)
       continue;
     const task_position Position = Layout.position(I);
-    ++OpenByStep[stepIndex(Position.Occurrence, Position.Step)];
+    const std::size_t Step = stepIndex(Position.Occurrence, Position.Step);
+    ++OpenByStep[Step];
     ++OpenTasks;
+    if (this->Progress.Tasks[I].State == task_state::Waiting)
+      ++WaitingByStep[Step];
   }
 }
 
@@ -52,10 +56,29 @@
   });
 }
 
+void live_job::setRunning(const task_position &Position, std::uint32_t Run,
+                          const worker_life &Place) {
+  task_progress &Task = mutableTask(Position);
+  if (Task.State == task_state::Waiting)
+    --WaitingByStep[stepIndex(Position.Occurrence, Position.Step)];
+  Task.State = task_state::Running;
+  Task.Run = Run;
+  Task.Place = Place;
+}
+
+void live_job::setWaiting(const task_position &Position) {
+  task_progress &Task = mutableTask(Position);
+  if (Task.State == task_state::Running)
+    ++WaitingByStep[stepIndex(Position.Occurrence, Position.Step)];
+  Task.State = task_state::Waiting;
+}
+
 void live_job::setDone(const task_position &Position) {
-  task_progress &Task = task(Position);
+  task_progress &Task = mutableTask(Position);
   if (Task.State == task_state::Done)
     return;
+  if (Task.State == task_state::Waiting)
+    --WaitingByStep[stepIndex(Position.Occurrence, Position.Step)];
   Task.State = task_state::Done;
   --OpenByStep[stepIndex(Position.Occurrence, Position.Step)];
   --OpenTasks;
@@ -64,10 +87,10 @@
 std::uint32_t live_job::countFailure(const task_position &Position,
                                      std::uint32_t Run) {
   if (!step(Position.Step).Gang)
-    return ++task(Position).Failures;
+    return ++mutableTask(Position).Failures;
   std::uint32_t &Counted =
       FailedRun[stepIndex(Position.Occurrence, Position.Step)];
-  task_progress &First = task({Position.Occurrence, Position.Step, 0});
+  task_progress &First = mutableTask({Position.Occurrence, Position.Step, 0});
   if (Counted < Run) {
     Counted = Run;
     ++First.Failures;
--- a/src/core/work/internal/scheduledecisions.cpp
+++ b/src/core/work/internal/scheduledecisions.cpp
@@ -1,34 +1,133 @@
 #include "core/work/workscheduler.h"
 
 #include <algorithm>
+#include <array>
 #include <tuple>
 
 namespace geraniumpaddle::work {
 
-void work_scheduler::onTimePassed(const time_passed &, const present_time &) {}
+namespace {
+
+/// The platform pays nothing for a job that takes longer than this many times
+/// its objective.
+constexpr int WorthlessAfter = 3;
+/// Reserve before the end of the reclaim time: recording the placement,
+/// telling the agent and starting the task.
+constexpr duration ReclaimMargin = std::chrono::milliseconds(500);
+/// Steps that room is kept for in one round, besides those that may preempt.
+/// More would leave capacity idle for work that is far away.
+constexpr int MaxReservations = 2;
+/// Work that may be thrown away for a step, as a multiple of its own.
+constexpr double PreemptionFactor = 2;
+
+double coreSeconds(const placement_request &Request) {
+  live_run Run{.Need = heldBy(*Request.Step)};
+  return unsavedWork(Run, Run.PlacedAt + Request.Expected) *
+         static_cast<double>(Request.Tasks.size());
+}
+
+} // namespace
+
+void work_scheduler::onTimePassed(const time_passed &, const present_time &) {
+  RoundWanted = true;
+}
 
 void work_scheduler::decide(const present_time &Present) {
-  expireWorkers(Present);
-  expireGangs(Present);
-  placement_round Round(Pool);
-  for (const step_ref &Ready : readySteps(Present)) {
-    live_job &Job = *findJob(Ready.Job);
-    const std::vector<task_position> Tasks = Job.waiting(Ready);
-    const placement_request Request = requestFor(Job, Ready, Tasks);
+  if (Present.Now >= NextExpiry) {
+    NextExpiry = time_point::max();
+    expireWorkers(Present);
+    expireGangs(Present);
+  }
+  if (RoundWanted && Present.Now >= NextRound) {
+    RoundWanted = false;
+    NextRound = Present.Now + Limits.RoundInterval;
+    placeAll(Present);
+  }
+  if (RoundWanted)
+    askWake(NextRound);
+  if (NextExpiry != time_point::max())
+    askWake(NextExpiry);
+}
+
+void work_scheduler::placeAll(const present_time &Present) {
+  const std::vector<candidate> Ready = readySteps(Present);
+  if (Ready.empty())
+    return;
+  placement_round Round(Pool, Present.Now);
+  int Reservations = 0;
+  std::vector<const live_run *> Siblings;
+  for (const candidate &Each : Ready) {
+    live_job &Job = *findJob(Each.Step.Job);
+    const std::vector<task_position> Tasks = Job.waiting(Each.Step);
+    placement_request Request =
+        requestFor(Job, Each.Step, Tasks, Siblings);
+    if (Request.Avoid && !Round.everFits(Request))
+      Request.Avoid = nullptr;
     const std::vector<assignment> Placed = Round.place(Request);
-    startRuns(Job, Ready, Placed, Present);
-    if (Placed.size() == Tasks.size() || !mayPreempt(Job))
+    startRuns(Job, Each.Step, Placed, Present);
+    if (Placed.size() == Tasks.size())
       continue;
-    const std::vector<task_position> Left = Job.waiting(Ready);
-    makeRoom(Round, requestFor(Job, Ready, Left), Present);
+    const std::vector<task_position> Left = Job.waiting(Each.Step);
+    Request.Tasks = Left;
+    const bool Urgent = Each.Guaranteed || Each.Priority == 0;
+    if (Urgent && !Each.Worthless)
+      makeRoom(Round, Each, Request, Present);
+    else if (Job.step(Each.Step.Step).Gang && !Each.Worthless &&
+             Reservations++ < MaxReservations) {
+      if (const auto At = Round.earliestRoom(Request))
+        Round.reserveAt(Request, *At);
+    }
   }
 }
 
+void work_scheduler::makeRoom(placement_round &Round, const candidate &Step,
+                              const placement_request &Request,
+                              const present_time &Present) {
+  if (Round.reserveFreed(Request))
+    return;
+  const auto Room = Round.earliestRoom(Request);
+  time_point StartBy = Step.LatestStart;
+  if (Step.Guaranteed)
+    StartBy = std::min(StartBy, Step.ReclaimBy);
+  if (Room && *Room <= StartBy) {
+    Round.reserveAt(Request, *Room);
+    // Preempts in time, should the runs take longer than expected.
+    NextExpiry = std::min(NextExpiry, StartBy);
+    return;
+  }
+  const auto Plan = Round.planPreemption(Request);
+  if (!Plan || !worthPreempting(Step, Request, *Plan, Present)) {
+    if (Room)
+      Round.reserveAt(Request, *Room);
+    return;
+  }
+  for (const run_ref &Victim : Plan->Victims)
+    stopGang(Victim, "preempted");
+  Round.reservePreempted(Request, *Plan);
+}
+
+bool work_scheduler::worthPreempting(const candidate &Step,
+                                     const placement_request &Request,
+                                     const preemption &Plan,
+                                     const present_time &Present) const {
+  if (Step.Guaranteed)
+    return true;
+  const bool InTime = Present.Now + Limits.Stop <= Step.LatestStart;
+  return InTime &&
+         Plan.LostCoreSeconds <= PreemptionFactor * coreSeconds(Request);
+}
+
+// Lapsed waits.
+
 void work_scheduler::expireWorkers(const present_time &Present) {
   std::vector<worker_id> Gone;
   for (auto &[Id, Worker] : Pool.all()) {
+    if (Worker.SuspectUntil > Present.Now)
+      NextExpiry = std::min(NextExpiry, Worker.SuspectUntil);
+    else if (Worker.Suspicions > 0)
+      RoundWanted = true;
     if (Worker.LeaseEnd > Present.Now) {
-      askWake(Worker.LeaseEnd);
+      NextExpiry = std::min(NextExpiry, Worker.LeaseEnd);
       continue;
     }
     loseAll(Worker, "lease_over", Present);
@@ -41,80 +140,132 @@
 /// Gives up gangs of which a member did not start in time, before the members
 /// that wait would end by themselves.
 void work_scheduler::expireGangs(const present_time &Present) {
-  std::vector<run_ref> Late;
-  for (const auto &[Key, Run] : Runs) {
-    if (Run.Started || Run.Stopping || !Run.Ordered)
+  for (auto It = StartingGangs.begin(); It != StartingGangs.end();) {
+    const auto &[Step, Limit] = *It;
+    const live_run *Missing = nullptr;
+    for (const live_run *Run : Runs.ofJob(Step.Job)) {
+      const task_position &At = Run->Run.Task.Position;
+      const bool OfStep =
+          At.Step == Step.Step && At.Occurrence == Step.Occurrence;
+      if (OfStep && !Run->Started && !Run->Stopping)
+        Missing = Run;
+    }
+    if (Missing && Limit > Present.Now) {
+      NextExpiry = std::min(NextExpiry, Limit);
+      ++It;
       continue;
-    const live_job *Job = findJob(Key.Task.Job);
-    if (!Job || !Job->step(Key.Task.Position.Step).Gang)
+    }
+    if (Missing)
+      stopGang(Missing->Run, "gang_incomplete");
+    It = StartingGangs.erase(It);
+  }
+}
+
+// What waits.
+
+std::set<customer_id> work_scheduler::guaranteedCustomers() const {
+  std::map<customer_id, std::int64_t> Needed;
+  for (const auto &[Id, Job] : Jobs) {
+    if (termsOf(Job).Priority != 0)
       continue;
-    const time_point Limit = Run.PlacedAt + Limits.GangStart;
-    if (Limit > Present.Now)
-      askWake(Limit);
-    else
-      Late.push_back(Key);
+    std::int64_t Most = 0;
+    for (const step_spec &Step : Job.spec().Steps)
+      Most = std::max(Most, std::int64_t{Step.Count} * Step.Need.Accelerators);
+    Needed[Job.spec().Customer] += Most;
   }
-  for (const run_ref &Key : Late)
-    stopGang(*findJob(Key.Task.Job), Key, "gang_incomplete");
+  std::set<customer_id> Within;
+  for (const auto &[Customer, Accelerators] : Needed)
+    if (Accelerators <= Queues.guaranteedAccelerators(Customer))
+      Within.insert(Customer);
+  return Within;
 }
 
-std::vector<step_ref>
+work_scheduler::candidate
+work_scheduler::candidateFor(const live_job &Job, const step_ref &Step,
+                             const present_time &Present) const {
+  const job_spec &Spec = Job.spec();
+  const duration Objective = Forecast.objective(Spec);
+  const wall_time Since = Spec.Scheduled ? Job.dueAt(Step.Occurrence)
+                                         : Spec.SubmittedAt;
+  const duration Age = std::max(duration(Present.Wall - Since), duration{});
+  const duration Left =
+      Forecast.expected(termsOf(Job), Job.step(Step.Step));
+  const bool FirstStep = Job.step(Step.Step).After.empty();
+  return {.Step = Step,
+          .Priority = termsOf(Job).Priority,
+          .Guaranteed = FirstStep,
+          .Worthless = Age + Left > Objective * WorthlessAfter,
+          .LatestStart = Present.Now + (Objective - Age - Left),
+          .ReclaimBy =
+              Present.Now + (Limits.Reclaim - Age - Limits.Stop -
+                             ReclaimMargin)};
+}
+
+std::vector<work_scheduler::candidate>
 work_scheduler::readySteps(const present_time &Present) {
-  std::vector<std::tuple<std::uint32_t, time_point, step_ref>> Ready;
+  std::vector<candidate> Ready;
   std::vector<job_id> Idle;
+  const std::set<customer_id> Within = guaranteedCustomers();
   for (const job_id &Id : Waiting) {
     const live_job &Job = *findJob(Id);
     bool AnyWaiting = false;
     for (const step_ref &Step : Job.steps()) {
-      if (Job.waiting(Step).empty())
+      const std::uint32_t Count = Job.waitingCount(Step);
+      if (Count == 0)
         continue;
       AnyWaiting = true;
-      if (Job.ready(Step, Present.Wall))
-        Ready.emplace_back(termsOf(Job).Priority, Job.knownAt(), Step);
-      else if (Job.dueAt(Step.Occurrence) > Present.Wall)
-        askWake(Present.Now + (Job.dueAt(Step.Occurrence) - Present.Wall));
+      if (Job.dueAt(Step.Occurrence) > Present.Wall)
+        NextExpiry = std::min(
+            NextExpiry,
+            Present.Now + (Job.dueAt(Step.Occurrence) - Present.Wall));
+      // Members of a gang start together: none while an earlier run goes on.
+      const bool Whole =
+          !Job.step(Step.Step).Gang || Count == Job.step(Step.Step).Count;
+      if (!Whole || !Job.ready(Step, Present.Wall))
+        continue;
+      candidate Each = candidateFor(Job, Step, Present);
+      Each.Guaranteed = Each.Guaranteed && Each.Priority == 0 &&
+                        Within.contains(Job.spec().Customer);
+      Ready.push_back(Each);
     }
     if (!AnyWaiting)
       Idle.push_back(Id);
   }
   for (const job_id &Id : Idle)
     Waiting.erase(Id);
-  std::sort(Ready.begin(), Ready.end());
-  std::vector<step_ref> Steps;
-  for (const auto &[Priority, KnownAt, Step] : Ready) {
-    const live_job &Job = *findJob(Step.Job);
-    // Members of a gang start together: none while an earlier run goes on.
-    const bool Whole = Job.waiting(Step).size() == Job.step(Step.Step).Count;
-    if (!Job.step(Step.Step).Gang || Whole)
-      Steps.push_back(Step);
-  }
-  return Steps;
+  std::sort(Ready.begin(), Ready.end(),
+            [](const candidate &A, const candidate &B) {
+              return A.order() < B.order();
+            });
+  return Ready;
 }
 
-placement_request
-work_scheduler::requestFor(const live_job &Job, const step_ref &Step,
-                           std::span<const task_position> Tasks) const {
-  auto TasksOn = [this, Step](const worker_id &Worker) {
-    const auto Found = Pool.all().find(Worker);
-    std::uint32_t Count = 0;
-    for (const run_ref &Run : Found->second.Runs)
-      if (Run.Task.Job == Step.Job &&
-          Run.Task.Position.Occurrence == Step.Occurrence &&
-          Run.Task.Position.Step == Step.Step)
-        ++Count;
-    return Count;
-  };
+placement_request work_scheduler::requestFor(
+    const live_job &Job, const step_ref &Step,
+    std::span<const task_position> Tasks,
+    std::vector<const live_run *> &Siblings) const {
+  Siblings.clear();
+  for (const live_run *Run : Runs.ofJob(Step.Job)) {
+    const task_position &At = Run->Run.Task.Position;
+    if (At.Step == Step.Step && At.Occurrence == Step.Occurrence)
+      Siblings.push_back(Run);
+  }
   const queue_terms &Terms = termsOf(Job);
+  const auto Failed = FailedOn.find(Step.Job);
   return {.Step = &Job.step(Step.Step),
           .Service = Terms.Service,
           .Priority = Terms.Priority,
+          .Expected = Forecast.expected(Terms, Job.step(Step.Step)),
           .Tasks = Tasks,
-          .TasksOn = TasksOn};
+          .Siblings = Siblings,
+          .Avoid = Failed == FailedOn.end() ? nullptr : &Failed->second};
 }
 
 void work_scheduler::startRuns(live_job &Job, const step_ref &Step,
                                std::span<const assignment> Assignments,
                                const present_time &Present) {
+  if (Assignments.empty())
+    return;
   const step_spec &Spec = Job.step(Step.Step);
   // The members of a gang share the number of the run and the checkpoint.
   std::uint32_t GangRun = 0;
@@ -125,60 +276,35 @@
     GangCheckpoint = std::max(GangCheckpoint, Member.Checkpoint);
   }
   for (const assignment &Each : Assignments) {
-    task_progress &Task = Job.task(Each.Task);
-    Task.State = task_state::Running;
-    Task.Run = Spec.Gang ? GangRun : Task.Run + 1;
-    Task.Place = Each.Worker;
+    const std::uint32_t Number =
+        Spec.Gang ? GangRun : Job.task(Each.Task).Run + 1;
+    Job.setRunning(Each.Task, Number, Each.Worker);
     if (Spec.Gang)
-      Task.Checkpoint = GangCheckpoint;
-    const run_ref Run{{Step.Job, Each.Task}, Task.Run};
+      Job.setCheckpoint(Each.Task, GangCheckpoint);
+    const run_ref Run{{Step.Job, Each.Task}, Number};
     note(decision_kind::RunPlaced, Run, Each.Worker);
     addRun({.Run = Run,
             .Worker = Each.Worker,
             .Need = heldBy(Spec),
             .Priority = termsOf(Job).Priority,
-            .Customer = Job.spec().Customer,
-            .StoredBy = NextBatch,
+            .Expected = Forecast.expected(termsOf(Job), Spec),
             .PlacedAt = Present.Now,
             .Checkpointing = Spec.Checkpointing,
+            .GangSize = Spec.Gang ? Spec.Count : 1,
+            .LongRunning = Spec.LongRunning,
             .PercentAt = Present.Now});
+    WaitingRuns.emplace_back(NextBatch, Run);
   }
-  if (Assignments.empty())
-    return;
   if (Job.progress().State == job_state::Queued)
     Job.setState(job_state::Running);
   markChanged(Step.Job);
 }
 
-bool work_scheduler::mayPreempt(const live_job &Job) const {
-  return termsOf(Job).Priority == 0;
-}
-
-void work_scheduler::makeRoom(placement_round &Round,
-                              const placement_request &Request,
-                              const present_time &Present) {
-  if (Round.reserve(Request))
-    return;
-  std::vector<live_run> Lower;
-  for (const auto &[Key, Run] : Runs)
-    if (Run.Priority > Request.Priority && !Run.Stopping)
-      Lower.push_back(Run);
-  const auto Victims = Round.preempt(Request, Lower, Present.Now);
-  if (!Victims)
-    return;
-  for (const run_ref &Victim : *Victims) {
-    const live_job *Job = findJob(Victim.Task.Job);
-    if (Job && Job->step(Victim.Task.Position.Step).Gang)
-      stopGang(*Job, Victim, "preempted");
-    else
-      stopRun(Victim, "preempted");
-  }
-}
-
 std::string_view name(decision_kind Kind) {
-  static constexpr std::array<std::string_view, 9> Names{
-      "job_arrived", "job_ended",   "run_placed",   "run_stopped", "run_ended",
-      "run_lost",    "run_refused", "worker_known", "worker_gone"};
+  static constexpr std::array<std::string_view, 10> Names{
+      "job_arrived", "job_ended",   "run_placed",   "run_stopped",
+      "run_ended",   "run_lost",    "run_refused",  "worker_known",
+      "worker_gone", "worker_suspected"};
   return Names.at(static_cast<std::size_t>(Kind));
 }
 
--- a/src/core/work/internal/workerpool.cpp
+++ b/src/core/work/internal/workerpool.cpp
@@ -35,6 +35,31 @@
   return Worker;
 }
 
+void worker_pool::hold(live_run &Run) {
+  pool_worker *Worker = find(Run.Worker);
+  if (!Worker)
+    return;
+  Worker->Used += Run.Need;
+  if (Run.Stopping)
+    Worker->Freed += Run.Need;
+  Worker->Runs.push_back(&Run);
+}
+
+void worker_pool::release(const live_run &Run) {
+  pool_worker *Worker = find(Run.Worker);
+  if (!Worker)
+    return;
+  Worker->Used -= Run.Need;
+  if (Run.Stopping)
+    Worker->Freed -= Run.Need;
+  std::erase(Worker->Runs, &Run);
+}
+
+void worker_pool::free(const live_run &Run) {
+  if (pool_worker *Worker = find(Run.Worker))
+    Worker->Freed += Run.Need;
+}
+
 time_point worker_pool::leaseEnd(time_point Now) const {
   const auto Longest = std::chrono::duration_cast<duration>(
       Limits.Lease * (1.0 + WorkerClockError));
--- a/src/core/work/livejobs.h
+++ b/src/core/work/livejobs.h
@@ -28,18 +28,27 @@
   const job_progress &progress() const { return Progress; }
   const task_layout &layout() const { return Layout; }
   time_point knownAt() const { return KnownAt; }
-  task_progress &task(const task_position &Position) {
+  const task_progress &task(const task_position &Position) const {
     return Progress.Tasks[Layout.ordinal(Position)];
   }
+  void setCheckpoint(const task_position &Position, std::string Checkpoint) {
+    mutableTask(Position).Checkpoint = std::move(Checkpoint);
+  }
 
   /// Positions of the tasks of a step that wait for a run.
   std::vector<task_position> waiting(const step_ref &Step) const;
+  std::uint32_t waitingCount(const step_ref &Step) const {
+    return WaitingByStep[stepIndex(Step.Occurrence, Step.Step)];
+  }
   /// True once the steps that it depends on are done and its time has come.
   bool ready(const step_ref &Step, wall_time Wall) const;
   /// Start of an occurrence; the epoch for a job without start times.
   wall_time dueAt(std::uint32_t Occurrence) const;
   std::span<const step_ref> steps() const { return Steps; }
 
+  void setRunning(const task_position &Position, std::uint32_t Run,
+                  const worker_life &Place);
+  void setWaiting(const task_position &Position);
   void setDone(const task_position &Position);
   /// Counts a failed run of a task, or of its whole gang.
   /// \returns the failures so far.
@@ -49,6 +58,9 @@
   bool allDone() const { return OpenTasks == 0; }
 
 private:
+  task_progress &mutableTask(const task_position &Position) {
+    return Progress.Tasks[Layout.ordinal(Position)];
+  }
   std::size_t stepIndex(std::uint32_t Occurrence, std::uint32_t Step) const {
     return Occurrence * Spec->Steps.size() + Step;
   }
@@ -58,7 +70,8 @@
   task_layout Layout;
   time_point KnownAt;
   std::vector<step_ref> Steps;
-  std::vector<std::uint32_t> OpenByStep; ///< tasks not done, by stepIndex
+  std::vector<std::uint32_t> OpenByStep;    ///< tasks not done, by stepIndex
+  std::vector<std::uint32_t> WaitingByStep; ///< tasks that wait for a run
   std::vector<std::uint32_t> FailedRun;  ///< of gangs: the last one counted
   std::size_t OpenTasks = 0;
 };
--- a/src/core/work/placementround.h
+++ b/src/core/work/placementround.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "core/work/types/liverun.h"
 #include "core/work/workerpool.h"
 
-#include <functional>
 #include <optional>
+#include <set>
 #include <span>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -16,9 +16,12 @@
   const step_spec *Step = nullptr;
   service_id Service;
   std::uint32_t Priority = 0;
+  duration Expected{}; ///< time that each of them takes
   std::span<const task_position> Tasks;
-  /// Tasks of the step and occurrence that a worker runs already.
-  std::function<std::uint32_t(const worker_id &)> TasksOn;
+  /// Runs of the same step and occurrence that go on.
+  std::span<const live_run *const> Siblings;
+  /// Workers to keep away from, such as those where it failed.
+  const std::set<worker_id> *Avoid = nullptr;
 };
 
 struct assignment {
@@ -26,48 +29,85 @@
   worker_life Worker;
 };
 
-/// One round of decisions over the capacity of all workers. Each placement
-/// uses capacity up for the steps that follow in the round.
+/// Runs that have to stop to make room, and the work that this throws away.
+struct preemption {
+  std::vector<run_ref> Victims;
+  double LostCoreSeconds = 0;
+};
+
+/// One round of decisions over the capacity of all workers. What it places or
+/// reserves is not there for the steps that follow in the round.
 class placement_round {
 public:
-  explicit placement_round(const worker_pool &Pool);
+  placement_round(const worker_pool &Pool, time_point Now);
 
   /// Places as many tasks as there is room for; of a gang all or none.
   std::vector<assignment> place(const placement_request &Request);
 
   /// Keeps capacity that is being freed for \p Request.
-  /// \returns true if all its tasks will have room without further victims.
-  bool reserve(const placement_request &Request);
+  /// \returns true if all its tasks will have room without anything else.
+  bool reserveFreed(const placement_request &Request);
+
+  /// When all tasks will have room as runs end by themselves; nothing if not
+  /// even then.
+  std::optional<time_point> earliestRoom(const placement_request &Request);
+  /// Keeps the room at \p At for \p Request: until then only runs that end
+  /// before may use it.
+  void reserveAt(const placement_request &Request, time_point At);
 
-  /// Chooses runs that have to stop so that all tasks of \p Request have room,
-  /// and keeps that room. \param Runs may be stopped for it.
-  /// \returns nothing if even that does not suffice.
-  std::optional<std::vector<run_ref>>
-  preempt(const placement_request &Request, std::span<const live_run> Runs,
-          time_point Now);
+  /// The cheapest runs of lower priority to stop so that all tasks have room;
+  /// nothing if even that does not suffice.
+  std::optional<preemption> planPreemption(const placement_request &Request);
+  /// Keeps the room that the victims leave for \p Request.
+  void reservePreempted(const placement_request &Request,
+                        const preemption &Plan);
+
+  /// True if the tasks would have room were the workers empty.
+  bool everFits(const placement_request &Request);
 
 private:
   struct slot {
     const pool_worker *Worker;
-    resources Now;  ///< free
-    resources Soon; ///< free once all that is being stopped has ended
-    std::uint32_t Placed = 0; ///< tasks of the request at hand
+    resources Now;   ///< free
+    resources Soon;  ///< free once all that is being stopped has ended
+    resources Later; ///< scratch of a question about another time
+    std::size_t Rack = 0;
+    bool Reserved = false;
+    time_point ReservedAt{};
+    resources Spare; ///< free at ReservedAt beside what is reserved
+    bool Eligible = false;    ///< for the request at hand
+    std::uint32_t Placed = 0; ///< of the step at hand, siblings too
   };
   using view = resources slot::*;
+  static constexpr std::size_t AnyRack = static_cast<std::size_t>(-1);
+
+  struct placed_task {
+    task_position Task;
+    slot *Slot;
+  };
 
-  bool eligible(const slot &Slot, const placement_request &Request) const;
-  slot *choose(const placement_request &Request, view View,
-               std::string_view Rack);
-  std::vector<assignment> fill(const placement_request &Request, view View,
-                               std::string_view Rack);
-  void undo(const placement_request &Request,
-            std::span<const assignment> Assignments);
-  /// Racks to try for a step whose tasks belong in one; else one empty name.
-  std::vector<std::string> rackChoices(const placement_request &Request) const;
+  void prepare(const placement_request &Request);
+  resources available(const slot &Slot, view View,
+                      const placement_request &Request) const;
+  slot *choose(const placement_request &Request, view View, std::size_t Rack);
+  std::vector<placed_task> fill(const placement_request &Request, view View,
+                                std::size_t Rack);
+  void take(slot &Slot, const placement_request &Request);
+  void giveBack(const placement_request &Request,
+                std::span<const placed_task> Placed);
+  std::vector<placed_task> placeIn(const placement_request &Request, view View);
+  std::vector<std::size_t> rackChoices(const placement_request &Request) const;
   bool fitsInOneRack(const placement_request &Request) const;
-  std::vector<assignment> placeIn(const placement_request &Request, view View);
+  bool fitsIn(const placement_request &Request, view View);
+  std::optional<preemption> planIn(const placement_request &Request,
+                                   std::size_t Rack);
+  std::optional<preemption> victimsOn(const slot &Slot, const resources &Need,
+                                      std::uint32_t Priority,
+                                      std::span<const run_ref> Chosen) const;
 
+  time_point Now;
   std::vector<slot> Slots;
+  std::vector<std::string> Racks;
 };
 
 } // namespace geraniumpaddle::work
--- a/src/core/work/types/limits.h
+++ b/src/core/work/types/limits.h
@@ -15,8 +15,18 @@
   /// Time for a gang's members to start before the run is given up. Shorter
   /// than the platform's own limit, so that members are stopped, not left.
   duration GangStart = std::chrono::milliseconds(1500);
+  /// A guaranteed job has all tasks of its first step started by then.
+  duration Reclaim = std::chrono::milliseconds(2700);
+  /// A worker needs up to this long to stop a task.
+  duration Stop = std::chrono::milliseconds(900);
+  /// Time between two rounds of placement while events keep coming.
+  duration RoundInterval = std::chrono::milliseconds(20);
 };
 
+/// Longer leases only make it longer until the tasks of a lost worker may run
+/// elsewhere; entries are rarely out of reach for longer.
+constexpr duration MaxLease = std::chrono::seconds(6);
+
 /// The platform allows a worker's clock to run this much slow.
 constexpr double WorkerClockError = 0.02;
 /// Beyond the lease itself: the worker may list an end a little late.
--- a/src/core/work/types/schedulerevents.h
+++ b/src/core/work/types/schedulerevents.h
@@ -63,6 +63,7 @@
   RunRefused,  ///< the worker did not start it
   WorkerKnown, ///< a life was seen for the first time
   WorkerGone,
+  WorkerSuspected, ///< gets no tasks for a while
 };
 std::string_view name(decision_kind Kind);
 
--- a/src/core/work/workerpool.h
+++ b/src/core/work/workerpool.h
@@ -1,9 +1,8 @@
 #pragma once
 
 #include "core/work/types/limits.h"
-#include "core/work/types/worker.h"
+#include "core/work/types/liverun.h"
 
-#include <deque>
 #include <map>
 #include <set>
 #include <vector>
@@ -13,22 +12,23 @@
 /// One life of a worker as the scheduler knows it.
 struct pool_worker {
   worker_description Description;
-  bool Described = false; ///< false: known only from runs in the log
+  bool Described = false;  ///< false: known only from runs in the log
   bool HasListing = false; ///< its runs were listed since it is known
   bool Reachable = false;
   resources Used;  ///< by runs that have not ended, those being stopped too
   resources Freed; ///< part of Used that is being stopped
-  std::set<run_ref> Runs;
+  std::vector<live_run *> Runs;
   time_point LeaseEnd{}; ///< nothing runs there after this without a report
   std::uint64_t Listed = 0;       ///< highest number of an end taken in
   std::uint64_t Acknowledged = 0; ///< ends up to here are in the log
-  /// Ends that wait for a batch: {batch, number}.
-  std::deque<std::pair<std::uint64_t, std::uint64_t>> WaitingEnds;
   std::uint64_t OrderNumber = 1;
-  std::set<run_ref> Known; ///< runs that the last report listed
+  std::set<job_id> FailedJobs; ///< that failed here since a run ended well
+  time_point SuspectUntil{};   ///< gets no tasks before
+  int Suspicions = 0;          ///< in a row
 
-  bool usable() const {
-    return Described && HasListing && Reachable && !Description.Draining;
+  bool usable(time_point Now) const {
+    return Described && HasListing && Reachable && !Description.Draining &&
+           SuspectUntil <= Now;
   }
   resources free() const {
     resources Free = Description.Capacity;
@@ -54,6 +54,11 @@
   pool_worker &heard(const worker_report &Report, time_point Now);
   void erase(const worker_id &Worker) { Workers.erase(Worker); }
 
+  void hold(live_run &Run);
+  void release(const live_run &Run);
+  /// The run is to stop; its capacity will be free.
+  void free(const live_run &Run);
+
   /// When the lease that is granted now is over for certain.
   time_point leaseEnd(time_point Now) const;
 
--- a/src/core/work/workscheduler.h
+++ b/src/core/work/workscheduler.h
@@ -3,14 +3,18 @@
 #include "core/work/livejobs.h"
 #include "core/work/placementround.h"
 #include "core/work/queuedirectory.h"
+#include "core/work/runforecast.h"
+#include "core/work/runtable.h"
 #include "core/work/types/limits.h"
 #include "core/work/types/schedulerevents.h"
 #include "core/work/workbook.h"
 #include "core/work/workerpool.h"
 
+#include <deque>
 #include <map>
 #include <set>
 #include <span>
+#include <tuple>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -45,20 +49,46 @@
   const worker_pool &workers() const { return Pool; }
 
 private:
+  /// A step with tasks that wait, and how urgent it is.
+  struct candidate {
+    step_ref Step;
+    std::uint32_t Priority = 0;
+    bool Guaranteed = false;
+    bool Worthless = false;   ///< too late to earn anything
+    time_point LatestStart{}; ///< to be done within the objective
+    time_point ReclaimBy{};   ///< for a guaranteed one
+
+    auto order() const {
+      return std::tuple(!Guaranteed, Worthless, Priority, LatestStart, Step);
+    }
+  };
+
   void onArrived(const job_arrived &Event, const present_time &Present);
   void onCancel(const job_cancel_wanted &Event, const present_time &Present);
   void onReported(const worker_reported &Event, const present_time &Present);
   void onStored(const progress_stored &Event, const present_time &Present);
   void onTimePassed(const time_passed &Event, const present_time &Present);
 
+  // Taking office and bookkeeping: workscheduler.cpp.
   void adoptBook(const present_time &Present);
   void adoptRuns(const live_job &Job, const present_time &Present);
   live_job *findJob(const job_id &Job);
+  const live_job *findJob(const job_id &Job) const;
   void addRun(live_run Run);
   void eraseRun(const run_ref &Run);
   void markChanged(const job_id &Job);
   void ordersChanged(pool_worker &Worker);
+  void acknowledge();
+  void flush();
+  void askWake(time_point At);
+  void note(decision_kind Kind, const run_ref &Run, const worker_life &Worker,
+            std::string_view Detail = {});
+  const queue_terms &termsOf(const live_job &Job) const;
+  void endJob(const job_id &Job, job_state State, const present_time &Present);
+  void stopRun(const run_ref &Run, std::string_view Why);
+  void stopGang(const run_ref &Member, std::string_view Why);
 
+  // What workers report: workerreports.cpp.
   void takeListing(pool_worker &Worker, const worker_report &Report,
                    const present_time &Present);
   void takeRunning(pool_worker &Worker, const running_run &Row,
@@ -69,6 +99,10 @@
                     const present_time &Present);
   void dropUnlisted(pool_worker &Worker, const worker_report &Report,
                     const present_time &Present);
+  void learnFrom(pool_worker &Worker, const live_run &Run, run_end How,
+                 const present_time &Present);
+  void suspect(pool_worker &Worker, std::string_view Why,
+               const present_time &Present);
   void runOver(const live_run &Run, run_end How, const std::string &Checkpoint,
                const present_time &Present);
   void taskDone(live_job &Job, const run_ref &Run, const present_time &Present);
@@ -80,42 +114,56 @@
                const present_time &Present);
   void releaseTask(live_job &Job, const run_ref &Run,
                    const std::string &Checkpoint);
-  void stopRun(const run_ref &Run, std::string_view Why);
-  void stopGang(const live_job &Job, const run_ref &Member,
-                std::string_view Why);
-  void endJob(const job_id &Job, job_state State, const present_time &Present);
 
+  // Rounds of placement: scheduledecisions.cpp.
   void decide(const present_time &Present);
+  void placeAll(const present_time &Present);
   void expireWorkers(const present_time &Present);
   void expireGangs(const present_time &Present);
-  std::vector<step_ref> readySteps(const present_time &Present);
+  std::vector<candidate> readySteps(const present_time &Present);
+  candidate candidateFor(const live_job &Job, const step_ref &Step,
+                         const present_time &Present) const;
+  std::set<customer_id> guaranteedCustomers() const;
   placement_request requestFor(const live_job &Job, const step_ref &Step,
-                               std::span<const task_position> Tasks) const;
+                               std::span<const task_position> Tasks,
+                               std::vector<const live_run *> &Siblings) const;
   void startRuns(live_job &Job, const step_ref &Step,
                  std::span<const assignment> Assignments,
                  const present_time &Present);
-  bool mayPreempt(const live_job &Job) const;
-  void makeRoom(placement_round &Round, const placement_request &Request,
-                const present_time &Present);
-  void flush();
-  void askWake(time_point At);
-  void note(decision_kind Kind, const run_ref &Run, const worker_life &Worker,
-            std::string_view Detail = {});
-  const queue_terms &termsOf(const live_job &Job) const;
+  void makeRoom(placement_round &Round, const candidate &Step,
+                const placement_request &Request, const present_time &Present);
+  bool worthPreempting(const candidate &Step, const placement_request &Request,
+                       const preemption &Plan, const present_time &Present) const;
 
   const std::uint64_t Term;
   const scheduler_limits Limits;
   const work_book &Book;
   const queue_directory &Queues;
   std::unordered_map<job_id, live_job> Jobs;
-  std::map<run_ref, live_run> Runs;
-  worker_pool Pool;
-  std::set<job_id> Waiting; ///< jobs with tasks that wait
   std::unordered_set<job_id> EndedJobs; ///< in this term
+  std::set<job_id> Waiting;             ///< jobs with tasks that wait
+  std::unordered_map<job_id, std::set<worker_id>> FailedOn;
+  run_table Runs;
+  worker_pool Pool;
+  run_forecast Forecast;
+  std::map<step_ref, time_point> StartingGangs; ///< and when they are given up
+
   std::map<job_id, job_progress> Changed; ///< to be recorded
   std::uint64_t NextBatch = 1;   ///< that takes the changes from now on
   std::uint64_t StoredBatch = 0; ///< the last one in the log
   bool Appending = false;
+  /// Runs and ends that wait for a batch to be stored.
+  std::deque<std::pair<std::uint64_t, run_ref>> WaitingRuns;
+  struct waiting_end {
+    std::uint64_t Batch = 0;
+    worker_life Worker;
+    std::uint64_t Number = 0;
+  };
+  std::deque<waiting_end> WaitingEnds;
+
+  bool RoundWanted = true; ///< something changed that placement depends on
+  time_point NextRound{};
+  time_point NextExpiry{};
   std::optional<time_point> Wake;
   std::vector<scheduler_command> Commands;
 };
--- a/src/jobagent/internal/jobagentrole.cpp
+++ b/src/jobagent/internal/jobagentrole.cpp
@@ -1,9 +1,11 @@
 #include "jobagent/jobagentrole.h"
 
 #include "core/base/error.h"
+#include "core/work/types/limits.h"
 #include "platform/platformdecode.h"
 #include "transport/address.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace geraniumpaddle {
@@ -33,7 +35,7 @@
 
 work::host_limits limitsFrom(const settings &Settings) {
   work::host_limits Limits;
-  Limits.Lease = Settings.LeaseDuration;
+  Limits.Lease = std::min<duration>(Settings.LeaseDuration, work::MaxLease);
   return Limits;
 }
 
--- a/src/jobentry/internal/jobentryrole.cpp
+++ b/src/jobentry/internal/jobentryrole.cpp
@@ -4,6 +4,7 @@
 #include "platform/platformdecode.h"
 #include "workcodec/workcodec.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace geraniumpaddle {
@@ -24,7 +25,11 @@
 
 work::scheduler_limits limitsFrom(const settings &Settings) {
   work::scheduler_limits Limits;
-  Limits.Lease = Settings.LeaseDuration;
+  Limits.Lease = std::min<duration>(Settings.LeaseDuration, work::MaxLease);
+  // Half of the time leaves room to stop the members that wait.
+  Limits.GangStart = Settings.GangWait / 2;
+  Limits.Reclaim = Settings.ReclaimTime;
+  Limits.Stop = Settings.StopTime;
   return Limits;
 }
 
