An entry that the store turns away calls it over another entry

Ruled out: a global outage (the other entries stored submissions all the while). Change: store_route decides between the direct way and a relay; relaying_transport carries the call to another entry, which calls the store directly. The group of the office and the claim of a term are never relayed.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -97,10 +97,12 @@
 
 void runJobEntry(const settings &Settings) {
   process_host Host(Settings);
-  http_store_transport Transport(Host.http(), Settings.StoreAddress);
+  http_store_transport Direct(Host.http(), Settings.StoreAddress);
+  relaying_transport Transport(Host.loop(), Host.peers(), Direct,
+                               Host.identity());
   store_client Store(Transport, StoreGrace);
-  job_entry_role Role({Host.loop(), Store, Host.metrics()}, Settings,
-                      Host.identity(), [&Host] { Host.stop(); });
+  job_entry_role Role({Host.loop(), Store, Transport, Host.metrics()},
+                      Settings, Host.identity(), [&Host] { Host.stop(); });
   Host.listen(
       [&Role](const proto::PeerRequest &Request,
               const peer_responder &Respond) {
--- a/src/jobagent/internal/jobagentrole.cpp
+++ b/src/jobagent/internal/jobagentrole.cpp
@@ -21,18 +21,6 @@
 constexpr duration SilentAfter = std::chrono::seconds(15);
 constexpr duration SweepInterval = std::chrono::seconds(5);
 
-/// Entries listen on the same port as this agent, on all VMs alike.
-std::vector<std::string> peerAddresses(const settings &Settings) {
-  const std::uint16_t Port = parseAddress(Settings.PeerListen).Port;
-  std::vector<std::string> Addresses;
-  for (const std::string &Seed : Settings.EntryAddresses) {
-    socket_address Address = parseAddress(Seed);
-    Address.Port = Port;
-    Addresses.push_back(Address.str());
-  }
-  return Addresses;
-}
-
 work::host_limits limitsFrom(const settings &Settings) {
   work::host_limits Limits;
   Limits.Lease = std::min<duration>(Settings.LeaseDuration, work::MaxLease);
@@ -48,7 +36,7 @@
     : Environment(Environment), Settings(Settings), Self(Self),
       Stopped(std::move(Stopped)), Fencing(raw(Self.Incarnation)),
       Link(Environment.Loop, Environment.Peers, Environment.Store, Self,
-           peerAddresses(Settings)),
+           withPortOf(Settings.PeerListen, Settings.EntryAddresses)),
       Sweep(Environment.Loop) {}
 
 void job_agent_role::start() {
@@ -58,7 +46,7 @@
 }
 
 void job_agent_role::takeSettings(const settings &Next) {
-  Link.addSeeds(peerAddresses(Next));
+  Link.addSeeds(withPortOf(Settings.PeerListen, Next.EntryAddresses));
 }
 
 void job_agent_role::drain() {
--- a/src/jobentry/internal/jobentryrole.cpp
+++ b/src/jobentry/internal/jobentryrole.cpp
@@ -2,6 +2,7 @@
 
 #include "core/base/error.h"
 #include "platform/platformdecode.h"
+#include "transport/address.h"
 #include "workcodec/workcodec.h"
 
 #include <algorithm>
@@ -68,6 +69,7 @@
 
 void job_entry_role::start(std::string BoundPeerAddress) {
   PeerAddress = std::move(BoundPeerAddress);
+  Environment.Transport.setPeers([this] { return otherEntries(); });
   Log.event("start", {{"node", Self.Node.view()}, {"peer", PeerAddress}});
   announce();
   Operator.start();
@@ -95,6 +97,20 @@
       });
 }
 
+std::vector<std::string> job_entry_role::otherEntries() const {
+  std::vector<std::string> Addresses;
+  for (const auto &[Node, Entry] : Book.entries())
+    if (Node != Self.Node)
+      Addresses.push_back(Entry.PeerAddress);
+  // Before the entries could be read, those that the settings name.
+  if (Addresses.empty())
+    for (const std::string &Seed :
+         withPortOf(Settings.PeerListen, Settings.EntryAddresses))
+      if (Seed != PeerAddress)
+        Addresses.push_back(Seed);
+  return Addresses;
+}
+
 bool job_entry_role::loaded() const {
   return Operator.loaded() && Jobs.loaded() && Progress.loaded();
 }
@@ -231,6 +247,10 @@
                   {{"node", Request.node()}, {"problem", Problem.what()}});
     }
   }
+  if (Request.has_store_call()) {
+    Environment.Transport.serve(Request.store_call(), Respond);
+    return;
+  }
   proto::PeerResponse Response;
   Response.set_refusal(proto::REFUSAL_INVALID);
   Respond(std::move(Response));
--- a/src/jobentry/internal/officedriver.cpp
+++ b/src/jobentry/internal/officedriver.cpp
@@ -54,7 +54,8 @@
   const std::uint64_t Term = Command.Term;
   Store.append({.Topic = store_topic::Progress,
                 .Stamp = producer_stamp{Term, 0},
-                .Timeout = CallTimeout},
+                .Timeout = CallTimeout,
+                .Relayable = false},
                [this, Term, Life = Alive](const append_outcome &Outcome) {
                  if (!*Life)
                    return;
--- /dev/null
+++ b/src/jobentry/internal/relayingtransport.cpp
@@ -0,0 +1,146 @@
+#include "jobentry/relayingtransport.h"
+
+#include "platform/storeclient.h"
+
+#include <utility>
+
+namespace geraniumpaddle {
+
+namespace {
+
+constexpr duration ProbeTimeout = std::chrono::milliseconds(500);
+/// The way to the other entry and back, beyond the limit of the call itself.
+constexpr duration RelayGrace = std::chrono::milliseconds(200);
+
+constexpr int TooManyRequests = 429;
+constexpr int Unavailable = 503;
+
+bool turnedAway(const store_reply &Reply) {
+  if (Reply.Status != call_status::Completed)
+    return Reply.Status == call_status::NotSent;
+  return Reply.Code == TooManyRequests || Reply.Code == Unavailable;
+}
+
+route_outcome outcomeOf(const store_reply &Reply) {
+  if (turnedAway(Reply))
+    return route_outcome::TurnedAway;
+  return Reply.Status == call_status::Completed ? route_outcome::Answered
+                                                : route_outcome::Silent;
+}
+
+} // namespace
+
+relaying_transport::relaying_transport(ievent_loop &Loop, ipeer_client &Peers,
+                                       istore_transport &Direct,
+                                       const peer_identity &Self)
+    : Loop(Loop), Peers(Peers), Direct(Direct), Self(Self) {}
+
+void relaying_transport::call(store_request Request,
+                              std::function<void(const store_reply &)> Done) {
+  if (Route.probeDue(Loop.now()))
+    probe();
+  const bool Relay =
+      Request.Relayable && Route.choose() == store_route::way::Relay;
+  if (Relay)
+    callRelay(Request, std::move(Done));
+  else
+    callDirect(std::move(Request), std::move(Done));
+}
+
+void relaying_transport::callDirect(
+    store_request Request, std::function<void(const store_reply &)> Done) {
+  const store_request Again = Request;
+  Direct.call(std::move(Request), [this, Life = Alive, Again,
+                                   Done = std::move(Done)](
+                                      const store_reply &Reply) {
+    if (!*Life)
+      return;
+    // A rate limit or outage of the store shows to the other entries too; then
+    // the relayed call is refused as well.
+    directEnded(Reply);
+    if (Again.Relayable && turnedAway(Reply))
+      callRelay(Again, Done);
+    else
+      Done(Reply);
+  });
+}
+
+void relaying_transport::directEnded(const store_reply &Reply) {
+  const auto Before = Route.choose();
+  Route.directEnded(outcomeOf(Reply), Loop.now());
+  if (Route.choose() == Before)
+    return;
+  const bool Relay = Route.choose() == store_route::way::Relay;
+  Log.event(Relay ? "store_relayed" : "store_direct",
+            {{"call", name(Reply.Status)}, {"code", Reply.Code}});
+}
+
+void relaying_transport::probe() {
+  Route.probeSent(Loop.now());
+  Direct.call(storeProbe(ProbeTimeout),
+              [this, Life = Alive](const store_reply &Reply) {
+                if (*Life)
+                  directEnded(Reply);
+              });
+}
+
+void relaying_transport::callRelay(
+    const store_request &Request,
+    std::function<void(const store_reply &)> Done) {
+  const std::vector<std::string> Others =
+      OtherEntries ? OtherEntries() : std::vector<std::string>{};
+  if (Others.empty()) {
+    Done({.Status = call_status::NotSent});
+    return;
+  }
+  proto::PeerRequest Message = makeRequest(Self);
+  proto::work::StoreCall &Call = *Message.mutable_store_call();
+  Call.set_method(Request.Method);
+  Call.set_target(Request.Target);
+  Call.set_body(Request.Body);
+  Call.set_content_type(Request.ContentType);
+  Call.set_timeout_ms(static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Request.Timeout)
+          .count()));
+  const std::string Address = Others[Route.relay(Others.size())];
+  Peers.call(Address, Message, Request.Timeout + RelayGrace,
+             [this, Life = Alive, Address,
+              Done = std::move(Done)](const peer_result &Result) {
+               if (!*Life)
+                 return;
+               store_reply Reply{.Status = Result.Status};
+               if (Result.Status == call_status::Completed) {
+                 const proto::work::StoreAnswer &Answer =
+                     Result.Response.store_answer();
+                 Reply.Status = Result.Response.has_store_answer()
+                                    ? static_cast<call_status>(Answer.status())
+                                    : call_status::NotSent;
+                 Reply.Code = static_cast<int>(Answer.code());
+                 Reply.Body = Answer.body();
+               } else {
+                 Peers.reconnect(Address);
+               }
+               Route.relayEnded(outcomeOf(Reply));
+               Done(Reply);
+             });
+}
+
+void relaying_transport::serve(const proto::work::StoreCall &Call,
+                               peer_responder Respond) {
+  Direct.call({.Method = Call.method(),
+               .Target = Call.target(),
+               .Body = Call.body(),
+               .ContentType = Call.content_type(),
+               .Timeout = std::chrono::milliseconds(Call.timeout_ms())},
+              [Respond = std::move(Respond)](const store_reply &Reply) {
+                proto::PeerResponse Response;
+                proto::work::StoreAnswer &Answer =
+                    *Response.mutable_store_answer();
+                Answer.set_status(static_cast<std::uint32_t>(Reply.Status));
+                Answer.set_code(static_cast<std::uint32_t>(Reply.Code));
+                Answer.set_body(Reply.Body);
+                Respond(std::move(Response));
+              });
+}
+
+} // namespace geraniumpaddle
--- a/src/jobentry/jobentryrole.h
+++ b/src/jobentry/jobentryrole.h
@@ -4,6 +4,7 @@
 #include "core/work/workbook.h"
 #include "jobentry/jobapi.h"
 #include "jobentry/officedriver.h"
+#include "jobentry/relayingtransport.h"
 #include "jobentry/topicreader.h"
 #include "jobentry/workdriver.h"
 #include "logging/logging.h"
@@ -20,12 +21,14 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace geraniumpaddle {
 
 struct job_entry_environment {
   ievent_loop &Loop;
   istore &Store;
+  relaying_transport &Transport; ///< under the store
   metric_registry &Metrics;
 };
 
@@ -67,6 +70,7 @@
   void announce();
   void exchange(const proto::work::WorkerReport &Report,
                 const peer_responder &Respond);
+  std::vector<std::string> otherEntries() const;
   bool loaded() const;
   bool ready() const;
   bool mayConfirm() const;
--- /dev/null
+++ b/src/jobentry/relayingtransport.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "core/topics/storeroute.h"
+#include "logging/logging.h"
+#include "peercodec/peercodec.h"
+#include "platform/istoretransport.h"
+#include "transport/ieventloop.h"
+#include "transport/ipeerclient.h"
+#include "transport/ipeerserver.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace geraniumpaddle {
+
+/// Calls the store directly, or over another entry while the store turns this
+/// one away.
+class relaying_transport final : public istore_transport {
+public:
+  using peers_function = std::function<std::vector<std::string>()>;
+
+  relaying_transport(ievent_loop &Loop, ipeer_client &Peers,
+                     istore_transport &Direct, const peer_identity &Self);
+  ~relaying_transport() override { *Alive = false; }
+  relaying_transport(const relaying_transport &) = delete;
+  relaying_transport &operator=(const relaying_transport &) = delete;
+
+  /// \p Others gives the peer addresses of the other entries.
+  void setPeers(peers_function Others) { OtherEntries = std::move(Others); }
+
+  void call(store_request Request,
+            std::function<void(const store_reply &)> Done) override;
+  /// Makes a call for another entry; it goes to the store directly.
+  void serve(const proto::work::StoreCall &Call, peer_responder Respond);
+
+private:
+  void callDirect(store_request Request,
+                  std::function<void(const store_reply &)> Done);
+  void callRelay(const store_request &Request,
+                 std::function<void(const store_reply &)> Done);
+  void probe();
+  void directEnded(const store_reply &Reply);
+
+  ievent_loop &Loop;
+  ipeer_client &Peers;
+  istore_transport &Direct;
+  const peer_identity Self;
+  peers_function OtherEntries;
+  store_route Route;
+  logger Log{"store"};
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+} // namespace geraniumpaddle
--- a/src/platform/internal/storeclient.cpp
+++ b/src/platform/internal/storeclient.cpp
@@ -125,7 +125,8 @@
                         .Target = topicQuery("/api/log-append", Call.Topic),
                         .Body = encodeFrames(Call.Records),
                         .ContentType = "application/octet-stream",
-                        .Timeout = Call.Timeout};
+                        .Timeout = Call.Timeout,
+                        .Relayable = Call.Relayable};
   if (Call.Stamp) {
     Request.Target.append("&Producer=").append(ProducerName);
     Request.Target.append("&epoch=").append(std::to_string(Call.Stamp->Term));
@@ -190,12 +191,20 @@
                   .Target = "/api/log-join",
                   .Body = Body.dump(),
                   .ContentType = "application/json",
-                  .Timeout = Call.Timeout},
+                  .Timeout = Call.Timeout,
+                  .Relayable = false},
                  [Done = std::move(Done)](const store_reply &Reply) {
                    Done(toJoin(Reply));
                  });
 }
 
+store_request storeProbe(duration Timeout) {
+  return {.Method = "GET",
+          .Target = topicQuery("/api/log-newest", store_topic::Operator),
+          .Timeout = Timeout,
+          .Relayable = false};
+}
+
 void store_client::leave(std::string_view Member) {
   constexpr duration Timeout = std::chrono::seconds(1);
   const json Body = {{"group", GroupName}, {"Member", Member}};
@@ -203,7 +212,8 @@
                   .Target = "/api/log-leave",
                   .Body = Body.dump(),
                   .ContentType = "application/json",
-                  .Timeout = Timeout},
+                  .Timeout = Timeout,
+                  .Relayable = false},
                  [this](const store_reply &Reply) {
                    if (Reply.Code != Ok)
                      Log.event("leave_not_answered", {{"code", Reply.Code}});
--- a/src/platform/storeclient.h
+++ b/src/platform/storeclient.h
@@ -6,6 +6,9 @@
 
 namespace geraniumpaddle {
 
+/// A call that changes nothing, to see whether the store answers.
+store_request storeProbe(duration Timeout);
+
 /// The store's calls as the platform spells them.
 class store_client final : public istore {
 public:
--- a/src/platform/types/storecalls.h
+++ b/src/platform/types/storecalls.h
@@ -33,6 +33,7 @@
   std::vector<keyed_value> Records; ///< none: only sets the term
   std::optional<producer_stamp> Stamp;
   duration Timeout{};
+  bool Relayable = true; ///< see store_request
 };
 
 enum class stored_status : std::uint8_t {
@@ -81,6 +82,8 @@
   std::string Body;
   std::string ContentType;
   duration Timeout{};
+  /// Another entry may make the call in this one's place.
+  bool Relayable = true;
 };
 
 struct store_reply {
--- a/src/settings/internal/settingsschema.cpp
+++ b/src/settings/internal/settingsschema.cpp
@@ -99,7 +99,8 @@
          "peer addresses of other entries, asked for the state while the log "
          "is down"),
     list("agent.entries", &s::EntryAddresses, needed_by::Agent,
-         "peer addresses of the balancer in front of the entries"),
+         "peer addresses of the balancer in front of the entries; in the job "
+         "roles: VMs of entries"),
     text("agent.worker.id", &s::WorkerId, rule::Name, needed_by::Agent,
          "name of the worker beside this agent"),
     text("agent.worker.rack", &s::WorkerRack, rule::Name, needed_by::Agent,
--- a/src/transport/address.h
+++ b/src/transport/address.h
@@ -3,8 +3,10 @@
 #include "core/base/error.h"
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace geraniumpaddle {
 
@@ -22,6 +24,11 @@
 /// \throws invalid_argument_error if \p Text is anything else.
 socket_address parseAddress(std::string_view Text);
 
+/// \p Addresses with the port of \p Other: all VMs use the same ports.
+/// \throws invalid_argument_error
+std::vector<std::string> withPortOf(std::string_view Other,
+                                    std::span<const std::string> Addresses);
+
 /// Port that the socket \p Descriptor is bound to.
 std::uint16_t boundPort(int Descriptor);
 
--- a/src/transport/internal/address.cpp
+++ b/src/transport/internal/address.cpp
@@ -47,6 +47,18 @@
                                "\" is not an address of the form ip:port");
 }
 
+std::vector<std::string> withPortOf(std::string_view Other,
+                                    std::span<const std::string> Addresses) {
+  const std::uint16_t Port = parseAddress(Other).Port;
+  std::vector<std::string> Changed;
+  for (const std::string &Each : Addresses) {
+    socket_address Address = parseAddress(Each);
+    Address.Port = Port;
+    Changed.push_back(Address.str());
+  }
+  return Changed;
+}
+
 std::uint16_t boundPort(int Descriptor) {
   sockaddr_storage Address{};
   socklen_t Size = sizeof Address;
