Tests of the work core: queues, book, placement, and a world of scheduler, agents and workers

Cause: the path on the platform had tests of its office and topics only. Change: standins/taskworkers models the platform's workers (leases on their own clock, fencing, gangs, checkpoints, late orders) and notes a task that runs twice, starts after it was done, or exceeds its worker; core/workhost/tests joins it with the scheduler and the agents' side, with generated interleavings of takeovers, restarts, cuts, lost and late messages and a slow log.

--- /dev/null
+++ b/src/core/work/tests/placementtest.cpp
@@ -0,0 +1,229 @@
+#include "core/work/placementround.h"
+#include "core/work/runtable.h"
+#include "core/work/tests/workbuilders.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <set>
+
+using namespace geraniumpaddle;
+using namespace geraniumpaddle::work;
+
+TEST_GROUP(Placement) {
+  time_point Now{std::chrono::hours(1)};
+  worker_pool Pool{scheduler_limits{}};
+  run_table Runs;
+  job_spec Spec = testing::makeJob("j1", 2, 8);
+  std::vector<task_position> Tasks;
+  std::vector<const live_run *> Siblings;
+
+  step_spec &step() { return Spec.Steps[0]; }
+
+  void addWorker(std::string_view Id, std::string_view Rack) {
+    worker_report Report{.Description = testing::makeWorker(Id, Rack)};
+    Pool.heard(Report, Now).HasListing = true;
+  }
+
+  /// Holds accelerators of a worker with a run of another job.
+  const live_run &occupy(std::string_view Worker, std::int32_t Accelerators,
+                         std::uint32_t Priority = 2,
+                         duration Left = std::chrono::seconds(5)) {
+    static std::uint32_t Number = 0;
+    live_run Run{.Run = {{job_id("other" + std::to_string(++Number)), {}}, 1},
+                 .Worker = {worker_id(Worker), 1},
+                 .Need = {.Accelerators = Accelerators,
+                          .MilliCores = 1000,
+                          .MemoryMb = 1000},
+                 .Priority = Priority,
+                 .Expected = Left,
+                 .PlacedAt = Now,
+                 .Started = true,
+                 .StartedAt = Now,
+                 .PercentAt = Now};
+    live_run *Added = Runs.add(Run);
+    Pool.hold(*Added);
+    return *Added;
+  }
+
+  placement_request request() {
+    Tasks.clear();
+    for (std::uint32_t I = 0; I < step().Count; ++I)
+      Tasks.push_back({0, 0, I});
+    return {.Step = &step(),
+            .Service = Spec.Terms.Service,
+            .Priority = Spec.Terms.Priority,
+            .Expected = step().Estimate,
+            .Tasks = Tasks,
+            .Siblings = Siblings};
+  }
+
+  placement_round round() { return {Pool, Now}; }
+
+  static std::set<std::string>
+  workersOf(const std::vector<assignment> &Placed) {
+    std::set<std::string> Ids;
+    for (const assignment &Each : Placed)
+      Ids.insert(Each.Worker.Worker.str());
+    return Ids;
+  }
+};
+
+TEST(Placement, AGangIsPlacedWholeOrNotAtAll) {
+  addWorker("w1", "r1");
+  step().Gang = true;
+  auto Round = round();
+  CHECK(Round.place(request()).empty());
+  addWorker("w2", "r1");
+  auto Larger = round();
+  LONGS_EQUAL(2, Larger.place(request()).size());
+}
+
+TEST(Placement, OtherTasksAreplacedAsFarAsThereIsRoom) {
+  addWorker("w1", "r1");
+  auto Round = round();
+  LONGS_EQUAL(1, Round.place(request()).size());
+}
+
+TEST(Placement, SameRackTakesARackThatHoldsAll) {
+  addWorker("w1", "r1");
+  addWorker("w2", "r2");
+  addWorker("w3", "r2");
+  step().SameRack = true;
+  auto Round = round();
+  CHECK(workersOf(Round.place(request())) ==
+        (std::set<std::string>{"w2", "w3"}));
+}
+
+TEST(Placement, SameRackWaitsForARackThatIsBusy) {
+  addWorker("w1", "r1");
+  addWorker("w2", "r2");
+  addWorker("w3", "r2");
+  occupy("w3", 1);
+  step().SameRack = true;
+  step().Gang = true;
+  auto Round = round();
+  CHECK(Round.place(request()).empty());
+}
+
+TEST(Placement, SameRackIsSpreadIfNoRackIsLargeEnough) {
+  addWorker("w1", "r1");
+  addWorker("w2", "r2");
+  step().SameRack = true;
+  step().Gang = true;
+  auto Round = round();
+  LONGS_EQUAL(2, Round.place(request()).size());
+}
+
+TEST(Placement, ARequiredLabelMayNameKindOrRack) {
+  addWorker("w1", "r1");
+  addWorker("w2", "r2");
+  step() = {.Count = 1, .RequiredLabel = "r2"};
+  auto Round = round();
+  CHECK(workersOf(Round.place(request())) == std::set<std::string>{"w2"});
+  step().RequiredLabel = "rare";
+  CHECK(Round.place(request()).empty());
+  CHECK(!Round.everFits(request()));
+}
+
+TEST(Placement, KeepsToTheLimitOfTasksOnOneWorker) {
+  addWorker("w1", "r1");
+  step() = {.Count = 4, .MaxPerWorker = 2};
+  auto Round = round();
+  LONGS_EQUAL(2, Round.place(request()).size());
+}
+
+TEST(Placement, RunsOfTheStepThatGoOnCountAgainstTheLimit) {
+  addWorker("w1", "r1");
+  Siblings = {&occupy("w1", 1)};
+  step() = {.Count = 4, .MaxPerWorker = 2};
+  auto Round = round();
+  LONGS_EQUAL(1, Round.place(request()).size());
+}
+
+TEST(Placement, PrefersTheRackWithTheData) {
+  addWorker("w1", "r1");
+  addWorker("w2", "r2");
+  step() = {.Count = 1, .DataRack = "r2"};
+  auto Round = round();
+  CHECK(workersOf(Round.place(request())) == std::set<std::string>{"w2"});
+}
+
+TEST(Placement, FillsTheFullestWorkerFirst) {
+  addWorker("w1", "r1");
+  addWorker("w2", "r1");
+  occupy("w2", 5);
+  step().Count = 1;
+  step().Need.Accelerators = 2;
+  auto Round = round();
+  CHECK(workersOf(Round.place(request())) == std::set<std::string>{"w2"});
+}
+
+TEST(Placement, DrainingAndSuspectedWorkersGetNothing) {
+  addWorker("w1", "r1");
+  Pool.find(worker_id("w1"))->Description.Draining = true;
+  addWorker("w2", "r1");
+  Pool.find(worker_id("w2"))->SuspectUntil = Now + std::chrono::seconds(1);
+  auto Round = round();
+  CHECK(Round.place(request()).empty());
+}
+
+TEST(Placement, WhatIsBeingStoppedStillCounts) {
+  addWorker("w1", "r1");
+  const live_run &Run = occupy("w1", 4);
+  const_cast<live_run &>(Run).Stopping = true;
+  Pool.free(Run);
+  step().Count = 1;
+  auto Round = round();
+  CHECK(Round.place(request()).empty());
+  CHECK(Round.reserveFreed(request()));
+}
+
+TEST(Placement, PreemptsTheCheapestRunsThatSuffice) {
+  addWorker("w1", "r1");
+  addWorker("w2", "r1");
+  occupy("w1", 8);
+  const live_run &Cheap = occupy("w2", 8);
+  const_cast<live_run &>(Cheap).PlacedAt = Now + std::chrono::seconds(1);
+  Spec.Terms.Priority = 0;
+  step().Count = 1;
+  auto Round = placement_round(Pool, Now + std::chrono::seconds(3));
+  const auto Plan = Round.planPreemption(request());
+  CHECK(Plan.has_value());
+  LONGS_EQUAL(1, Plan->Victims.size());
+  CHECK(Plan->Victims[0] == Cheap.Run);
+}
+
+TEST(Placement, NeverPreemptsEqualPriority) {
+  addWorker("w1", "r1");
+  occupy("w1", 8, 0);
+  Spec.Terms.Priority = 0;
+  step().Count = 1;
+  auto Round = round();
+  CHECK(!Round.planPreemption(request()));
+}
+
+TEST(Placement, EarliestRoomIsWhenEnoughRunsHaveEnded) {
+  addWorker("w1", "r1");
+  occupy("w1", 4, 2, std::chrono::seconds(2));
+  occupy("w1", 4, 2, std::chrono::seconds(6));
+  step().Count = 1;
+  auto Round = round();
+  CHECK(Round.earliestRoom(request()) == Now + std::chrono::seconds(6));
+  step().Need.Accelerators = 4;
+  CHECK(Round.earliestRoom(request()) == Now + std::chrono::seconds(2));
+}
+
+TEST(Placement, RoomThatIsKeptServesOnlyWhatEndsBefore) {
+  addWorker("w1", "r1");
+  occupy("w1", 4, 2, std::chrono::seconds(5));
+  step().Count = 1;
+  auto Round = round();
+  Round.reserveAt(request(), Now + std::chrono::seconds(5));
+  job_spec Long = testing::makeJob("long", 1, 2);
+  Long.Steps[0].Estimate = std::chrono::seconds(20);
+  Spec = Long;
+  CHECK(Round.place(request()).empty());
+  step().Estimate = std::chrono::seconds(3);
+  LONGS_EQUAL(1, Round.place(request()).size());
+}
--- /dev/null
+++ b/src/core/work/tests/queuedirectorytest.cpp
@@ -0,0 +1,67 @@
+#include "core/work/queuedirectory.h"
+#include "core/work/tests/workbuilders.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace geraniumpaddle;
+using namespace geraniumpaddle::work;
+
+TEST_GROUP(QueueDirectory) {
+  queue_directory Queues;
+
+  void setup() override { Queues.replace(testing::makeConfiguration(5)); }
+};
+
+TEST(QueueDirectory, KnowsNothingBeforeTheFirstConfiguration) {
+  const queue_directory Empty;
+  CHECK(Empty.admit("jobs.example", "/batch/1", "key-acme").Verdict ==
+        admission::NoConfiguration);
+}
+
+TEST(QueueDirectory, TakesTheLongestPrefix) {
+  configuration Config = testing::makeConfiguration(6);
+  queue_route Inner = Config.Routes[1];
+  Inner.PathPrefix = "/batch/inner/";
+  Inner.Terms.Queue = "inner";
+  Config.Routes.push_back(Inner);
+  Queues.replace(Config);
+  const auto Call = Queues.admit("jobs.example", "/batch/inner/7", "key-bolt");
+  CHECK(Call.Verdict == admission::Allowed);
+  STRCMP_EQUAL("inner", Call.Route->Terms.Queue.c_str());
+  STRCMP_EQUAL("7", std::string(Call.Rest).c_str());
+  STRCMP_EQUAL("bolt", Call.Customer.str().c_str());
+}
+
+TEST(QueueDirectory, RefusesUnknownHostsPathsAndKeys) {
+  CHECK(Queues.admit("other.example", "/batch/1", "key-acme").Verdict ==
+        admission::NoQueue);
+  CHECK(Queues.admit("jobs.example", "/none/1", "key-acme").Verdict ==
+        admission::NoQueue);
+  CHECK(Queues.admit("jobs.example", "/batch/1", "stolen").Verdict ==
+        admission::UnknownKey);
+}
+
+TEST(QueueDirectory, AnonymousQueuesAskForNoKey) {
+  configuration Config = testing::makeConfiguration(6);
+  Config.Routes[0].Anonymous = true;
+  Queues.replace(Config);
+  CHECK(Queues.admit("jobs.example", "/urgent/1", "").Verdict ==
+        admission::Allowed);
+}
+
+TEST(QueueDirectory, AVersionNeverGoesBack) {
+  configuration Older = testing::makeConfiguration(4);
+  Older.Routes.clear();
+  CHECK(!Queues.replace(Older));
+  CHECK(!Queues.replace(testing::makeConfiguration(5)));
+  LONGS_EQUAL(5, Queues.version());
+  CHECK(Queues.terms("batch") != nullptr);
+}
+
+TEST(QueueDirectory, ARevokedKeyIsUnknownAtOnce) {
+  configuration Config = testing::makeConfiguration(6);
+  Config.Customers[0].Keys.clear();
+  Queues.replace(Config);
+  CHECK(Queues.admit("jobs.example", "/batch/1", "key-acme").Verdict ==
+        admission::UnknownKey);
+}
--- /dev/null
+++ b/standins/taskworkers/workerfield.cpp
@@ -0,0 +1,270 @@
+#include "standins/taskworkers/workerfield.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+
+namespace geraniumpaddle::standins {
+
+namespace {
+
+std::int64_t milliseconds(duration Time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
+}
+
+std::string describe(const work::run_ref &Run) {
+  const auto &At = Run.Task.Position;
+  return Run.Task.Job.str() + "." + std::to_string(At.Occurrence) + "." +
+         std::to_string(At.Step) + "." + std::to_string(At.Index) + " run " +
+         std::to_string(Run.Run);
+}
+
+} // namespace
+
+void worker_field::addWorker(const worker_id &Id, const resources &Capacity,
+                             time_point Now) {
+  Workers[Id] = {.Capacity = Capacity, .Born = ++LastBorn, .ClockZero = Now};
+  Time = std::max(Time, Now);
+}
+
+void worker_field::restart(const worker_id &Id, time_point Now) {
+  field_worker &Worker = Workers.at(Id);
+  std::vector<std::string> Gangs;
+  for (const auto &[Key, Run] : Worker.Runs)
+    if (!Run.What.Gang.empty())
+      Gangs.push_back(Run.What.Gang);
+  Worker = {.Capacity = Worker.Capacity, .Born = ++LastBorn, .ClockZero = Now};
+  for (const std::string &Gang : Gangs)
+    endGang(Gang, work::run_end::Broken, work::run_end::Broken, {});
+}
+
+std::uint64_t worker_field::born(const worker_id &Id) const {
+  return Workers.at(Id).Born;
+}
+
+std::int64_t worker_field::clockMs(const worker_id &Id, time_point Now) const {
+  return milliseconds(Now - Workers.at(Id).ClockZero);
+}
+
+worker_field::field_worker *
+worker_field::check(const work::worker_life &Life, std::uint64_t Token,
+                    field_answer &Answer) {
+  const auto Found = Workers.find(Life.Worker);
+  if (Found == Workers.end() || Found->second.Born != Life.Born) {
+    Answer = field_answer::OtherLife;
+    return nullptr;
+  }
+  if (Token < Found->second.Token) {
+    Answer = field_answer::Fenced;
+    return nullptr;
+  }
+  Found->second.Token = Token;
+  Answer = field_answer::Done;
+  return &Found->second;
+}
+
+void worker_field::extendLease(field_worker &Worker, std::int64_t LeaseEndMs,
+                               time_point Now) const {
+  const time_point Wanted =
+      Worker.ClockZero + std::chrono::milliseconds(LeaseEndMs);
+  Worker.LeaseEnd = std::max(Worker.LeaseEnd,
+                             std::min(Wanted, Now + Limits.LongestLease));
+}
+
+field_answer worker_field::start(const work::worker_life &Life,
+                                 std::uint64_t Token,
+                                 const work::start_run &Order, time_point Now) {
+  field_answer Answer{};
+  field_worker *Worker = check(Life, Token, Answer);
+  if (!Worker)
+    return Answer;
+  const work::run_ref &Key = Order.Run.Run;
+  if (Worker->Runs.contains(Key))
+    return field_answer::Done;
+  if (Worker->ClockZero + std::chrono::milliseconds(Order.LeaseEndMs) <= Now)
+    return field_answer::Late;
+  extendLease(*Worker, Order.LeaseEndMs, Now);
+  const auto Highest = Worker->Highest.find(Key.Task);
+  if (Highest != Worker->Highest.end() && Key.Run <= Highest->second)
+    return field_answer::Stale;
+  field_run Run{.Run = Key,
+                .What = Behaviour(Key, Order.Run.Payload),
+                .ArrivedAt = Now};
+  Run.Worked = std::chrono::milliseconds(
+      std::strtoll(Order.Run.Checkpoint.c_str(), nullptr, 16));
+  Run.FirstWorked = Run.Worked;
+  checkStart(*Worker, Run);
+  Worker->Runs.emplace(Key, std::move(Run));
+  return field_answer::Done;
+}
+
+void worker_field::checkStart(const field_worker &Worker,
+                              const field_run &Run) {
+  for (const auto &[Id, Other] : Workers)
+    for (const auto &[Key, Running] : Other.Runs)
+      if (Key.Task == Run.Run.Task)
+        Violations.push_back("twice: " + describe(Run.Run) + " beside run " +
+                             std::to_string(Key.Run) + " on " + Id.str());
+  if (DoneTasks.contains(Run.Run.Task))
+    Violations.push_back("started after it was done: " + describe(Run.Run));
+  resources Used = Run.What.Need;
+  for (const auto &[Key, Running] : Worker.Runs)
+    Used += Running.What.Need;
+  if (!Worker.Capacity.covers(Used))
+    Violations.push_back("beyond capacity: " + describe(Run.Run));
+}
+
+field_answer worker_field::stop(const work::worker_life &Life,
+                                std::uint64_t Token, const work::run_ref &Run,
+                                time_point Now) {
+  field_answer Answer{};
+  field_worker *Worker = check(Life, Token, Answer);
+  if (!Worker)
+    return Answer;
+  const auto Found = Worker->Runs.find(Run);
+  std::uint32_t &Highest = Worker->Highest[Run.Task];
+  Highest = std::max(Highest, Run.Run);
+  if (Found != Worker->Runs.end() && Found->second.StopAt == time_point{})
+    Found->second.StopAt = Now + Limits.Stop;
+  return Answer;
+}
+
+field_answer worker_field::hold(const work::worker_life &Life,
+                                std::uint64_t Token,
+                                const work::list_runs &Order, time_point Now) {
+  field_answer Answer{};
+  field_worker *Worker = check(Life, Token, Answer);
+  if (!Worker)
+    return Answer;
+  if (Order.LeaseEndMs)
+    extendLease(*Worker, *Order.LeaseEndMs, Now);
+  Worker->Acknowledged =
+      std::max(Worker->Acknowledged, Order.AcknowledgedEnds);
+  std::erase_if(Worker->Ends, [&](const work::finished_run &End) {
+    if (End.Number > Worker->Acknowledged)
+      return false;
+    if (End.How == work::run_end::Done)
+      DoneTasks.insert(End.Run.Task);
+    return true;
+  });
+  return Answer;
+}
+
+bool worker_field::hasEnds(const worker_id &Id) const {
+  return !Workers.at(Id).Ends.empty();
+}
+
+std::string worker_field::checkpoint(const field_run &Run) const {
+  if (!Run.What.Checkpointing)
+    return "";
+  const auto Saved = Run.Worked / Limits.CheckpointEvery;
+  if (Saved == 0)
+    return "";
+  char Text[24];
+  std::snprintf(Text, sizeof Text, "%016llx",
+                static_cast<unsigned long long>(
+                    milliseconds(Limits.CheckpointEvery * Saved)));
+  return Text;
+}
+
+work::worker_listing worker_field::listing(const worker_id &Id,
+                                           time_point Now) const {
+  const field_worker &Worker = Workers.at(Id);
+  work::worker_listing Listing{.Born = Worker.Born,
+                               .ClockMs = clockMs(Id, Now)};
+  for (const auto &[Key, Run] : Worker.Runs)
+    Listing.Running.push_back(
+        {.Run = Key,
+         .Checkpoint = checkpoint(Run),
+         .Percent = static_cast<std::int32_t>(
+             100 * Run.Worked / std::max(Run.What.Work, duration(1)))});
+  Listing.Finished = Worker.Ends;
+  return Listing;
+}
+
+void worker_field::end(field_worker &Worker, const work::run_ref &Run,
+                       work::run_end How) {
+  const auto Found = Worker.Runs.find(Run);
+  Worker.Ends.push_back({.Number = ++Worker.LastEnd,
+                         .Run = Run,
+                         .How = How,
+                         .Checkpoint = checkpoint(Found->second)});
+  std::uint32_t &Highest = Worker.Highest[Run.Task];
+  Highest = std::max(Highest, Run.Run);
+  DoneRuns += How == work::run_end::Done ? 1 : 0;
+  Worker.Runs.erase(Found);
+}
+
+void worker_field::endGang(const std::string &Gang, work::run_end First,
+                           work::run_end Rest, const work::run_ref &Which) {
+  for (auto &[Id, Worker] : Workers) {
+    std::vector<work::run_ref> Members;
+    for (const auto &[Key, Run] : Worker.Runs)
+      if (Run.What.Gang == Gang)
+        Members.push_back(Key);
+    for (const work::run_ref &Key : Members)
+      end(Worker, Key, Key == Which ? First : Rest);
+  }
+}
+
+std::uint32_t worker_field::present(const std::string &Gang) const {
+  std::uint32_t Count = 0;
+  for (const auto &[Id, Worker] : Workers)
+    for (const auto &[Key, Run] : Worker.Runs)
+      Count += Run.What.Gang == Gang ? 1 : 0;
+  return Count;
+}
+
+void worker_field::advanceWorker(field_worker &Worker, time_point Now,
+                                 duration Step) {
+  std::vector<work::run_ref> Keys;
+  for (const auto &[Key, Run] : Worker.Runs)
+    Keys.push_back(Key);
+  for (const work::run_ref &Key : Keys) {
+    const auto Found = Worker.Runs.find(Key);
+    if (Found == Worker.Runs.end())
+      continue; // ended with its gang
+    field_run &Run = Found->second;
+    const std::string Gang = Run.What.Gang;
+    auto EndWith = [&](work::run_end How, work::run_end Rest) {
+      if (Gang.empty())
+        end(Worker, Key, How);
+      else
+        endGang(Gang, How, Rest, Key);
+    };
+    if (Worker.LeaseEnd <= Now) {
+      EndWith(work::run_end::Lapsed, work::run_end::Broken);
+    } else if (Run.StopAt != time_point{} && Run.StopAt <= Now) {
+      EndWith(work::run_end::Stopped, work::run_end::Broken);
+    } else if (!Gang.empty() && present(Gang) < Run.What.GangSize) {
+      const bool Alone =
+          Run.Worked == Run.FirstWorked && Now - Run.ArrivedAt > Limits.GangWait;
+      if (Alone)
+        EndWith(work::run_end::Alone, work::run_end::Alone);
+    } else if (!Run.What.Hangs) {
+      Run.Worked += Step;
+      if (Run.Worked < Run.What.Work)
+        continue;
+      if (Run.What.Fails)
+        EndWith(work::run_end::Failed, work::run_end::Broken);
+      else
+        EndWith(work::run_end::Done, work::run_end::Done);
+    }
+  }
+}
+
+void worker_field::advance(time_point Now) {
+  const duration Step = Now - Time;
+  Time = Now;
+  for (auto &[Id, Worker] : Workers)
+    advanceWorker(Worker, Now, Step);
+}
+
+std::size_t worker_field::running() const {
+  std::size_t Count = 0;
+  for (const auto &[Id, Worker] : Workers)
+    Count += Worker.Runs.size();
+  return Count;
+}
+
+} // namespace geraniumpaddle::standins
