A scheduler that takes office learns the leases of the term before

Ruled out: a start that hangs (the agent's stops went to a worker that had left), a lost record. Change: the new scheduler asks the one before; it gives up its term and tells the leases it may have granted. Without an answer an earlier term is taken to grant leases for 5 s without the store, not 12 s, and schedulers keep to that.

--- a/src/core/work/internal/workscheduler.cpp
+++ b/src/core/work/internal/workscheduler.cpp
@@ -21,7 +21,8 @@
   Commands.clear();
   using table =
       member_table<&work_scheduler::onArrived, &work_scheduler::onCancel,
-                   &work_scheduler::onReported, &work_scheduler::onStored,
+                   &work_scheduler::onReported, &work_scheduler::onEarlierEnded,
+                   &work_scheduler::onStored,
                    &work_scheduler::onTimePassed>;
   table::dispatch(*this, Event, Present);
   decide(Present);
@@ -70,6 +71,29 @@
   }
 }
 
+void work_scheduler::onEarlierEnded(const earlier_term_ended &Event,
+                                    const present_time &Present) {
+  for (auto &[Id, Worker] : Pool.all()) {
+    if (Worker.Described)
+      continue; // it has reported to this term
+    const auto Found = std::find_if(
+        Event.Leases.begin(), Event.Leases.end(), [&](const lease_left &Each) {
+          return Each.Life == Worker.Description.Life;
+        });
+    const time_point End =
+        Found == Event.Leases.end() ? Present.Now : Found->End;
+    Worker.LeaseEnd = std::min(Worker.LeaseEnd, End);
+  }
+  NextExpiry = Present.Now;
+}
+
+std::vector<lease_left> work_scheduler::leases() const {
+  std::vector<lease_left> Leases;
+  for (const auto &[Id, Worker] : Pool.all())
+    Leases.push_back({Worker.Description.Life, Worker.LeaseEnd});
+  return Leases;
+}
+
 // Bookkeeping.
 
 live_job *work_scheduler::findJob(const job_id &Job) {
--- a/src/core/work/types/limits.h
+++ b/src/core/work/types/limits.h
@@ -11,7 +11,7 @@
   duration Lease = std::chrono::seconds(6);
   /// An earlier scheduler may have granted leases this long after another took
   /// office: it does so while its last answer from the store is younger.
-  duration EarlierTerm = std::chrono::seconds(12);
+  duration EarlierTerm = std::chrono::seconds(5);
   /// Time for a gang's members to start before the run is given up. Shorter
   /// than the platform's own limit, so that members are stopped, not left.
   duration GangStart = std::chrono::milliseconds(1500);
--- a/src/core/work/types/schedulerevents.h
+++ b/src/core/work/types/schedulerevents.h
@@ -7,6 +7,7 @@
 #include <span>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace geraniumpaddle::work {
 
@@ -27,6 +28,16 @@
 struct worker_reported {
   worker_report Report;
 };
+/// A worker that may hold leases, and until when.
+struct lease_left {
+  worker_life Life;
+  time_point End{};
+};
+/// The scheduler of the term before has given up, and these are all the leases
+/// that it or a term before it may have granted.
+struct earlier_term_ended {
+  std::vector<lease_left> Leases;
+};
 /// A batch of \c append_progress is in the log.
 struct progress_stored {
   std::uint64_t Batch = 0;
@@ -36,7 +47,7 @@
 
 using scheduler_event =
     std::variant<job_arrived, job_cancel_wanted, worker_reported,
-                 progress_stored, time_passed>;
+                 earlier_term_ended, progress_stored, time_passed>;
 
 // Commands.
 
--- a/src/core/work/workscheduler.h
+++ b/src/core/work/workscheduler.h
@@ -44,6 +44,9 @@
   /// What \p Worker shall run now; nothing for a life that is not known.
   std::optional<worker_orders> orders(const worker_life &Worker) const;
 
+  /// Workers that may hold leases of this or an earlier term.
+  std::vector<lease_left> leases() const;
+
   std::size_t runningRuns() const { return Runs.size(); }
   std::size_t openJobs() const { return Jobs.size(); }
   const worker_pool &workers() const { return Pool; }
@@ -66,6 +69,8 @@
   void onArrived(const job_arrived &Event, const present_time &Present);
   void onCancel(const job_cancel_wanted &Event, const present_time &Present);
   void onReported(const worker_reported &Event, const present_time &Present);
+  void onEarlierEnded(const earlier_term_ended &Event,
+                      const present_time &Present);
   void onStored(const progress_stored &Event, const present_time &Present);
   void onTimePassed(const time_passed &Event, const present_time &Present);
 
--- a/src/core/workhost/tests/workworld.cpp
+++ b/src/core/workhost/tests/workworld.cpp
@@ -91,6 +91,12 @@
   feedScheduler(time_passed{});
 }
 
+void work_world::handOver() {
+  const earlier_term_ended Ended{Scheduler->leases()};
+  takeOver();
+  feedScheduler(Ended);
+}
+
 void work_world::feedScheduler(const scheduler_event &Event) {
   const auto Commands = Scheduler->handle(Event, present());
   std::vector<scheduler_command> Copy(Commands.begin(), Commands.end());
--- a/src/core/workhost/tests/workworld.h
+++ b/src/core/workhost/tests/workworld.h
@@ -34,6 +34,8 @@
   void cancel(const job_id &Job);
   /// Another scheduler takes office; the old one's appends are refused.
   void takeOver();
+  /// As above, and the old one tells the leases that it granted.
+  void handOver();
   /// The agent process starts anew; its worker goes on.
   void restartAgent(int Worker);
   void restartWorker(int Worker);
--- a/src/core/workhost/tests/workworldtest.cpp
+++ b/src/core/workhost/tests/workworldtest.cpp
@@ -126,6 +126,16 @@
       [&] { return World.state(Job) == job_state::Completed; }, 18s));
 }
 
+TEST(WorkWorld, AnEarlierTermThatTellsItsLeasesShortensTheWaitForLostWorkers) {
+  World.submit(jobOf("j1", 32, "4000"));
+  World.runFor(1s);
+  World.cutAgent(0, 60s);
+  World.runFor(5s);
+  World.handOver();
+  // What is left of the lease, and the run itself.
+  CHECK(becomes(job_state::Completed, 7s));
+}
+
 TEST(WorkWorld, AnAgentThatIsCutOffBrieflyLosesNothing) {
   World.submit(jobOf("j1", 32, "6000"));
   World.runFor(1s);
@@ -224,7 +234,12 @@
     if (World.book().find(Job))
       World.cancel(Job);
   }
-  void takeOver(const world_step &) { World.takeOver(); }
+  void takeOver(const world_step &Step) {
+    if (Step.Amount % 2 == 0)
+      World.takeOver();
+    else
+      World.handOver();
+  }
   void newAgent(const world_step &Step) { World.restartAgent(Step.Target); }
   void newWorker(const world_step &Step) { World.restartWorker(Step.Target); }
   void cut(const world_step &Step) {
--- a/src/jobentry/internal/jobentryrole.cpp
+++ b/src/jobentry/internal/jobentryrole.cpp
@@ -24,6 +24,10 @@
 /// The balancer asks once a second and needs two misses.
 constexpr duration DrainServe = std::chrono::milliseconds(3000);
 
+/// Limit of the question to the scheduler before, and how often it is asked.
+constexpr duration EarlierTermTimeout = std::chrono::milliseconds(600);
+constexpr int EarlierTermTries = 5;
+
 work::scheduler_limits limitsFrom(const settings &Settings) {
   work::scheduler_limits Limits;
   Limits.Lease = std::min<duration>(Settings.LeaseDuration, work::MaxLease);
@@ -65,7 +69,7 @@
       Api(Environment.Loop, Environment.Store, Jobs, Environment.Metrics, Book,
           Queues),
       AnnounceRetry(Environment.Loop), DrainTimer(Environment.Loop),
-      TermRetry(Environment.Loop) {}
+      TermRetry(Environment.Loop), EarlierRetry(Environment.Loop) {}
 
 void job_entry_role::start(std::string BoundPeerAddress) {
   PeerAddress = std::move(BoundPeerAddress);
@@ -211,9 +215,84 @@
   Work = std::make_unique<work_driver>(
       Environment.Loop, Environment.Store, Office, Environment.Metrics,
       limitsFrom(Settings), NewTerm, Book, Queues);
+  askEarlierTerm(EarlierTermTries);
+}
+
+void job_entry_role::onOfficeLost() {
+  EarlierRetry.cancel();
+  if (!Work)
+    return;
+  EndedTerm = Work->scheduler().term();
+  EndedLeases = Work->scheduler().leases();
+  Work.reset();
+}
+
+/// The scheduler before this one knows which workers may still hold leases;
+/// without its answer each may hold one for the longest time.
+void job_entry_role::askEarlierTerm(int TriesLeft) {
+  const work::entry_present *Earlier = nullptr;
+  for (const auto &[Node, Entry] : Book.entries())
+    if (Entry.Term < Term && Entry.Term > 0 &&
+        (!Earlier || Entry.Term > Earlier->Term))
+      Earlier = &Entry;
+  if (!Work || !Earlier || TriesLeft == 0)
+    return;
+  if (Earlier->Node == Self.Node)
+    return;
+  proto::PeerRequest Request = makeRequest(Self);
+  Request.mutable_term_begun()->set_term(Term);
+  const std::uint64_t Asking = Term;
+  const std::uint64_t EarlierTerm = Earlier->Term;
+  Environment.Peers.call(
+      Earlier->PeerAddress, Request, EarlierTermTimeout,
+      [this, Life = Alive, Asking, EarlierTerm,
+       TriesLeft](const peer_result &Result) {
+        if (!*Life || !Work || Term != Asking)
+          return;
+        const proto::work::TermEnded &Ended = Result.Response.term_ended();
+        if (Result.Status != call_status::Completed)
+          EarlierRetry.start(AnnounceRetryDelay, [this, TriesLeft] {
+            askEarlierTerm(TriesLeft - 1);
+          });
+        else if (Ended.term() == EarlierTerm)
+          takeEarlierTerm(Ended);
+      });
+}
+
+void job_entry_role::takeEarlierTerm(const proto::work::TermEnded &Ended) {
+  work::earlier_term_ended Event;
+  for (const proto::work::LeaseLeft &Lease : Ended.leases())
+    Event.Leases.push_back(
+        {.Life = {worker_id(Lease.life().worker()), Lease.life().born()},
+         .End = Environment.Loop.now() +
+                std::chrono::milliseconds(Lease.left_ms())});
+  Log.event("earlier_term_ended",
+            {{"term", Ended.term()}, {"leases", Event.Leases.size()}});
+  Work->feed(Event);
 }
 
-void job_entry_role::onOfficeLost() { Work.reset(); }
+void job_entry_role::answerTermBegun(std::uint64_t NewTerm,
+                                     const peer_responder &Respond) {
+  if (Work && Work->scheduler().term() < NewTerm)
+    Office.feed(term_fenced{Work->scheduler().term()});
+  proto::PeerResponse Response;
+  proto::work::TermEnded &Ended = *Response.mutable_term_ended();
+  const time_point Now = Environment.Loop.now();
+  if (EndedTerm < NewTerm) {
+    Ended.set_term(EndedTerm);
+    for (const work::lease_left &Lease : EndedLeases) {
+      if (Lease.End <= Now)
+        continue;
+      proto::work::LeaseLeft &Left = *Ended.add_leases();
+      Left.mutable_life()->set_worker(Lease.Life.Worker.str());
+      Left.mutable_life()->set_born(Lease.Life.Born);
+      Left.set_left_ms(static_cast<std::uint64_t>(
+          std::chrono::duration_cast<std::chrono::milliseconds>(Lease.End - Now)
+              .count()));
+    }
+  }
+  Respond(std::move(Response));
+}
 
 bool job_entry_role::mayConfirm() const {
   const work::scheduler_limits Limits = limitsFrom(Settings);
@@ -247,6 +326,10 @@
                   {{"node", Request.node()}, {"problem", Problem.what()}});
     }
   }
+  if (Request.has_term_begun()) {
+    answerTermBegun(Request.term_begun().term(), Respond);
+    return;
+  }
   if (Request.has_store_call()) {
     Environment.Transport.serve(Request.store_call(), Respond);
     return;
--- a/src/jobentry/jobentryrole.h
+++ b/src/jobentry/jobentryrole.h
@@ -14,6 +14,7 @@
 #include "settings/types/settings.h"
 #include "transport/ieventloop.h"
 #include "transport/ihttpserver.h"
+#include "transport/ipeerclient.h"
 #include "transport/ipeerserver.h"
 #include "transport/timer.h"
 
@@ -27,6 +28,7 @@
 
 struct job_entry_environment {
   ievent_loop &Loop;
+  ipeer_client &Peers;
   istore &Store;
   relaying_transport &Transport; ///< under the store
   metric_registry &Metrics;
@@ -67,6 +69,9 @@
   void onWorkRecord(const keyed_record &Record);
   void tellScheduler(const work::work_record &Record);
   void beginTerm(std::uint64_t Term);
+  void askEarlierTerm(int TriesLeft);
+  void takeEarlierTerm(const proto::work::TermEnded &Ended);
+  void answerTermBegun(std::uint64_t NewTerm, const peer_responder &Respond);
   void announce();
   void exchange(const proto::work::WorkerReport &Report,
                 const peer_responder &Respond);
@@ -83,6 +88,10 @@
   bool Draining = false;
   bool EverReady = false;
   std::uint64_t Term = 0; ///< of the last office
+  /// The last term that this process granted leases in, once it is over, and
+  /// those leases.
+  std::uint64_t EndedTerm = 0;
+  std::vector<work::lease_left> EndedLeases;
   work::queue_directory Queues;
   work::work_book Book;
   topic_reader Operator;
@@ -95,6 +104,7 @@
   timer AnnounceRetry;
   timer DrainTimer;
   timer TermRetry;
+  timer EarlierRetry;
   logger Log{"entry"};
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
--- a/src/jobentry/workdriver.h
+++ b/src/jobentry/workdriver.h
@@ -29,6 +29,7 @@
   work_driver &operator=(const work_driver &) = delete;
 
   void feed(const work::scheduler_event &Event);
+  const work::work_scheduler &scheduler() const { return Scheduler; }
   /// Answers now if there are new orders, otherwise when there are or when the
   /// time that the agent waits is over.
   void exchange(const proto::work::WorkerReport &Message,
