The scheduler of a term is recorded before it grants any lease

Cause: the scheduler asked the entry with the highest announced term for its leases. Ruled out: leases that were too short (the workers still ran the tasks). Change: a record of the term in the progress topic, stored under its fence before the first report is answered, names whom the next term has to ask.

--- a/src/core/work/internal/workbook.cpp
+++ b/src/core/work/internal/workbook.cpp
@@ -101,6 +101,11 @@
   Entries[Record.Node] = Record;
 }
 
+void work_book::applyRecord(const term_holder &Record) {
+  if (Record.Term > LastTerm.Term)
+    LastTerm = Record;
+}
+
 const book_entry *work_book::find(const job_id &Job) const {
   const auto Found = Jobs.find(Job);
   return Found == Jobs.end() || !Found->second.Spec ? nullptr : &Found->second;
--- a/src/core/work/tests/workbooktest.cpp
+++ b/src/core/work/tests/workbooktest.cpp
@@ -77,6 +77,21 @@
   CHECK(Book.find(Job) == nullptr);
 }
 
+// An entry that starts anew announces itself without a term; the term that its
+// earlier life held must not be forgotten with it.
+TEST(WorkBook, KnowsTheLastTermAfterItsHolderHasStartedAnew) {
+  const entry_present Old{.Node = node_id("e1"), .StartedMs = 1, .Term = 9};
+  const entry_present Other{.Node = node_id("e2"), .StartedMs = 1, .Term = 4};
+  Book.apply({entryKey(Old.Node), 0}, Old);
+  Book.apply({entryKey(Other.Node), 1}, Other);
+  Book.apply({TermKey, 0}, term_holder{4, Other});
+  Book.apply({TermKey, 1}, term_holder{9, Old});
+  Book.apply({entryKey(Old.Node), 2},
+             entry_present{.Node = Old.Node, .StartedMs = 2});
+  LONGS_EQUAL(9, Book.lastTerm().Term);
+  STRCMP_EQUAL("e1", Book.lastTerm().Entry.Node.str().c_str());
+}
+
 TEST(WorkBook, KeepsTheNewestRecordOfEachEntry) {
   const entry_present Entry{.Node = node_id("e1"), .PeerAddress = "1.2.3.4:1"};
   Book.apply({entryKey(Entry.Node), 0}, Entry);
--- a/src/core/work/types/records.h
+++ b/src/core/work/types/records.h
@@ -19,6 +19,12 @@
                          const entry_present &) = default;
 };
 
+/// The scheduler of a term. It is recorded before that grants any lease.
+struct term_holder {
+  std::uint64_t Term = 0;
+  entry_present Entry;
+};
+
 struct job_submitted {
   job_spec Spec;
 };
@@ -35,7 +41,8 @@
 /// A record of the system's own topics. Each has a key; the newest record of a
 /// key is kept for good.
 using work_record =
-    std::variant<job_submitted, job_cancelled, job_progressed, entry_present>;
+    std::variant<job_submitted, job_cancelled, job_progressed, entry_present,
+                 term_holder>;
 
 /// Where a record stands: its topic's newest records are read again after a
 /// gap, so a record may be seen twice.
--- a/src/core/work/workbook.h
+++ b/src/core/work/workbook.h
@@ -34,6 +34,8 @@
   const book_entry *find(const job_id &Job) const;
   const std::unordered_map<job_id, book_entry> &jobs() const { return Jobs; }
   const std::map<node_id, entry_present> &entries() const { return Entries; }
+  /// The scheduler of the last term that was begun; its term is 0 before.
+  const term_holder &lastTerm() const { return LastTerm; }
   /// Accepted jobs of \p Queue of which no task has started.
   std::size_t pending(std::string_view Queue) const;
 
@@ -42,6 +44,7 @@
   void applyRecord(const job_cancelled &Record);
   void applyRecord(const job_progressed &Record);
   void applyRecord(const entry_present &Record);
+  void applyRecord(const term_holder &Record);
   bool advance(const record_position &Position);
   template <typename Change>
   void changeJob(const job_id &Job, const Change &Apply);
@@ -51,6 +54,7 @@
   std::unordered_map<job_id, book_entry> Jobs;
   std::map<std::string, std::size_t, std::less<>> Pending;
   std::map<node_id, entry_present> Entries;
+  term_holder LastTerm;
 };
 
 /// Keys of the records. Those of a submission and of its cancellation differ,
@@ -59,5 +63,6 @@
 std::string cancellationKey(const job_id &Job);
 std::string progressKey(const job_id &Job);
 std::string entryKey(const node_id &Node);
+constexpr std::string_view TermKey = "term";
 
 } // namespace geraniumpaddle::work
--- a/src/jobentry/internal/jobentryrole.cpp
+++ b/src/jobentry/internal/jobentryrole.cpp
@@ -83,16 +83,18 @@
   Office.start();
 }
 
+work::entry_present job_entry_role::present() const {
+  return {.Node = Self.Node,
+          .Region = region_id(Settings.Region),
+          .PeerAddress = PeerAddress,
+          .StartedMs = raw(Self.Incarnation),
+          .Term = Term};
+}
+
 void job_entry_role::announce() {
-  const work::entry_present Present{
-      .Node = Self.Node,
-      .Region = region_id(Settings.Region),
-      .PeerAddress = PeerAddress,
-      .StartedMs = raw(Self.Incarnation),
-      .Term = Term};
   Environment.Store.append(
       {.Topic = store_topic::Entries,
-       .Records = {{work::entryKey(Self.Node), work::encodeRecord(Present)}},
+       .Records = {{work::entryKey(Self.Node), work::encodeRecord(present())}},
        .Timeout = AnnounceTimeout},
       [this, Life = Alive](const append_outcome &Outcome) {
         if (!*Life || Outcome.Status == stored_status::Stored)
@@ -193,7 +195,7 @@
     if (!*Life || Office.term() != NewTerm || Work)
       return;
     if (CaughtUp)
-      beginTerm(NewTerm);
+      recordTerm(NewTerm);
     else
       TermRetry.start(AnnounceRetryDelay, [this, NewTerm, TopicEnd] {
         onOfficeWon(NewTerm, TopicEnd);
@@ -211,6 +213,31 @@
       });
 }
 
+/// The term is recorded before it grants any lease, so that the next one knows
+/// whom to ask.
+void job_entry_role::recordTerm(std::uint64_t NewTerm) {
+  EarlierTerm = Book.lastTerm();
+  const work::term_holder Holder{NewTerm, present()};
+  append_call Append{
+      .Topic = store_topic::Progress,
+      .Records = {{std::string(work::TermKey), work::encodeRecord(Holder)}},
+      .Stamp = producer_stamp{NewTerm, work_driver::FirstSequence - 1},
+      .Timeout = AnnounceTimeout,
+      .Relayable = false};
+  Environment.Store.append(
+      Append, [this, NewTerm, Life = Alive](const append_outcome &Outcome) {
+        if (!*Life || Office.term() != NewTerm || Work)
+          return;
+        if (Outcome.Status == stored_status::Stored)
+          beginTerm(NewTerm);
+        else if (Outcome.Status == stored_status::Fenced)
+          Office.feed(term_fenced{NewTerm});
+        else
+          TermRetry.start(AnnounceRetryDelay,
+                          [this, NewTerm] { recordTerm(NewTerm); });
+      });
+}
+
 void job_entry_role::beginTerm(std::uint64_t NewTerm) {
   Work = std::make_unique<work_driver>(
       Environment.Loop, Environment.Store, Office, Environment.Metrics,
@@ -230,23 +257,20 @@
 /// The scheduler before this one knows which workers may still hold leases;
 /// without its answer each may hold one for the longest time.
 void job_entry_role::askEarlierTerm(int TriesLeft) {
-  const work::entry_present *Earlier = nullptr;
-  for (const auto &[Node, Entry] : Book.entries())
-    if (Entry.Term < Term && Entry.Term > 0 &&
-        (!Earlier || Entry.Term > Earlier->Term))
-      Earlier = &Entry;
-  if (!Work || !Earlier || TriesLeft == 0)
+  if (!Work || EarlierTerm.Term == 0 || TriesLeft == 0)
     return;
-  if (Earlier->Node == Self.Node)
+  if (EarlierTerm.Entry.Node == Self.Node) {
+    // An earlier life of this process left nothing behind.
+    if (EarlierTerm.Term == EndedTerm)
+      Work->feed(work::earlier_term_ended{EndedLeases});
     return;
+  }
   proto::PeerRequest Request = makeRequest(Self);
   Request.mutable_term_begun()->set_term(Term);
   const std::uint64_t Asking = Term;
-  const std::uint64_t EarlierTerm = Earlier->Term;
   Environment.Peers.call(
-      Earlier->PeerAddress, Request, EarlierTermTimeout,
-      [this, Life = Alive, Asking, EarlierTerm,
-       TriesLeft](const peer_result &Result) {
+      EarlierTerm.Entry.PeerAddress, Request, EarlierTermTimeout,
+      [this, Life = Alive, Asking, TriesLeft](const peer_result &Result) {
         if (!*Life || !Work || Term != Asking)
           return;
         const proto::work::TermEnded &Ended = Result.Response.term_ended();
@@ -254,7 +278,7 @@
           EarlierRetry.start(AnnounceRetryDelay, [this, TriesLeft] {
             askEarlierTerm(TriesLeft - 1);
           });
-        else if (Ended.term() == EarlierTerm)
+        else if (Ended.term() == EarlierTerm.Term)
           takeEarlierTerm(Ended);
       });
 }
--- a/src/jobentry/jobentryrole.h
+++ b/src/jobentry/jobentryrole.h
@@ -68,7 +68,9 @@
   void onOperatorRecord(const keyed_record &Record);
   void onWorkRecord(const keyed_record &Record);
   void tellScheduler(const work::work_record &Record);
+  void recordTerm(std::uint64_t Term);
   void beginTerm(std::uint64_t Term);
+  work::entry_present present() const;
   void askEarlierTerm(int TriesLeft);
   void takeEarlierTerm(const proto::work::TermEnded &Ended);
   void answerTermBegun(std::uint64_t NewTerm, const peer_responder &Respond);
@@ -91,6 +93,7 @@
   /// The last term that this process granted leases in, once it is over, and
   /// those leases.
   std::uint64_t EndedTerm = 0;
+  work::term_holder EarlierTerm; ///< before the one in office
   std::vector<work::lease_left> EndedLeases;
   work::queue_directory Queues;
   work::work_book Book;
--- a/src/jobentry/workdriver.h
+++ b/src/jobentry/workdriver.h
@@ -29,6 +29,9 @@
   work_driver &operator=(const work_driver &) = delete;
 
   void feed(const work::scheduler_event &Event);
+  /// Of the first append; the claim and the record of the term come before.
+  static constexpr std::uint64_t FirstSequence = 2;
+
   const work::work_scheduler &scheduler() const { return Scheduler; }
   /// Answers now if there are new orders, otherwise when there are or when the
   /// time that the agent waits is over.
@@ -61,7 +64,7 @@
   std::map<worker_id, pending> Pending;
   std::optional<append_call> Append; ///< the one in flight
   std::uint64_t Batch = 0;           ///< of it
-  std::uint64_t NextSequence = 1;
+  std::uint64_t NextSequence = FirstSequence;
   timer Wake;
   timer AppendRetry;
   logger Log{"scheduler"};
--- a/src/workcodec/internal/recordconvert.cpp
+++ b/src/workcodec/internal/recordconvert.cpp
@@ -33,7 +33,8 @@
   void encode(const work_record &Record) const {
     using table =
         member_table<&record_encoder::onSubmitted, &record_encoder::onCancelled,
-                     &record_encoder::onProgressed, &record_encoder::onEntry>;
+                     &record_encoder::onProgressed, &record_encoder::onEntry,
+                     &record_encoder::onTerm>;
     table::dispatch(*this, Record);
   }
 
@@ -62,6 +63,10 @@
   void onEntry(const entry_present &Record) const {
     *Message.mutable_entry() = encodeEntry(Record);
   }
+  void onTerm(const term_holder &Record) const {
+    Message.mutable_term()->set_term(Record.Term);
+    *Message.mutable_term()->mutable_entry() = encodeEntry(Record.Entry);
+  }
 
   proto::work::WorkRecord &Message;
 };
@@ -102,6 +107,9 @@
     return decodeProgress(Message.progressed());
   case proto::work::WorkRecord::kEntry:
     return decodeEntry(Message.entry());
+  case proto::work::WorkRecord::kTerm:
+    return term_holder{Message.term().term(),
+                       decodeEntry(Message.term().entry())};
   case proto::work::WorkRecord::RECORD_NOT_SET:
     break;
   }
