--- a/src/daemon/internal/processhost.cpp
+++ b/src/daemon/internal/processhost.cpp
@@ -66,6 +66,9 @@
                               http_handler Handler) {
   MoreServers.push_back(std::make_unique<http_server>(
       Loop, Listen, serverLimits(Settings), std::move(Handler)));
+  std::printf("listening also=%s\n",
+              withPort(Listen, MoreServers.back()->port()).c_str());
+  std::fflush(stdout);
 }
 
 std::string process_host::peerAddress() const {
--- a/src/daemon/tests/processcluster.cpp
+++ b/src/daemon/tests/processcluster.cpp
@@ -133,6 +133,105 @@
   LONGS_EQUAL(200, putCustomer("entry-1", "swan-coast", 0).Code);
 }
 
+void process_cluster::startStore() {
+  startStandin("store", {GP_STANDIN_STORE});
+}
+
+std::vector<std::string>
+process_cluster::otherInterfaces(const std::string &Name, std::size_t Count) {
+  const std::string Mark = "listening also=";
+  std::vector<std::string> Found;
+  CHECK_TEXT(waitFor([&] {
+               Found.clear();
+               const std::string Output = process(Name).output();
+               std::size_t At = Output.find(Mark);
+               while (At != std::string::npos) {
+                 const std::size_t First = At + Mark.size();
+                 const std::size_t End = Output.find('\n', First);
+                 if (End == std::string::npos)
+                   break;
+                 Found.push_back(Output.substr(First, End - First));
+                 At = Output.find(Mark, End);
+               }
+               return Found.size() >= Count;
+             }),
+             Name.c_str());
+  return Found;
+}
+
+std::string process_cluster::jobSettings(const std::string &Role,
+                                         const std::string &Node) {
+  return "role: " + Role + "\nnode: " + Node +
+         "\nregion: perth-metro\nzone: perth-east\n"
+         "store: {address: \"" +
+         address("store") +
+         "\"}\ntiming: {lease_ms: 6000, gang_wait_ms: 3000, stop_ms: 200}\n";
+}
+
+void process_cluster::startJobEntry(const std::string &Name) {
+  startDaemon(Name, jobSettings("job_entry", Name) +
+                        "listen: {peer: \"127.0.0.1:0\", http: "
+                        "\"127.0.0.1:0\", front: \"127.0.0.1:0\", "
+                        "readiness: \"127.0.0.1:0\"}\n");
+  const auto Others = otherInterfaces(Name, 2);
+  Addresses[Name + ".front"] = Others[0];
+  Addresses[Name + ".readiness"] = Others[1];
+}
+
+void process_cluster::startJobAgent(const std::string &Name) {
+  startDaemon(Name, jobSettings("job_agent", Name) +
+                        "listen: {peer: \"127.0.0.1:0\", http: "
+                        "\"127.0.0.1:0\", control: \"127.0.0.1:0\"}\n");
+  Addresses[Name + ".control"] = otherInterfaces(Name, 1)[0];
+}
+
+void process_cluster::startTaskWorkers(const std::vector<std::string> &Agents) {
+  std::string Plans;
+  for (std::size_t I = 0; I < Agents.size(); ++I)
+    Plans += "w" + std::to_string(I + 1) + "@r" + std::to_string(I / 2) + "@" +
+             address(Agents[I] + ".control") + ",";
+  Processes["workers"] = std::make_unique<child_process>(
+      std::vector<std::string>{GP_STANDIN_TASKWORKERS, "--workers=" + Plans},
+      stem("workers"));
+}
+
+void process_cluster::putConfiguration(int Version) {
+  std::string Routes;
+  for (const auto &[Queue, Priority] : {std::pair("urgent", 0),
+                                        std::pair("batch", 1)})
+    Routes += std::string(Routes.empty() ? "" : ",") + R"({"Name":")" + Queue +
+              R"(","Host":"jobs.example","PathPrefix":"/)" + Queue +
+              R"(/","Service":"desk","Attempts":2,"SlackFactor":3,)"
+              R"("TargetLatencyMs":1000,"Priority":)" +
+              std::to_string(Priority) + "}";
+  const std::string Value =
+      R"({"Version":)" + std::to_string(Version) + R"(,"Routes":[)" + Routes +
+      R"(],"Tenants":[{"Name":"acme","ApiKeys":["key"],)"
+      R"("GuaranteedGpus":{"Gpu":8}}]})";
+  const std::string Record = std::string(1, '\6') + "config" + Value;
+  std::string Frame;
+  for (int Shift = 24; Shift >= 0; Shift -= 8)
+    Frame += static_cast<char>(Record.size() >> static_cast<unsigned>(Shift));
+  LONGS_EQUAL(200, post(address("store"),
+                        "/api/log-append?Topic=keyed.op&part=0", Frame + Record)
+                       .Code);
+}
+
+http_result process_cluster::jobCall(const std::string &Entry,
+                                     const std::string &Method,
+                                     const std::string &Path,
+                                     const std::string &Body) {
+  return call({.Address = address(Entry + ".front"),
+               .Method = Method,
+               .Target = Path,
+               .Headers = {{"Host", "jobs.example"},
+                           {"Authorization", "Bearer key"},
+                           {"Content-Type", "application/json"},
+                           {"X-Timeout-Ms", "3000"}},
+               .Body = Body,
+               .Timeout = std::chrono::seconds(4)});
+}
+
 std::string process_cluster::address(const std::string &Name) {
   return Addresses.at(Name);
 }
--- a/src/daemon/tests/processcluster.h
+++ b/src/daemon/tests/processcluster.h
@@ -49,6 +49,21 @@
   /// the token "secret", everything linked.
   void startUsual(int Agents, int Slots = 8);
 
+  // The users' platform.
+  void startStore();
+  /// Entry of the users' platform; its front is address(Name + ".front").
+  void startJobEntry(const std::string &Name);
+  /// Agent of the users' platform; address(Name + ".control") takes heartbeats.
+  void startJobAgent(const std::string &Name);
+  /// One worker beside each of the agents, two to a rack, in one process.
+  void startTaskWorkers(const std::vector<std::string> &Agents);
+  /// Writes a configuration with the queues /urgent/ and /batch/ of the host
+  /// jobs.example and the key "key".
+  void putConfiguration(int Version);
+  /// \param Method POST, GET or DELETE of a job.
+  http_result jobCall(const std::string &Entry, const std::string &Method,
+                      const std::string &Path, const std::string &Body = "");
+
   child_process &process(const std::string &Name) {
     return *Processes.at(Name);
   }
@@ -100,6 +115,10 @@
   }
   void startStandin(const std::string &Name, std::vector<std::string> Command);
   void startDaemon(const std::string &Name, const std::string &Settings);
+  /// Further interfaces that a daemon listens on, in their order.
+  std::vector<std::string> otherInterfaces(const std::string &Name,
+                                           std::size_t Count);
+  std::string jobSettings(const std::string &Role, const std::string &Node);
   std::string listeningField(const std::string &Name, const std::string &Field);
 
   std::string Folder;
--- /dev/null
+++ b/src/platform/tests/platformdecodetest.cpp
@@ -0,0 +1,142 @@
+#include "platform/platformdecode.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace geraniumpaddle;
+
+namespace {
+
+constexpr const char *Heartbeat =
+    R"({"Service":"desk","Address":"10.1.2.3:80","Zone":"a","Version":"v1",)"
+    R"("Slots":8,"State":"draining","ColdLeftMs":0,"DrainRemainingMs":2500,)"
+    R"("Capacity":{"Cpu":64000,"MemMb":262144,"Gpu":8},"born":1773605482535,)"
+    R"("Labels":["a","r1-3"],"ClockMs":482113,"Seq":4})";
+
+std::string without(std::string Text, const std::string &Part,
+                    const std::string &Instead) {
+  Text.replace(Text.find(Part), Part.size(), Instead);
+  return Text;
+}
+
+template <typename Function> bool isMalformed(const Function &Decode) {
+  try {
+    Decode();
+  } catch (const malformed_message_error &) {
+    return true;
+  }
+  return false;
+}
+
+} // namespace
+
+TEST_GROUP(PlatformDecode) {};
+
+TEST(PlatformDecode, ReadsAConfiguration) {
+  const auto Config = decodeConfiguration(
+      R"({"Version":7,"Routes":[{"Name":"r1","Host":"h.example",)"
+      R"("PathPrefix":"/p/","Type":"non_idempotent","TimeoutMs":3000,)"
+      R"("TargetLatencyMs":1200,"Priority":1,"Service":"desk","Attempts":4,)"
+      R"("SlackFactor":1.5,"Anonymous":false}],"Services":[{"Name":"desk",)"
+      R"("EnforceCapacity":true}],"Tenants":[{"Name":"acme",)"
+      R"("ApiKeys":["k1","k2"],"GuaranteedGpus":{"Gpu":16}}],"New":{}})");
+  LONGS_EQUAL(7, Config.Version);
+  const work::queue_route &Route = Config.Routes.at(0);
+  STRCMP_EQUAL("/p/", Route.PathPrefix.c_str());
+  STRCMP_EQUAL("r1", Route.Terms.Queue.c_str());
+  LONGS_EQUAL(1, Route.Terms.Priority);
+  LONGS_EQUAL(4, Route.Terms.Attempts);
+  DOUBLES_EQUAL(1.5, Route.Terms.SlackFactor, 0.001);
+  CHECK(Config.Services.at(0).GuardsCapacity);
+  LONGS_EQUAL(16, Config.Customers.at(0).GuaranteedAccelerators);
+  LONGS_EQUAL(2, Config.Customers.at(0).Keys.size());
+}
+
+TEST(PlatformDecode, ReadsAHeartbeat) {
+  const worker_heartbeat Beat = decodeHeartbeat("i-1", Heartbeat);
+  STRCMP_EQUAL("10.1.2.3:80", Beat.Address.c_str());
+  CHECK(Beat.Description.Life ==
+        (work::worker_life{worker_id("i-1"), 1773605482535}));
+  STRCMP_EQUAL("r1-3", Beat.Description.Rack.c_str());
+  LONGS_EQUAL(8, Beat.Description.Capacity.Accelerators);
+  CHECK(Beat.Description.Draining);
+  LONGS_EQUAL(4, Beat.Description.Sequence);
+}
+
+// A heartbeat of another writer names no worker.
+TEST(PlatformDecode, RefusesHeartbeatsThatItCannotRead) {
+  const std::pair<const char *, const char *> Changes[] = {
+      {R"("State":"draining")", R"("State":"resting")"},
+      {R"("State":"draining")", R"("State":5)"},
+      {R"("Labels":["a","r1-3"])", R"("Labels":["a"])"},
+      {R"("Labels":["a","r1-3"])", R"("Labels":7)"},
+      {R"("Capacity":{)", R"("Other":{)"},
+      {R"("Gpu":8)", R"("Gpu":"many")"},
+      {R"("Gpu":8)", R"("Gpu":-1)"},
+      {R"("Gpu":8)", R"("Gpu":99999999999)"},
+      {R"("Seq":4)", R"("Seq":[])"},
+  };
+  for (const auto &[Part, Instead] : Changes)
+    CHECK_TEXT(isMalformed([&] {
+                 decodeHeartbeat("i-1", without(Heartbeat, Part, Instead));
+               }),
+               Instead);
+  CHECK(isMalformed([] { decodeHeartbeat("i-1", "\xff\xfe"); }));
+  CHECK(isMalformed([] { decodeHeartbeat("i-1", "[]"); }));
+}
+
+TEST(PlatformDecode, ReadsAJob) {
+  const work::job_spec Job = decodeJob(
+      R"({"Spec":"text","Steps":[{"Count":4,"Cpu":500,"MemMb":256,)"
+      R"("EstimatedMs":900,"DataRack":"r1-3"},{"Count":20,"Gpu":2,)"
+      R"("After":[0],"Checkpointing":true,"Gang":true,"SameRack":true,)"
+      R"("RequiredLabel":"b","MaxPerServer":3,"LongRunning":true}],)"
+      R"("Times":3,"StartAtMs":1000,"IntervalMs":500})");
+  STRCMP_EQUAL("text", Job.Payload.c_str());
+  LONGS_EQUAL(2, Job.Steps.size());
+  LONGS_EQUAL(500, Job.Steps[0].Need.MilliCores);
+  const work::step_spec &Second = Job.Steps[1];
+  LONGS_EQUAL(0, Second.After.at(0));
+  CHECK(Second.Gang && Second.SameRack && Second.Checkpointing);
+  CHECK(Second.LongRunning);
+  LONGS_EQUAL(3, Second.MaxPerWorker);
+  CHECK(Job.Scheduled);
+  LONGS_EQUAL(3, Job.Occurrences);
+}
+
+TEST(PlatformDecode, AJobWithoutTimesRunsOnceAtOnce) {
+  const work::job_spec Job = decodeJob(R"({"Steps":[{"Count":1}]})");
+  CHECK(!Job.Scheduled);
+  LONGS_EQUAL(1, Job.Occurrences);
+}
+
+TEST(PlatformDecode, RefusesJobsThatMakeNoSense) {
+  for (const char *Wrong :
+       {"", "{}", R"({"Steps":[]})", R"({"Steps":[{}]})", R"({"Steps":[7]})",
+        R"({"Steps":[{"Count":1,"After":[0]}]})",
+        R"({"Steps":[{"Count":1},{"Count":1,"After":[-1]}]})",
+        R"({"Steps":[{"Count":0}]})", R"({"Steps":[{"Count":1.5e30}]})",
+        R"({"Steps":[{"Count":1,"Gang":"yes"}]})",
+        R"({"Spec":5,"Steps":[{"Count":1}]})"})
+    CHECK_TEXT(isMalformed([&] { decodeJob(Wrong); }), Wrong);
+}
+
+TEST(PlatformDecode, KnowsWhatAWorkerCalls) {
+  const auto Beat = parseWorkerPath("POST", "/api/workers/i-1/heartbeat");
+  CHECK(Beat.Kind == worker_message::Heartbeat);
+  STRCMP_EQUAL("i-1", std::string(Beat.Worker).c_str());
+  CHECK(parseWorkerPath("POST", "/api/workers/i-1/deregister").Kind ==
+        worker_message::Leaves);
+  for (const char *Path : {"/api/workers/", "/api/workers/i-1", "/other",
+                           "/api/workers/i-1/dance"})
+    CHECK_TEXT(parseWorkerPath("POST", Path).Kind == worker_message::Other,
+               Path);
+  CHECK(parseWorkerPath("GET", "/api/workers/i-1/heartbeat").Kind ==
+        worker_message::Other);
+}
+
+TEST(PlatformDecode, RoundsRetryAfterUp) {
+  const http_response Response =
+      encodeError(503, "busy", "later", std::chrono::milliseconds(1200));
+  STRCMP_EQUAL("Retry-After", Response.Headers.back().Name.c_str());
+  STRCMP_EQUAL("2", Response.Headers.back().Value.c_str());
+}
--- /dev/null
+++ b/src/platform/tests/taskworkerclienttest.cpp
@@ -0,0 +1,127 @@
+#include "platform/internal/tasknames.h"
+#include "platform/taskworkerclient.h"
+#include "testkit/fakehttp.h"
+
+#include <nlohmann/json.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace geraniumpaddle;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct start_case {
+  const char *Name;
+  http_result Result;
+  work::worker_call Expected;
+  work::start_refusal Reason = work::start_refusal::Stale;
+};
+
+} // namespace
+
+TEST_GROUP(TaskWorkerClient) {
+  testing::fake_http_client Http;
+  task_worker_client Worker{Http, 600ms};
+  worker_target Target{"10.0.0.1:80", worker_id("i-1"), 9};
+  work::run_ref Run{{job_id("00000000000000aa"), {0, 1, 17}}, 2};
+
+  nlohmann::json body() {
+    return nlohmann::json::parse(Http.Calls.front().first.Body);
+  }
+  listing_outcome list(const char *Answer, int Code = 200) {
+    listing_outcome Outcome;
+    Worker.list(Target, {.AcknowledgedEnds = 5},
+                [&](const listing_outcome &Each) { Outcome = Each; });
+    Http.answer({.Status = call_status::Completed, .Code = Code, .Body = Answer});
+    return Outcome;
+  }
+};
+
+TEST(TaskWorkerClient, SpellsAStart) {
+  Worker.start(Target,
+               {.Run = {.Run = Run, .Payload = "p", .Checkpoint = "c"},
+                .LeaseEndMs = 486000},
+               [](const start_outcome &) {});
+  STRCMP_EQUAL("/api/run-start", Http.Calls.front().first.Target.c_str());
+  const auto Body = body();
+  STRCMP_EQUAL("00000000000000aa.0.1.17",
+               Body["Task"].get<std::string>().c_str());
+  LONGS_EQUAL(2, Body["Run"].get<int>());
+  LONGS_EQUAL(486000, Body["DeadlineMs"].get<int>());
+  LONGS_EQUAL(9, Body["FencingToken"].get<int>());
+  STRCMP_EQUAL("c", Body["LastCheckpoint"].get<std::string>().c_str());
+}
+
+TEST(TaskWorkerClient, LeavesOutACheckpointThatThereIsNot) {
+  Worker.start(Target, {.Run = {.Run = Run}}, [](const start_outcome &) {});
+  CHECK(!body().contains("LastCheckpoint"));
+}
+
+TEST(TaskWorkerClient, TellsWhatIsKnownOfAStart) {
+  using work::start_refusal;
+  using work::worker_call;
+  constexpr auto Whole = call_status::Completed;
+  const start_case Cases[] = {
+      {"done", {Whole, 200, {}, R"({"ClockMs":1})"}, worker_call::Done},
+      {"fence", {Whole, 409, {}, R"({"Reason":"fence"})"},
+       worker_call::Refused, start_refusal::Fenced},
+      {"old", {Whole, 409, {}, R"({"Reason":"old"})"}, worker_call::Refused,
+       start_refusal::Stale},
+      {"late", {Whole, 409, {}, R"({"Reason":"late"})"}, worker_call::Refused,
+       start_refusal::Late},
+      {"room", {Whole, 409, {}, R"({"Reason":"room"})"}, worker_call::Refused,
+       start_refusal::NoRoom},
+      {"unhealthy", {Whole, 503, {}, ""}, worker_call::Refused,
+       start_refusal::Unhealthy},
+      {"other life", {Whole, 421, {}, ""}, worker_call::Refused,
+       start_refusal::Stale},
+      {"malformed", {Whole, 400, {}, ""}, worker_call::Refused,
+       start_refusal::Invalid},
+      {"error", {Whole, 500, {}, ""}, worker_call::Unknown},
+      {"lost", {call_status::Lost, 0, {}, ""}, worker_call::Unknown},
+      {"timed out", {call_status::TimedOut, 0, {}, ""}, worker_call::Unknown},
+      {"not sent", {call_status::NotSent, 0, {}, ""}, worker_call::Refused,
+       start_refusal::Unhealthy},
+  };
+  for (const start_case &Each : Cases) {
+    start_outcome Outcome;
+    Worker.start(Target, {.Run = {.Run = Run}},
+                 [&](const start_outcome &Given) { Outcome = Given; });
+    Http.answer(Each.Result);
+    CHECK_TEXT(Outcome.Result == Each.Expected, Each.Name);
+    if (Outcome.Result == work::worker_call::Refused)
+      CHECK_TEXT(Outcome.Reason == Each.Reason, Each.Name);
+  }
+}
+
+TEST(TaskWorkerClient, ReadsAListing) {
+  const auto Outcome = list(
+      R"({"ClockMs":482113,"born":77,)"
+      R"("Running":[["5c0e7a21d94b36f8.0.1.17",2,"00000bb8",41,3],["x",1]],)"
+      R"("Finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],)"
+      R"([59,"5c0e7a21d94b36f8.0.1.9",1,"vanished",""]]})");
+  CHECK(Outcome.Listing.has_value());
+  LONGS_EQUAL(77, Outcome.Listing->Born);
+  LONGS_EQUAL(482113, Outcome.Listing->ClockMs);
+  LONGS_EQUAL(1, Outcome.Listing->Running.size());
+  LONGS_EQUAL(41, Outcome.Listing->Running[0].Percent);
+  STRCMP_EQUAL("00000bb8", Outcome.Listing->Running[0].Checkpoint.c_str());
+  LONGS_EQUAL(1, Outcome.Listing->Finished.size());
+  CHECK(Outcome.Listing->Finished[0].How == work::run_end::Done);
+}
+
+TEST(TaskWorkerClient, AListingMayFailInSeveralWays) {
+  CHECK(list("", 421).OtherLife);
+  CHECK(list(R"({"Reason":"fence"})", 409).Fenced);
+  CHECK(!list("no json").Listing);
+  CHECK(!list(R"({"ClockMs":"x"})").Listing);
+}
+
+TEST(TaskWorkerClient, TaskNamesHaveTheirFourParts) {
+  const auto Task = parseTaskName("5c0e7a21d94b36f8.2.1.17");
+  CHECK(Task && Task->Position == (work::task_position{2, 1, 17}));
+  for (const char *Wrong : {"", "a", "a.1.2", "a.1.2.x", "a.1..2", "a.1.2.-3"})
+    CHECK_TEXT(!parseTaskName(Wrong), Wrong);
+  STRCMP_EQUAL("5c0e7a21d94b36f8.2.1.17", taskName(*Task).c_str());
+}
--- /dev/null
+++ b/standins/taskworkers/fieldserver.cpp
@@ -0,0 +1,206 @@
+#include "standins/taskworkers/fieldserver.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace geraniumpaddle::standins {
+
+namespace {
+
+using json = nlohmann::json;
+using namespace std::chrono_literals;
+
+constexpr duration TickTime = 20ms;
+constexpr duration BeatTime = 500ms;
+constexpr resources Capacity{.Accelerators = 8,
+                             .MilliCores = 64000,
+                             .MemoryMb = 262144};
+
+constexpr int Ok = 200;
+constexpr int NotFound = 404;
+constexpr int Conflict = 409;
+constexpr int OtherInstance = 421;
+
+std::string taskText(const work::task_ref &Task) {
+  const auto &At = Task.Position;
+  return Task.Job.str() + "." + std::to_string(At.Occurrence) + "." +
+         std::to_string(At.Step) + "." + std::to_string(At.Index);
+}
+
+work::run_ref runOf(const json &Body) {
+  const std::string Name = Body.at("Task");
+  std::array<std::uint32_t, 3> Parts{};
+  std::string Rest = Name;
+  for (std::size_t I = Parts.size(); I-- > 0;) {
+    const std::size_t Dot = Rest.rfind('.');
+    Parts.at(I) = static_cast<std::uint32_t>(std::stoul(Rest.substr(Dot + 1)));
+    Rest.resize(Dot);
+  }
+  return {{job_id(Rest), {Parts[0], Parts[1], Parts[2]}}, Body.at("Run")};
+}
+
+http_response jsonAnswer(int Code, const json &Body) {
+  return {.Code = Code,
+          .Headers = {{"Content-Type", "application/json"}},
+          .Body = Body.dump()};
+}
+
+http_response answerOf(field_answer Answer, std::int64_t ClockMs) {
+  switch (Answer) {
+  case field_answer::Done:
+    return jsonAnswer(Ok, {{"ClockMs", ClockMs}});
+  case field_answer::Fenced:
+    return jsonAnswer(Conflict, {{"ClockMs", ClockMs}, {"Reason", "fence"}});
+  case field_answer::Stale:
+    return jsonAnswer(Conflict, {{"ClockMs", ClockMs}, {"Reason", "old"}});
+  case field_answer::Late:
+    return jsonAnswer(Conflict, {{"ClockMs", ClockMs}, {"Reason", "late"}});
+  case field_answer::OtherLife:
+    break;
+  }
+  return {.Code = OtherInstance};
+}
+
+} // namespace
+
+field_server::field_server(event_loop &Loop,
+                           std::span<const field_plan> Plans)
+    : Loop(Loop), Http(Loop, http_client_limits{}, Traffic),
+      Field({}, &field_server::behaviour), Tick(Loop), Beat(Loop) {
+  for (const field_plan &Plan : Plans) {
+    Field.addWorker(worker_id(Plan.Name), Capacity, Loop.now());
+    auto Worker = std::make_unique<served_worker>();
+    Worker->Plan = Plan;
+    served_worker &Added = *Worker;
+    Worker->Server = std::make_unique<http_server>(
+        Loop, "127.0.0.1:0", http_server_limits{},
+        [this, &Added](const http_request_view &Request,
+                       const responder_ptr &Responder) {
+          handle(Added, Request, Responder);
+        });
+    Workers.push_back(std::move(Worker));
+  }
+  tick();
+  for (const auto &Worker : Workers)
+    beat(*Worker);
+}
+
+task_behaviour field_server::behaviour(const work::run_ref &Run,
+                                       std::string_view Payload) {
+  const json What = json::parse(Payload);
+  task_behaviour Task;
+  Task.Work = std::chrono::milliseconds(What.value("ms", 100));
+  Task.Need.Accelerators = What.value("needs", 0);
+  Task.Fails = What.value("fails", false);
+  Task.GangSize = What.value("gang", 1U);
+  if (Task.GangSize > 1)
+    Task.Gang = Run.Task.Job.str() + "/" + std::to_string(Run.Run);
+  return Task;
+}
+
+void field_server::handle(served_worker &Worker,
+                          const http_request_view &Request,
+                          const responder_ptr &Responder) {
+  const worker_id Id(Worker.Plan.Name);
+  const time_point Now = Loop.now();
+  Field.advance(Now);
+  const json Body = json::parse(Request.Body);
+  const std::uint64_t Token = Body.value("FencingToken", std::uint64_t{0});
+  const work::worker_life Life{Id, Field.born(Id)};
+  const std::int64_t ClockMs = Field.clockMs(Id, Now);
+  if (Request.Path == "/api/run-start") {
+    work::start_run Order{.LeaseEndMs = Body.at("DeadlineMs")};
+    Order.Run = {.Run = runOf(Body),
+                 .Payload = Body.value("Spec", ""),
+                 .Checkpoint = Body.value("LastCheckpoint", "")};
+    Responder->respond(
+        answerOf(Field.start(Life, Token, Order, Now), ClockMs));
+  } else if (Request.Path == "/api/run-stop") {
+    Responder->respond(
+        answerOf(Field.stop(Life, Token, runOf(Body), Now), ClockMs));
+  } else if (Request.Path == "/api/hold") {
+    work::list_runs Order{.AcknowledgedEnds =
+                              Body.value("AckCursor", std::uint64_t{0})};
+    if (Body.contains("DeadlineMs"))
+      Order.LeaseEndMs = Body.at("DeadlineMs").get<std::int64_t>();
+    const field_answer Answer = Field.hold(Life, Token, Order, Now);
+    if (Answer != field_answer::Done)
+      Responder->respond(answerOf(Answer, ClockMs));
+    else
+      Worker.Open.push_back(
+          {Responder, Now + std::chrono::milliseconds(Body.value("WaitMs", 0))});
+    tick();
+  } else {
+    Responder->respond({.Code = NotFound});
+  }
+}
+
+void field_server::answerListing(const served_worker &Worker,
+                                 ihttp_responder &Responder) {
+  const work::worker_listing Listing =
+      Field.listing(worker_id(Worker.Plan.Name), Loop.now());
+  json Running = json::array();
+  for (const work::running_run &Row : Listing.Running)
+    Running.push_back({taskText(Row.Run.Task), Row.Run.Run, Row.Checkpoint,
+                       Row.Percent, 0});
+  json Finished = json::array();
+  for (const work::finished_run &Row : Listing.Finished)
+    Finished.push_back({Row.Number, taskText(Row.Run.Task), Row.Run.Run,
+                        name(Row.How), Row.Checkpoint});
+  Responder.respond(jsonAnswer(Ok, {{"ClockMs", Listing.ClockMs},
+                                    {"born", Listing.Born},
+                                    {"Running", Running},
+                                    {"Finished", Finished}}));
+}
+
+void field_server::beat(served_worker &Worker) {
+  const worker_id Id(Worker.Plan.Name);
+  const json Body = {
+      {"Service", "desk"},
+      {"Address", "127.0.0.1:" + std::to_string(Worker.Server->port())},
+      {"Zone", "a"},
+      {"Version", "v1"},
+      {"Slots", 8},
+      {"State", "ready"},
+      {"Capacity",
+       {{"Cpu", Capacity.MilliCores},
+        {"MemMb", Capacity.MemoryMb},
+        {"Gpu", Capacity.Accelerators}}},
+      {"Labels", {"plain", Worker.Plan.Rack}},
+      {"born", Field.born(Id)},
+      {"ClockMs", Field.clockMs(Id, Loop.now())},
+      {"Seq", ++Worker.Sequence}};
+  Http.send({.Address = Worker.Plan.Agent,
+             .Method = "POST",
+             .Target = "/api/workers/" + Worker.Plan.Name + "/heartbeat",
+             .Headers = {{"Content-Type", "application/json"}},
+             .Body = Body.dump(),
+             .Timeout = 1s},
+            [](const http_result &) {});
+  Loop.startTimer(BeatTime, [this, &Worker] { beat(Worker); });
+}
+
+void field_server::tick() {
+  const time_point Now = Loop.now();
+  Field.advance(Now);
+  for (; Told < Field.violations().size(); ++Told)
+    std::fprintf(stderr, "violation: %s\n", Field.violations()[Told].c_str());
+  for (const auto &Worker : Workers) {
+    const bool Ends = Field.hasEnds(worker_id(Worker->Plan.Name));
+    std::vector<open_listing> Due;
+    std::erase_if(Worker->Open, [&](open_listing &Each) {
+      if (!Ends && Each.Until > Now)
+        return false;
+      Due.push_back(std::move(Each));
+      return true;
+    });
+    for (const open_listing &Each : Due)
+      answerListing(*Worker, *Each.Responder);
+  }
+  Tick.start(TickTime, [this] { tick(); });
+}
+
+} // namespace geraniumpaddle::standins
