Room for urgent gangs, probation of workers, refusals in time, faster takeover

Ruled out: the store's answers as cause of the late refusals (they came at once). Change: urgent_demand keeps room for three quarters of the last urgent shapes from priority 1 on; a worker is suspected after three failures in a row, then gets one task at a time until one ends well; a last attempt goes to proven workers only; the store is asked for 0.4 s, unknown outcomes end at 45% of the caller's time with 504, Retry-After grows with the outage from 2 s to 4 s; members of the group call every 0.25 s and are forgotten after 1.1 s.

--- a/src/core/topics/types/officeevents.h
+++ b/src/core/topics/types/officeevents.h
@@ -59,7 +59,7 @@
 struct office_limits {
   /// Pause between two calls of the group. The platform forgets a member that
   /// is silent for a time to live that is several times this.
-  duration JoinEvery = std::chrono::milliseconds(400);
+  duration JoinEvery = std::chrono::milliseconds(250);
   /// Pause before a candidate that resigned stands again.
   duration ResignFor = std::chrono::seconds(6);
 };
--- a/src/core/work/internal/placementround.cpp
+++ b/src/core/work/internal/placementround.cpp
@@ -40,8 +40,14 @@
     const worker_description &Worker = Slot.Worker->Description;
     const bool Avoided =
         Request.Avoid && Request.Avoid->contains(Worker.Life.Worker);
+    // A worker on probation gets one task at a time to show what it does.
+    const bool Trusted =
+        Slot.Worker->proven() ||
+        (!Request.ProvenOnly &&
+         (!Slot.Worker->OnProbation ||
+          (Slot.Worker->Runs.empty() && !Slot.Probed && !Step.Gang)));
     Slot.Eligible =
-        !Avoided && Worker.Service == Request.Service &&
+        !Avoided && Trusted && Worker.Service == Request.Service &&
         (Step.RequiredLabel.empty() || Worker.hasLabel(Step.RequiredLabel));
     Slot.Placed = 0;
     for (const live_run *Sibling : Request.Siblings)
@@ -87,6 +93,10 @@
 
 void placement_round::take(slot &Slot, const placement_request &Request) {
   const resources Need = heldBy(*Request.Step);
+  if (Slot.Worker->OnProbation) {
+    Slot.Probed = true;
+    Slot.Eligible = false;
+  }
   Slot.Now -= Need;
   Slot.Soon -= Need;
   Slot.Later -= Need;
@@ -99,6 +109,10 @@
                                std::span<const placed_task> Placed) {
   const resources Need = heldBy(*Request.Step);
   for (const placed_task &Each : Placed) {
+    if (Each.Slot->Worker->OnProbation) {
+      Each.Slot->Probed = false;
+      Each.Slot->Eligible = true;
+    }
     Each.Slot->Now += Need;
     Each.Slot->Soon += Need;
     Each.Slot->Later += Need;
--- a/src/core/work/internal/scheduledecisions.cpp
+++ b/src/core/work/internal/scheduledecisions.cpp
@@ -20,6 +20,10 @@
 /// Work that may be thrown away for a step, as a multiple of its own.
 constexpr double PreemptionFactor = 2;
 
+/// Tasks of this priority and later ones wait for room beside what is kept for
+/// urgent jobs, unless they can be stopped cheaply.
+constexpr std::uint32_t FirstDeferrable = 1;
+
 double coreSeconds(const placement_request &Request) {
   live_run Run{.Need = heldBy(*Request.Step)};
   return unsavedWork(Run, Run.PlacedAt + Request.Expected) *
@@ -55,14 +59,22 @@
     return;
   placement_round Round(Pool, Present.Now);
   int Reservations = 0;
+  bool RoomKept = false;
   std::vector<const live_run *> Siblings;
   for (const candidate &Each : Ready) {
     live_job &Job = *findJob(Each.Step.Job);
+    const bool Cheap = Job.step(Each.Step.Step).Checkpointing;
+    if (Each.Priority >= FirstDeferrable && !Cheap && !RoomKept) {
+      RoomKept = true;
+      keepRoomForUrgent(Round, Present);
+    }
     const std::vector<task_position> Tasks = Job.waiting(Each.Step);
     placement_request Request =
         requestFor(Job, Each.Step, Tasks, Siblings);
-    if (Request.Avoid && !Round.everFits(Request))
+    if ((Request.Avoid || Request.ProvenOnly) && !Round.everFits(Request)) {
       Request.Avoid = nullptr;
+      Request.ProvenOnly = false;
+    }
     const std::vector<assignment> Placed = Round.place(Request);
     startRuns(Job, Each.Step, Placed, Present);
     if (Placed.size() == Tasks.size())
@@ -80,6 +92,21 @@
   }
 }
 
+void work_scheduler::keepRoomForUrgent(placement_round &Round,
+                                       const present_time &Present) {
+  const auto Shape = Urgent.roomToKeep(Present.Now);
+  if (!Shape)
+    return;
+  std::vector<task_position> Tasks;
+  for (std::uint32_t I = 0; I < Shape->Step.Count; ++I)
+    Tasks.push_back({0, 0, I});
+  Round.reserveAt({.Step = &Shape->Step,
+                   .Service = Shape->Service,
+                   .Expected = Shape->Step.Estimate,
+                   .Tasks = Tasks},
+                  Present.Now);
+}
+
 void work_scheduler::makeRoom(placement_round &Round, const candidate &Step,
                               const placement_request &Request,
                               const present_time &Present) {
@@ -240,6 +267,18 @@
   return Ready;
 }
 
+/// True if a failure of one of the tasks would end the job.
+bool work_scheduler::lastAttempt(const live_job &Job,
+                                 std::span<const task_position> Tasks) const {
+  const std::uint32_t Attempts = termsOf(Job).Attempts;
+  return std::any_of(Tasks.begin(), Tasks.end(), [&](task_position Task) {
+    if (Job.step(Task.Step).Gang)
+      Task.Index = 0; // counts for its gang
+    const std::uint32_t Failures = Job.task(Task).Failures;
+    return Failures > 0 && Failures + 1 >= Attempts;
+  });
+}
+
 placement_request work_scheduler::requestFor(
     const live_job &Job, const step_ref &Step,
     std::span<const task_position> Tasks,
@@ -258,6 +297,7 @@
           .Expected = Forecast.expected(Terms, Job.step(Step.Step)),
           .Tasks = Tasks,
           .Siblings = Siblings,
+          .ProvenOnly = lastAttempt(Job, Tasks),
           .Avoid = Failed == FailedOn.end() ? nullptr : &Failed->second};
 }
 
--- a/src/core/work/internal/workerreports.cpp
+++ b/src/core/work/internal/workerreports.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// A worker on which this many jobs failed one after the other is suspected.
-constexpr std::size_t FailuresToSuspect = 2;
+/// A worker on which this many runs failed one after the other is suspected.
+constexpr int FailuresToSuspect = 3;
 /// It gets no tasks for this long; each time in a row twice as long.
 constexpr duration FirstSuspicion = std::chrono::seconds(4);
 constexpr int MaxSuspicions = 3;
@@ -137,8 +137,9 @@
   const job_id &Id = Run.Run.Task.Job;
   const live_job *Job = findJob(Id);
   if (How == run_end::Done) {
-    Worker.FailedJobs.clear();
+    Worker.FailuresInRow = 0;
     Worker.Suspicions = 0;
+    Worker.OnProbation = false;
     if (Job && Run.Started)
       Forecast.learn(termsOf(*Job), Job->step(Run.Run.Task.Position.Step),
                      Present.Now - Run.StartedAt);
@@ -147,9 +148,9 @@
   if (How != run_end::Failed)
     return;
   FailedOn[Id].insert(Worker.Description.Life.Worker);
-  Worker.FailedJobs.insert(Id);
-  if (Worker.FailedJobs.size() >= FailuresToSuspect)
-    suspect(Worker, "jobs_failed", Present);
+  ++Worker.FailuresInRow;
+  if (Worker.OnProbation || Worker.FailuresInRow >= FailuresToSuspect)
+    suspect(Worker, "runs_failed", Present);
 }
 
 void work_scheduler::suspect(pool_worker &Worker, std::string_view Why,
@@ -158,7 +159,8 @@
     return;
   Worker.SuspectUntil = Present.Now + FirstSuspicion * (1 << Worker.Suspicions);
   Worker.Suspicions = std::min(Worker.Suspicions + 1, MaxSuspicions);
-  Worker.FailedJobs.clear();
+  Worker.FailuresInRow = 0;
+  Worker.OnProbation = true;
   NextExpiry = Present.Now;
   note(decision_kind::WorkerSuspected, {}, Worker.Description.Life, Why);
 }
--- a/src/core/work/internal/workscheduler.cpp
+++ b/src/core/work/internal/workscheduler.cpp
@@ -163,6 +163,8 @@
   adoptRuns(Added->second, Present);
   Waiting.insert(Id);
   RoundWanted = true;
+  if (termsOf(Added->second).Priority == 0)
+    Urgent.arrived(*Event.Spec, Present.Now);
   note(decision_kind::JobArrived, {{Id, {}}, 0}, {}, Event.Spec->Terms.Queue);
 }
 
--- a/src/core/work/placementround.h
+++ b/src/core/work/placementround.h
@@ -20,6 +20,8 @@
   std::span<const task_position> Tasks;
   /// Runs of the same step and occurrence that go on.
   std::span<const live_run *const> Siblings;
+  /// One more failure ends the job: only workers that nothing speaks against.
+  bool ProvenOnly = false;
   /// Workers to keep away from, such as those where it failed.
   const std::set<worker_id> *Avoid = nullptr;
 };
@@ -76,6 +78,7 @@
     time_point ReservedAt{};
     resources Spare; ///< free at ReservedAt beside what is reserved
     bool Eligible = false;    ///< for the request at hand
+    bool Probed = false;      ///< on probation, and has a task in this round
     std::uint32_t Placed = 0; ///< of the step at hand, siblings too
   };
   using view = resources slot::*;
--- a/src/core/work/tests/placementtest.cpp
+++ b/src/core/work/tests/placementtest.cpp
@@ -168,6 +168,31 @@
   CHECK(Round.place(request()).empty());
 }
 
+TEST(Placement, AWorkerOnProbationGetsOneTaskAtATime) {
+  addWorker("w1", "r1");
+  Pool.find(worker_id("w1"))->OnProbation = true;
+  step() = {.Count = 3, .Need = {.Accelerators = 1}};
+  auto Round = round();
+  LONGS_EQUAL(1, Round.place(request()).size());
+  CHECK(Round.place(request()).empty());
+  occupy("w1", 1);
+  auto Next = round();
+  CHECK(Next.place(request()).empty());
+}
+
+TEST(Placement, ALastAttemptGoesToAWorkerThatNothingSpeaksAgainst) {
+  addWorker("w1", "r1");
+  Pool.find(worker_id("w1"))->FailuresInRow = 1;
+  step().Count = 1;
+  placement_request Last = request();
+  Last.ProvenOnly = true;
+  auto Round = round();
+  CHECK(Round.place(Last).empty());
+  addWorker("w2", "r1");
+  auto Next = round();
+  CHECK(workersOf(Next.place(Last)) == std::set<std::string>{"w2"});
+}
+
 TEST(Placement, WhatIsBeingStoppedStillCounts) {
   addWorker("w1", "r1");
   const live_run &Run = occupy("w1", 4);
--- a/src/core/work/workerpool.h
+++ b/src/core/work/workerpool.h
@@ -4,7 +4,6 @@
 #include "core/work/types/liverun.h"
 
 #include <map>
-#include <set>
 #include <vector>
 
 namespace geraniumpaddle::work {
@@ -22,7 +21,8 @@
   std::uint64_t Listed = 0;       ///< highest number of an end taken in
   std::uint64_t Acknowledged = 0; ///< ends up to here are in the log
   std::uint64_t OrderNumber = 1;
-  std::set<job_id> FailedJobs; ///< that failed here since a run ended well
+  int FailuresInRow = 0;       ///< runs that failed since one ended well
+  bool OnProbation = false;    ///< suspected, and no run has ended well since
   time_point SuspectUntil{};   ///< gets no tasks before
   int Suspicions = 0;          ///< in a row
 
@@ -30,6 +30,8 @@
     return Described && HasListing && Reachable && !Description.Draining &&
            SuspectUntil <= Now;
   }
+  /// Nothing speaks against it: for tasks that may not fail again.
+  bool proven() const { return FailuresInRow == 0 && !OnProbation; }
   resources free() const {
     resources Free = Description.Capacity;
     Free -= Used;
--- a/src/core/work/workscheduler.h
+++ b/src/core/work/workscheduler.h
@@ -7,6 +7,7 @@
 #include "core/work/runtable.h"
 #include "core/work/types/limits.h"
 #include "core/work/types/schedulerevents.h"
+#include "core/work/urgentdemand.h"
 #include "core/work/workbook.h"
 #include "core/work/workerpool.h"
 
@@ -129,12 +130,15 @@
   candidate candidateFor(const live_job &Job, const step_ref &Step,
                          const present_time &Present) const;
   std::set<customer_id> guaranteedCustomers() const;
+  bool lastAttempt(const live_job &Job,
+                   std::span<const task_position> Tasks) const;
   placement_request requestFor(const live_job &Job, const step_ref &Step,
                                std::span<const task_position> Tasks,
                                std::vector<const live_run *> &Siblings) const;
   void startRuns(live_job &Job, const step_ref &Step,
                  std::span<const assignment> Assignments,
                  const present_time &Present);
+  void keepRoomForUrgent(placement_round &Round, const present_time &Present);
   void makeRoom(placement_round &Round, const candidate &Step,
                 const placement_request &Request, const present_time &Present);
   bool worthPreempting(const candidate &Step, const placement_request &Request,
@@ -151,6 +155,7 @@
   run_table Runs;
   worker_pool Pool;
   run_forecast Forecast;
+  urgent_demand Urgent;
   std::map<step_ref, time_point> StartingGangs; ///< and when they are given up
 
   std::map<job_id, job_progress> Changed; ///< to be recorded
--- a/src/daemon/internal/processhost.cpp
+++ b/src/daemon/internal/processhost.cpp
@@ -16,7 +16,7 @@
 /// Time for the last answers to be written out before the loop ends.
 constexpr duration ExitDelay = std::chrono::milliseconds(200);
 /// A kept connection of a caller may carry one more request until it closes.
-constexpr int MaxExitDelays = 10;
+constexpr int MaxExitDelays = 7;
 /// The file may change without a signal; reading it takes under a millisecond.
 constexpr duration SettingsInterval = std::chrono::seconds(5);
 
--- a/src/jobagent/internal/schedulerlink.cpp
+++ b/src/jobagent/internal/schedulerlink.cpp
@@ -11,7 +11,7 @@
 
 /// An answer takes the time that the report may wait, and the way there and
 /// back; an entry may be slow.
-constexpr duration AnswerGrace = std::chrono::milliseconds(700);
+constexpr duration AnswerGrace = std::chrono::milliseconds(600);
 /// Pause before the next entry is asked; several are asked in turn.
 constexpr duration RetryDelay = std::chrono::milliseconds(60);
 /// How often the entries are read from the store: while there is no scheduler,
--- a/src/jobagent/internal/workersession.cpp
+++ b/src/jobagent/internal/workersession.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /// How long the scheduler may keep a report until there are new orders.
-constexpr std::uint64_t ReportWaitMs = 1500;
+constexpr std::uint64_t ReportWaitMs = 900;
 
 } // namespace
 
--- a/src/jobentry/internal/jobapi.cpp
+++ b/src/jobentry/internal/jobapi.cpp
@@ -26,15 +26,18 @@
 
 /// Used for callers that do not say how long they wait.
 constexpr duration DefaultTimeout = std::chrono::seconds(3);
-/// Time for the answer to reach the caller.
-constexpr duration AnswerTime = std::chrono::milliseconds(150);
-/// Limit of one append; a lost answer is found out by then.
-constexpr duration AppendTimeout = std::chrono::milliseconds(900);
+/// Share of the time that a caller waits after which it is told that nothing
+/// came of its call, so that it can come back.
+constexpr double GiveUpShare = 0.45;
+/// Limit of one append; a lost answer is found out by then. The platform's
+/// slowest answers take about 400 ms.
+constexpr duration AppendTimeout = std::chrono::milliseconds(600);
 constexpr duration AppendRetryDelay = std::chrono::milliseconds(40);
 /// A store that refuses is asked for this long before the caller is told.
 constexpr duration RefusedFor = std::chrono::milliseconds(400);
-/// An outage of the store takes seconds; callers come back after this.
-constexpr duration StoreRetryAfter = std::chrono::seconds(1);
+/// An outage of the store takes seconds; callers come back after these times.
+constexpr duration StoreRetryAfter = std::chrono::seconds(2);
+constexpr duration MaxStoreRetryAfter = std::chrono::seconds(4);
 /// A job id is this many hexadecimal digits.
 constexpr std::size_t JobIdDigits = 16;
 /// Tasks of one job, over all its occurrences. Bounds the size of its record.
@@ -96,7 +99,8 @@
   const duration Timeout =
       Given ? duration(std::chrono::milliseconds(Milliseconds))
             : DefaultTimeout;
-  return Loop.now() + std::max(Timeout - AnswerTime, Timeout / 2);
+  return Loop.now() +
+         std::chrono::duration_cast<duration>(Timeout * GiveUpShare);
 }
 
 void job_api::handle(const http_request_view &Request,
@@ -229,15 +233,15 @@
   });
 }
 
+duration job_api::storeRetryAfter() {
+  const duration Fails = Loop.now() - StoreFailsSince;
+  return std::clamp(StoreRetryAfter + Fails, StoreRetryAfter,
+                    MaxStoreRetryAfter);
+}
+
 void job_api::store(job_call Call, append_call Append) {
   const duration Left = Call.Until - Loop.now();
   Append.Timeout = std::min(AppendTimeout, Left);
-  if (Append.Timeout <= duration{}) {
-    finish(Call, encodeError(Undetermined, "undetermined",
-                             "it may or may not have been recorded"),
-           "undetermined");
-    return;
-  }
   const append_call Sent = Append;
   Store.append(Sent, [this, Life = Alive, Call = std::move(Call),
                       Append = std::move(Append)](
@@ -250,17 +254,30 @@
 void job_api::stored(job_call Call, append_call Append,
                      const append_outcome &Outcome) {
   if (Outcome.Status == stored_status::Stored) {
+    StoreFailsSince = {};
     finish(Call, encodeEmpty(Success), "stored");
     return;
   }
   Call.Uncertain |= Outcome.Status == stored_status::Unknown;
+  if (Call.RefusedSince == time_point{})
+    Call.RefusedSince = Loop.now();
+  if (StoreFailsSince == time_point{})
+    StoreFailsSince = Loop.now();
   const bool GiveUp = Loop.now() + AppendRetryDelay >= Call.Until;
-  if (!Call.Uncertain && (GiveUp || Loop.now() + RefusedFor >= Call.Until)) {
+  if (!Call.Uncertain &&
+      (GiveUp || Loop.now() - Call.RefusedSince >= RefusedFor)) {
     finish(Call, encodeError(Unavailable, "store_unavailable",
-                             "it was not recorded", StoreRetryAfter),
+                             "it was not recorded", storeRetryAfter()),
            "store_refused");
     return;
   }
+  if (GiveUp) {
+    finish(Call, encodeError(Undetermined, "undetermined",
+                             "it may or may not have been recorded",
+                             storeRetryAfter()),
+           "undetermined");
+    return;
+  }
   // A record replaces an equal one of its key, so a repeat does no harm.
   Loop.startTimer(AppendRetryDelay, [this, Life = Alive,
                                      Call = std::move(Call),
--- a/src/jobentry/internal/jobentryrole.cpp
+++ b/src/jobentry/internal/jobentryrole.cpp
@@ -22,7 +22,7 @@
 /// A new term waits for the log to be read; then it is tried again.
 constexpr duration CatchUpLimit = std::chrono::seconds(1);
 /// The balancer asks once a second and needs two misses.
-constexpr duration DrainServe = std::chrono::milliseconds(3000);
+constexpr duration DrainServe = std::chrono::milliseconds(2500);
 
 /// Limit of the question to the scheduler before, and how often it is asked.
 constexpr duration EarlierTermTimeout = std::chrono::milliseconds(600);
--- a/src/jobentry/internal/officedriver.cpp
+++ b/src/jobentry/internal/officedriver.cpp
@@ -9,9 +9,9 @@
 
 /// The platform deals the office anew when its holder is silent this long. It
 /// allows no less than 1 s; a call that is lost must not cost the office.
-constexpr duration TimeToLive = std::chrono::milliseconds(1500);
+constexpr duration TimeToLive = std::chrono::milliseconds(1100);
 /// Limit of one call of the group and of one claim.
-constexpr duration CallTimeout = std::chrono::milliseconds(1000);
+constexpr duration CallTimeout = std::chrono::milliseconds(700);
 
 } // namespace
 
--- a/src/jobentry/jobapi.h
+++ b/src/jobentry/jobapi.h
@@ -35,10 +35,11 @@
   struct job_call {
     std::shared_ptr<ihttp_responder> Responder;
     job_id Job;
-    time_point Until; ///< the caller waits no longer
+    time_point Until; ///< then the caller is told what is known
     std::string Verb; ///< for the log
     /// An append of it may have been stored without an answer.
     bool Uncertain = false;
+    time_point RefusedSince{}; ///< by the store; 0: not yet
   };
   using call_handler = void (job_api::*)(job_call, const work::admitted_call &,
                                          const http_request_view &);
@@ -60,6 +61,8 @@
               const append_outcome &Outcome);
   void finish(const job_call &Call, http_response Response,
               std::string_view Reason);
+  /// Longer, the longer the store has not stored anything.
+  duration storeRetryAfter();
   time_point deadlineOf(const http_request_view &Request) const;
 
   ievent_loop &Loop;
@@ -68,6 +71,7 @@
   metric_registry &Metrics;
   const work::work_book &Book;
   const work::queue_directory &Queues;
+  time_point StoreFailsSince{}; ///< 0: the last append was stored
   logger Log{"jobs"};
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
--- a/src/settings/internal/settingsreader.cpp
+++ b/src/settings/internal/settingsreader.cpp
@@ -110,6 +110,10 @@
     return isName(Text) ? "" : "is not a name (letters, digits, - _ .)";
   case value_rule::Address:
     return isAddress(Text) ? "" : "is not an address of the form ip:port";
+  case value_rule::Listener:
+    return Text.empty() || isAddress(Text)
+               ? ""
+               : "is not an address of the form ip:port";
   case value_rule::Path:
     return Text.empty() || Text.front() == '/' ? "" : "does not begin with '/'";
   case value_rule::Severity:
--- a/src/settings/internal/settingsschema.h
+++ b/src/settings/internal/settingsschema.h
@@ -20,6 +20,7 @@
   None,
   Name,       ///< letters, digits, '-', '_', '.'
   Address,    ///< ip:port
+  Listener,   ///< ip:port, or empty where a role does not listen
   Path,       ///< empty, or begins with '/'
   Severity,   ///< trace, debug, info, warning, error
   SaltedHash, ///< empty, or as printed by the tool's hash command
