--- a/src/core/work/internal/workbook.cpp
+++ b/src/core/work/internal/workbook.cpp
@@ -60,12 +60,38 @@
     if (Found == Jobs.end())
       return;
     countPending(Found->second, -1);
-    Jobs.erase(Found);
+    Found->second.Spec.reset();
+    eraseIfEmpty(Found->first);
+  } else if (Key.starts_with(CancellationPrefix)) {
+    forgetRest(job_id(Key.substr(CancellationPrefix.size())),
+               [](book_entry &Entry) { Entry.Cancelled = false; });
+  } else if (Key.starts_with(ProgressPrefix)) {
+    forgetRest(job_id(Key.substr(ProgressPrefix.size())),
+               [](book_entry &Entry) { Entry.Progress = {}; });
   } else if (Key.starts_with(EntryPrefix)) {
     Entries.erase(node_id(Key.substr(EntryPrefix.size())));
   }
 }
 
+/// Progress and cancellation are dropped after the submission; of a job that
+/// still has one they stay, since it must not run again.
+template <typename Change>
+void work_book::forgetRest(const job_id &Job, const Change &Apply) {
+  const auto Found = Jobs.find(Job);
+  if (Found == Jobs.end() || Found->second.Spec)
+    return;
+  Apply(Found->second);
+  eraseIfEmpty(Job);
+}
+
+void work_book::eraseIfEmpty(const job_id &Job) {
+  const auto Found = Jobs.find(Job);
+  const book_entry &Entry = Found->second;
+  if (!Entry.Spec && !Entry.Cancelled &&
+      Entry.Progress.State == job_state::Queued)
+    Jobs.erase(Found);
+}
+
 template <typename Change>
 void work_book::changeJob(const job_id &Job, const Change &Apply) {
   book_entry &Entry = Jobs[Job];
--- a/src/core/work/tests/workbooktest.cpp
+++ b/src/core/work/tests/workbooktest.cpp
@@ -1,3 +1,4 @@
+#include "core/work/retention.h"
 #include "core/work/tests/workbuilders.h"
 #include "core/work/workbook.h"
 
@@ -92,6 +93,38 @@
   STRCMP_EQUAL("e1", Book.lastTerm().Entry.Node.str().c_str());
 }
 
+TEST(WorkBook, AnEndedJobIsDroppedSubmissionFirst) {
+  const wall_time Ended{std::chrono::seconds(100)};
+  const wall_time Later = Ended + std::chrono::seconds(121);
+  constexpr duration Kept = std::chrono::seconds(120);
+  submit(0);
+  Book.apply({Cancellation, 1}, job_cancelled{Job});
+  Book.apply({Progress, 0},
+             job_progressed{Job, {.State = job_state::Cancelled,
+                                  .EndedAt = Ended}});
+  CHECK(findExpired(Book, Later - std::chrono::seconds(1), Kept, 9).Submissions.empty());
+  CHECK(findExpired(Book, Later, Kept, 9).Submissions == std::vector{Job});
+  CHECK(findExpired(Book, Later, Kept, 0).Submissions.empty());
+  CHECK(findExpired(Book, Later, Kept, 9).Leftovers.empty());
+  Book.forget({Progress, 1}); // out of order: the job must stay ended
+  CHECK(Book.find(Job)->state() == job_state::Cancelled);
+  Book.forget({Submission, 2});
+  CHECK(Book.find(Job) == nullptr);
+  CHECK(findExpired(Book, Later, Kept, 9).Leftovers == std::vector{Job});
+  Book.forget({Cancellation, 3});
+  Book.forget({Progress, 2});
+  LONGS_EQUAL(0, Book.jobs().size());
+}
+
+TEST(WorkBook, AJobThatRunsNeverExpires) {
+  submit(0);
+  progress(0, job_state::Running);
+  const auto Expired = findExpired(Book, wall_time(std::chrono::hours(9)),
+                                   std::chrono::seconds(1), 9);
+  CHECK(Expired.Submissions.empty());
+  CHECK(Expired.Leftovers.empty());
+}
+
 TEST(WorkBook, KeepsTheNewestRecordOfEachEntry) {
   const entry_present Entry{.Node = node_id("e1"), .PeerAddress = "1.2.3.4:1"};
   Book.apply({entryKey(Entry.Node), 0}, Entry);
--- a/src/core/work/workbook.h
+++ b/src/core/work/workbook.h
@@ -48,6 +48,9 @@
   bool advance(const record_position &Position);
   template <typename Change>
   void changeJob(const job_id &Job, const Change &Apply);
+  template <typename Change>
+  void forgetRest(const job_id &Job, const Change &Apply);
+  void eraseIfEmpty(const job_id &Job);
   void countPending(const book_entry &Entry, int By);
 
   std::unordered_map<std::string, std::uint64_t> Offsets;
--- /dev/null
+++ b/src/jobentry/internal/decisionmetrics.cpp
@@ -0,0 +1,45 @@
+#include "jobentry/decisionmetrics.h"
+
+#include <string>
+
+namespace geraniumpaddle {
+
+void decision_metrics::observeSeconds(std::string_view Name,
+                                      std::string_view Help, duration Time,
+                                      std::string_view Detail) {
+  Metrics
+      .getHistogram(Name, Help, latencyBounds(),
+                    {{"outcome", std::string(Detail)}})
+      .observe(std::chrono::duration<double>(Time).count());
+}
+
+void decision_metrics::observe(const work::decision_note &Note,
+                               time_point Now) {
+  Metrics
+      .getCounter("geraniumpaddle_decisions",
+                  "Decisions of the scheduler, by kind.",
+                  {{"kind", std::string(name(Note.Kind))}})
+      .add();
+  const job_id &Job = Note.Run.Task.Job;
+  if (Note.Kind == work::decision_kind::JobArrived) {
+    Jobs[Job].Arrived = Now;
+    return;
+  }
+  const auto Found = Jobs.find(Job);
+  if (Found == Jobs.end())
+    return; // it arrived in an earlier term
+  if (Note.Kind == work::decision_kind::RunPlaced && !Found->second.Placed) {
+    Found->second.Placed = true;
+    observeSeconds("geraniumpaddle_job_wait_seconds",
+                   "From a job's arrival to its first placement.",
+                   Now - Found->second.Arrived, "placed");
+  }
+  if (Note.Kind == work::decision_kind::JobEnded) {
+    observeSeconds("geraniumpaddle_job_seconds",
+                   "From a job's arrival to its end, by outcome.",
+                   Now - Found->second.Arrived, Note.Detail);
+    Jobs.erase(Found);
+  }
+}
+
+} // namespace geraniumpaddle
--- a/src/jobentry/internal/jobapi.cpp
+++ b/src/jobentry/internal/jobapi.cpp
@@ -112,6 +112,7 @@
   const work::admitted_call Admitted = Queues.admit(
       hostOf(Request), Request.Path, bearerToken(Request.Headers));
   job_call Call{.Responder = Responder,
+                .Since = Loop.now(),
                 .Until = deadlineOf(Request),
                 .Verb = std::string(Request.Method)};
   if (Admitted.Verdict != work::admission::Allowed) {
@@ -148,6 +149,11 @@
                   {{"method", Call.Verb},
                    {"code", std::to_string(Response.Code)}})
       .add();
+  Metrics
+      .getHistogram("geraniumpaddle_job_call_seconds",
+                    "From a call's arrival to its answer.", latencyBounds(),
+                    {{"method", Call.Verb}})
+      .observe(std::chrono::duration<double>(Loop.now() - Call.Since).count());
   // Successful looks at a job decide nothing.
   if (Call.Verb != "GET" || Response.Code != Success)
     Log.event("job_call", {{"method", Call.Verb},
--- a/src/jobentry/internal/jobentryrole.cpp
+++ b/src/jobentry/internal/jobentryrole.cpp
@@ -1,6 +1,7 @@
 #include "jobentry/jobentryrole.h"
 
 #include "core/base/error.h"
+#include "core/work/retention.h"
 #include "platform/platformdecode.h"
 #include "transport/address.h"
 #include "workcodec/workcodec.h"
@@ -28,6 +29,12 @@
 constexpr duration EarlierTermTimeout = std::chrono::milliseconds(600);
 constexpr int EarlierTermTries = 5;
 
+/// Ended jobs are looked for this often, and dropped a bounded number at once.
+constexpr duration RetentionInterval = std::chrono::seconds(10);
+constexpr std::size_t MaxDropped = 200;
+/// Clocks of entries differ.
+constexpr duration RetentionMargin = std::chrono::seconds(10);
+
 work::scheduler_limits limitsFrom(const settings &Settings) {
   work::scheduler_limits Limits;
   Limits.Lease = std::min<duration>(Settings.LeaseDuration, work::MaxLease);
@@ -69,10 +76,12 @@
       Api(Environment.Loop, Environment.Store, Jobs, Environment.Metrics, Book,
           Queues),
       AnnounceRetry(Environment.Loop), DrainTimer(Environment.Loop),
-      TermRetry(Environment.Loop), EarlierRetry(Environment.Loop) {}
+      TermRetry(Environment.Loop), EarlierRetry(Environment.Loop),
+      Retention(Environment.Loop) {}
 
 void job_entry_role::start(std::string BoundPeerAddress) {
   PeerAddress = std::move(BoundPeerAddress);
+  registerMetrics();
   Environment.Transport.setPeers([this] { return otherEntries(); });
   Log.event("start", {{"node", Self.Node.view()}, {"peer", PeerAddress}});
   announce();
@@ -121,6 +130,30 @@
   return Operator.loaded() && Jobs.loaded() && Progress.loaded();
 }
 
+void job_entry_role::registerMetrics() {
+  Environment.Metrics.onRender([this] {
+    metric_registry &Metrics = Environment.Metrics;
+    const auto Age = [this](time_point Since) {
+      return std::chrono::duration<double>(Environment.Loop.now() - Since)
+          .count();
+    };
+    Metrics.getGauge("geraniumpaddle_config_version", "Version in force.")
+        .set(static_cast<double>(Queues.version()));
+    Metrics
+        .getGauge("geraniumpaddle_belief_age_seconds",
+                  "Time since the store last answered a read of the topic.",
+                  {{"topic", "operator"}})
+        .set(Age(Operator.lastAnswer()));
+    Metrics
+        .getGauge("geraniumpaddle_belief_age_seconds",
+                  "Time since the store last answered a read of the topic.",
+                  {{"topic", "jobs"}})
+        .set(Age(Jobs.lastAnswer()));
+    Metrics.getGauge("geraniumpaddle_ready", "1 while ready for callers.")
+        .set(ready() ? 1 : 0);
+  });
+}
+
 bool job_entry_role::ready() const {
   return !Draining && loaded() && Queues.version() > 0;
 }
@@ -243,10 +276,12 @@
       Environment.Loop, Environment.Store, Office, Environment.Metrics,
       limitsFrom(Settings), NewTerm, Book, Queues);
   askEarlierTerm(EarlierTermTries);
+  dropExpired();
 }
 
 void job_entry_role::onOfficeLost() {
   EarlierRetry.cancel();
+  Retention.cancel();
   if (!Work)
     return;
   EndedTerm = Work->scheduler().term();
@@ -254,6 +289,30 @@
   Work.reset();
 }
 
+void job_entry_role::dropExpired() {
+  Retention.start(RetentionInterval, [this] { dropExpired(); });
+  const work::expired_jobs Expired =
+      work::findExpired(Book, Environment.Loop.wallNow(),
+                        Settings.StatusKept + RetentionMargin, MaxDropped);
+  append_call Jobs{.Topic = store_topic::Jobs, .Timeout = AnnounceTimeout};
+  append_call Progress{.Topic = store_topic::Progress,
+                       .Timeout = AnnounceTimeout};
+  for (const job_id &Job : Expired.Submissions)
+    Jobs.Records.push_back({work::submissionKey(Job), ""});
+  for (const job_id &Job : Expired.Leftovers) {
+    Jobs.Records.push_back({work::cancellationKey(Job), ""});
+    Progress.Records.push_back({work::progressKey(Job), ""});
+  }
+  for (const append_call *Call : {&Jobs, &Progress}) {
+    if (Call->Records.empty())
+      continue;
+    Log.event("records_dropped", {{"topic", static_cast<int>(Call->Topic)},
+                                  {"records", Call->Records.size()}});
+    // What was not dropped is found again the next time.
+    Environment.Store.append(*Call, [](const append_outcome &) {});
+  }
+}
+
 /// The scheduler before this one knows which workers may still hold leases;
 /// without its answer each may hold one for the longest time.
 void job_entry_role::askEarlierTerm(int TriesLeft) {
--- a/src/jobentry/internal/workdriver.cpp
+++ b/src/jobentry/internal/workdriver.cpp
@@ -30,16 +30,29 @@
                          std::uint64_t Term, const work::work_book &Book,
                          const work::queue_directory &Queues)
     : Loop(Loop), Store(Store), Office(Office), Metrics(Metrics),
-      Scheduler(Term, Limits, Book, Queues, present()), Wake(Loop),
+      Decisions(Metrics), Scheduler(Term, Limits, Book, Queues, present()), Wake(Loop),
       AppendRetry(Loop) {
   Log.event("term_begins", {{"term", Term},
                             {"jobs", Scheduler.openJobs()},
                             {"runs", Scheduler.runningRuns()}});
   feed(work::time_passed{});
+  updateGauges();
+}
+
+void work_driver::updateGauges() {
+  Metrics.getGauge("geraniumpaddle_term", "Term in office; 0: none.")
+      .set(*Alive ? static_cast<double>(Scheduler.term()) : 0);
+  Metrics.getGauge("geraniumpaddle_open_jobs", "Jobs that have not ended.")
+      .set(static_cast<double>(Scheduler.openJobs()));
+  Metrics.getGauge("geraniumpaddle_live_runs", "Runs that hold capacity.")
+      .set(static_cast<double>(Scheduler.runningRuns()));
+  Metrics.getGauge("geraniumpaddle_workers", "Workers that are known.")
+      .set(static_cast<double>(Scheduler.workers().all().size()));
 }
 
 work_driver::~work_driver() {
   *Alive = false;
+  updateGauges();
   // The agents ask elsewhere at once.
   for (auto &[Worker, Waiting] : Pending) {
     proto::PeerResponse Response;
@@ -68,6 +81,7 @@
                             work::encodeRecord(std::move(Record))});
   Batch = Command.Batch;
   Append = std::move(Call);
+  AppendedAt = Loop.now();
   append();
 }
 
@@ -82,9 +96,15 @@
   switch (Outcome.Status) {
   case stored_status::Stored:
     Office.confirmed();
+    Metrics
+        .getHistogram("geraniumpaddle_progress_append_seconds",
+                      "From a record of progress to its place in the log.",
+                      latencyBounds())
+        .observe(std::chrono::duration<double>(Loop.now() - AppendedAt).count());
     NextSequence = Append->Stamp->Sequence + 1;
     Append.reset();
     feed(work::progress_stored{Batch});
+    updateGauges();
     return;
   case stored_status::Fenced:
     Log.problem("term_fenced", {{"term", Scheduler.term()}});
@@ -114,11 +134,7 @@
 }
 
 void work_driver::carryOut(const work::decision_note &Command) {
-  Metrics
-      .getCounter("geraniumpaddle_decisions",
-                  "Decisions of the scheduler, by kind.",
-                  {{"kind", std::string(name(Command.Kind))}})
-      .add();
+  Decisions.observe(Command, Loop.now());
   Log.event(name(Command.Kind),
             {{"job", Command.Run.Task.Job.view()},
              {"task", taskText(Command.Run.Task.Position)},
--- a/src/jobentry/jobapi.h
+++ b/src/jobentry/jobapi.h
@@ -35,6 +35,7 @@
   struct job_call {
     std::shared_ptr<ihttp_responder> Responder;
     job_id Job;
+    time_point Since{}; ///< its arrival
     time_point Until; ///< then the caller is told what is known
     std::string Verb; ///< for the log
     /// An append of it may have been stored without an answer.
--- a/src/jobentry/jobentryrole.h
+++ b/src/jobentry/jobentryrole.h
@@ -78,6 +78,8 @@
   void exchange(const proto::work::WorkerReport &Report,
                 const peer_responder &Respond);
   std::vector<std::string> otherEntries() const;
+  void dropExpired();
+  void registerMetrics();
   bool loaded() const;
   bool ready() const;
   bool mayConfirm() const;
@@ -108,6 +110,7 @@
   timer DrainTimer;
   timer TermRetry;
   timer EarlierRetry;
+  timer Retention;
   logger Log{"entry"};
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
--- a/src/jobentry/workdriver.h
+++ b/src/jobentry/workdriver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/work/workscheduler.h"
+#include "jobentry/decisionmetrics.h"
 #include "jobentry/officedriver.h"
 #include "logging/logging.h"
 #include "metrics/metrics.h"
@@ -54,16 +55,19 @@
   void append();
   void appended(const append_outcome &Outcome);
   void answer(const worker_id &Worker);
+  void updateGauges();
   work::present_time present() const;
 
   ievent_loop &Loop;
   istore &Store;
   office_driver &Office;
   metric_registry &Metrics;
+  decision_metrics Decisions;
   work::work_scheduler Scheduler;
   std::map<worker_id, pending> Pending;
   std::optional<append_call> Append; ///< the one in flight
   std::uint64_t Batch = 0;           ///< of it
+  time_point AppendedAt{};           ///< when it was first sent
   std::uint64_t NextSequence = FirstSequence;
   timer Wake;
   timer AppendRetry;
--- a/src/settings/internal/settingsschema.cpp
+++ b/src/settings/internal/settingsschema.cpp
@@ -128,6 +128,8 @@
          "a worker needs up to this long to stop a task"),
     time("timing.reclaim_ms", &s::ReclaimTime,
          "a guaranteed job has its first tasks started by then"),
+    time("timing.status_kept_ms", &s::StatusKept,
+         "an ended job stays readable this long at least"),
     time("timing.probe_back_off_ms", &s::ProbeBackOff,
          "from a worker's quarantine to its first probe"),
     text("entry.probe_command", &s::ProbeCommand, rule::None, needed_by::Nobody,
--- a/src/settings/types/settings.h
+++ b/src/settings/types/settings.h
@@ -67,6 +67,7 @@
   std::chrono::milliseconds GangWait{3000};
   std::chrono::milliseconds StopTime{900};
   std::chrono::milliseconds ReclaimTime{2700};
+  std::chrono::milliseconds StatusKept{120000};
   std::chrono::milliseconds ProbeBackOff{300000};
   std::string ProbeCommand = "true";
 };
