--- a/src/daemon/tests/processcluster.cpp
+++ b/src/daemon/tests/processcluster.cpp
@@ -160,16 +160,18 @@
 }
 
 std::string process_cluster::jobSettings(const std::string &Role,
-                                         const std::string &Node) {
+                                         const std::string &Node,
+                                         const std::string &Store) {
   return "role: " + Role + "\nnode: " + Node +
          "\nregion: perth-metro\nzone: perth-east\n"
          "store: {address: \"" +
-         address("store") +
+         (Store.empty() ? address("store") : Store) +
          "\"}\ntiming: {lease_ms: 6000, gang_wait_ms: 3000, stop_ms: 200}\n";
 }
 
-void process_cluster::startJobEntry(const std::string &Name) {
-  startDaemon(Name, jobSettings("job_entry", Name) +
+void process_cluster::startJobEntry(const std::string &Name,
+                                    const std::string &Store) {
+  startDaemon(Name, jobSettings("job_entry", Name, Store) +
                         "listen: {peer: \"127.0.0.1:0\", http: "
                         "\"127.0.0.1:0\", front: \"127.0.0.1:0\", "
                         "readiness: \"127.0.0.1:0\"}\n");
@@ -178,8 +180,9 @@
   Addresses[Name + ".readiness"] = Others[1];
 }
 
-void process_cluster::startJobAgent(const std::string &Name) {
-  startDaemon(Name, jobSettings("job_agent", Name) +
+void process_cluster::startJobAgent(const std::string &Name,
+                                    const std::string &Store) {
+  startDaemon(Name, jobSettings("job_agent", Name, Store) +
                         "listen: {peer: \"127.0.0.1:0\", http: "
                         "\"127.0.0.1:0\", control: \"127.0.0.1:0\"}\n");
   Addresses[Name + ".control"] = otherInterfaces(Name, 1)[0];
--- a/src/daemon/tests/processcluster.h
+++ b/src/daemon/tests/processcluster.h
@@ -52,9 +52,10 @@
   // The users' platform.
   void startStore();
   /// Entry of the users' platform; its front is address(Name + ".front").
-  void startJobEntry(const std::string &Name);
+  /// \param Store its way to the store; empty: straight.
+  void startJobEntry(const std::string &Name, const std::string &Store = "");
   /// Agent of the users' platform; address(Name + ".control") takes heartbeats.
-  void startJobAgent(const std::string &Name);
+  void startJobAgent(const std::string &Name, const std::string &Store = "");
   /// One worker beside each of the agents, two to a rack, in one process.
   void startTaskWorkers(const std::vector<std::string> &Agents);
   /// Writes a configuration with the queues /urgent/ and /batch/ of the host
@@ -118,7 +119,8 @@
   /// Further interfaces that a daemon listens on, in their order.
   std::vector<std::string> otherInterfaces(const std::string &Name,
                                            std::size_t Count);
-  std::string jobSettings(const std::string &Role, const std::string &Node);
+  std::string jobSettings(const std::string &Role, const std::string &Node,
+                          const std::string &Store);
   std::string listeningField(const std::string &Name, const std::string &Field);
 
   std::string Folder;
