A refused start is told with a listing that is younger than the refusal

Cause: a start without an answer may have run; if the task was done by the time the start was repeated, the worker refused it as old, and the agent told the refusal with the listing from before: the task was run again although it was done. Ruled out: the handover of leases (each way through it waits longer, not shorter). Change: a refusal has the number of the listing that it may be told with.

--- a/src/core/workhost/internal/runhost.cpp
+++ b/src/core/workhost/internal/runhost.cpp
@@ -89,7 +89,8 @@
   case worker_call::Refused:
     // An earlier try may still arrive; a stop bars it before the refusal is
     // told.
-    Refused.insert_or_assign(Event.Run, Event.Reason);
+    Refused.insert_or_assign(Event.Run,
+                             refusal{Event.Reason, AskedListings + 1});
     if (Uncertain.contains(Event.Run))
       sendStop(Event.Run);
     break;
@@ -109,12 +110,14 @@
   Started.erase(Event.Run);
   RetryAt.erase(Event.Run);
   Stopped.insert(Event.Run);
-  if (Refused.contains(Event.Run))
-    Commands.emplace_back(report_now{});
+  const auto Told = Refused.find(Event.Run);
+  if (Told != Refused.end())
+    Told->second.TellWith = AskedListings + 1;
 }
 
 void run_host::onListing(const listing_arrived &Event, const time_point &Now) {
   ListingAsked = false;
+  ReceivedListing = AskedListings;
   FailedListings = 0;
   const std::uint64_t Before =
       Listing && !Listing->Finished.empty() ? Listing->Finished.back().Number
@@ -161,8 +164,7 @@
 }
 
 void run_host::refuse(const run_ref &Run, start_refusal Reason) {
-  if (Refused.try_emplace(Run, Reason).second)
-    Commands.emplace_back(report_now{});
+  Refused.try_emplace(Run, refusal{Reason, AskedListings + 1});
 }
 
 void run_host::reconcile(time_point Now) {
@@ -239,6 +241,7 @@
   }
   NextListing.reset();
   ListingAsked = true;
+  ++AskedListings;
   if (settled())
     ListingCovers = Orders.Version;
   Commands.emplace_back(
@@ -255,9 +258,9 @@
   if (Report.Listing)
     for (const run_ref &Run : Started)
       Report.Listing->Running.push_back({.Run = Run});
-  for (const auto &[Run, Reason] : Refused)
-    if (!Uncertain.contains(Run))
-      Report.Refused.push_back({Run, Reason});
+  for (const auto &[Run, Refusal] : Refused)
+    if (!Uncertain.contains(Run) && Refusal.TellWith <= ReceivedListing)
+      Report.Refused.push_back({Run, Refusal.Reason});
   return Report;
 }
 
--- a/src/core/workhost/runhost.h
+++ b/src/core/workhost/runhost.h
@@ -56,12 +56,20 @@
   std::set<run_ref> Uncertain; ///< started without an answer
   std::set<run_ref> Started;   ///< answered, not in a listing yet
   std::set<run_ref> Stopped;   ///< stop was answered
-  std::map<run_ref, start_refusal> Refused;
+  /// A start that will not happen. It is told with a listing that was asked for
+  /// after it was certain: the run may have come and gone before.
+  struct refusal {
+    start_refusal Reason = start_refusal::Stale;
+    std::uint64_t TellWith = 0; ///< number of that listing
+  };
+  std::map<run_ref, refusal> Refused;
   std::map<run_ref, time_point> RetryAt;
   std::optional<std::int64_t> LeaseEndMs;
   orders_version Applied;       ///< that the listing reflects
   orders_version ListingCovers; ///< of the listing that is asked for
   bool ListingAsked = false;
+  std::uint64_t AskedListings = 0;
+  std::uint64_t ReceivedListing = 0; ///< number of the last one
   std::optional<time_point> NextListing;
   int FailedListings = 0;
   std::vector<host_command> Commands;
