--- a/src/core/topics/internal/topicfollower.cpp
+++ b/src/core/topics/internal/topicfollower.cpp
@@ -57,8 +57,7 @@
   Commands.emplace_back(deliver_record{Record});
 }
 
-void topic_follower::onNewest(const newest_page &Event,
-                              const time_point &Now) {
+void topic_follower::onNewest(const newest_page &Event, const time_point &Now) {
   Reading = false;
   if (Phase != phase::Newest)
     return;
--- a/src/core/topics/tests/officeholdertest.cpp
+++ b/src/core/topics/tests/officeholdertest.cpp
@@ -24,7 +24,7 @@
   office_holder Holder{office_limits{}, Incarnation};
   time_point Now{std::chrono::hours(1)};
 
-  std::uint64_t win(office_holder &Of, std::uint64_t Generation) {
+  std::uint64_t win(office_holder & Of, std::uint64_t Generation) {
     Of.handle(office_time_passed{}, Now);
     const auto Claim =
         find<send_claim>(Of.handle(join_answered{Generation, true}, Now));
--- a/src/core/topics/tests/topicfollowertest.cpp
+++ b/src/core/topics/tests/topicfollowertest.cpp
@@ -43,8 +43,8 @@
   feed(newest_page{.Records = {record("b", 6)}, .HasMore = false, .End = 7});
   CHECK(Loaded);
   LONGS_EQUAL(5, *ReadFrom);
-  feed(topic_batch{.From = 5, .End = 7,
-                   .Records = {record("c", 5), record("b", 6)}});
+  feed(topic_batch{
+      .From = 5, .End = 7, .Records = {record("c", 5), record("b", 6)}});
   LONGS_EQUAL(4, Delivered.size());
   LONGS_EQUAL(7, *ReadFrom);
 }
@@ -76,10 +76,10 @@
 TEST(TopicFollower, DeliversARecordOfTheLogOnce) {
   feed(topic_time_passed{});
   feed(newest_page{.End = 0});
-  feed(topic_batch{.From = 0, .End = 2,
-                   .Records = {record("a", 0), record("a", 1)}});
-  feed(topic_batch{.From = 0, .End = 2,
-                   .Records = {record("a", 0), record("a", 1)}});
+  feed(topic_batch{
+      .From = 0, .End = 2, .Records = {record("a", 0), record("a", 1)}});
+  feed(topic_batch{
+      .From = 0, .End = 2, .Records = {record("a", 0), record("a", 1)}});
   LONGS_EQUAL(2, Delivered.size());
 }
 
--- a/src/core/work/internal/names.cpp
+++ b/src/core/work/internal/names.cpp
@@ -28,8 +28,7 @@
 
 std::string_view name(start_refusal Refusal) {
   static constexpr std::array<std::string_view, 7> Names{
-      "stale",     "fenced",  "late",    "no_room",
-      "unhealthy", "invalid", "draining"};
+      "stale", "fenced", "late", "no_room", "unhealthy", "invalid", "draining"};
   return nameIn(Names, Refusal);
 }
 
--- a/src/core/work/internal/placementround.cpp
+++ b/src/core/work/internal/placementround.cpp
@@ -208,8 +208,7 @@
   prepare(Request);
   std::vector<assignment> Assignments;
   for (const placed_task &Each : placeIn(Request, &slot::Now))
-    Assignments.push_back(
-        {Each.Task, Each.Slot->Worker->Description.Life});
+    Assignments.push_back({Each.Task, Each.Slot->Worker->Description.Life});
   return Assignments;
 }
 
--- a/src/core/work/internal/queuedirectory.cpp
+++ b/src/core/work/internal/queuedirectory.cpp
@@ -63,8 +63,8 @@
                                 : &Current.Routes[Found->second].Terms;
 }
 
-std::int32_t queue_directory::guaranteedAccelerators(
-    const customer_id &Customer) const {
+std::int32_t
+queue_directory::guaranteedAccelerators(const customer_id &Customer) const {
   const auto Found = ByCustomer.find(Customer);
   return Found == ByCustomer.end()
              ? 0
--- a/src/core/work/internal/scheduledecisions.cpp
+++ b/src/core/work/internal/scheduledecisions.cpp
@@ -69,8 +69,7 @@
       keepRoomForUrgent(Round, Present);
     }
     const std::vector<task_position> Tasks = Job.waiting(Each.Step);
-    placement_request Request =
-        requestFor(Job, Each.Step, Tasks, Siblings);
+    placement_request Request = requestFor(Job, Each.Step, Tasks, Siblings);
     if ((Request.Avoid || Request.ProvenOnly) && !Round.everFits(Request)) {
       Request.Avoid = nullptr;
       Request.ProvenOnly = false;
@@ -212,20 +211,18 @@
                              const present_time &Present) const {
   const job_spec &Spec = Job.spec();
   const duration Objective = Forecast.objective(Spec);
-  const wall_time Since = Spec.Scheduled ? Job.dueAt(Step.Occurrence)
-                                         : Spec.SubmittedAt;
+  const wall_time Since =
+      Spec.Scheduled ? Job.dueAt(Step.Occurrence) : Spec.SubmittedAt;
   const duration Age = std::max(duration(Present.Wall - Since), duration{});
-  const duration Left =
-      Forecast.expected(termsOf(Job), Job.step(Step.Step));
+  const duration Left = Forecast.expected(termsOf(Job), Job.step(Step.Step));
   const bool FirstStep = Job.step(Step.Step).After.empty();
   return {.Step = Step,
           .Priority = termsOf(Job).Priority,
           .Guaranteed = FirstStep,
           .Worthless = Age + Left > Objective * WorthlessAfter,
           .LatestStart = Present.Now + (Objective - Age - Left),
-          .ReclaimBy =
-              Present.Now + (Limits.Reclaim - Age - Limits.Stop -
-                             ReclaimMargin)};
+          .ReclaimBy = Present.Now +
+                       (Limits.Reclaim - Age - Limits.Stop - ReclaimMargin)};
 }
 
 std::vector<work_scheduler::candidate>
@@ -242,9 +239,9 @@
         continue;
       AnyWaiting = true;
       if (Job.dueAt(Step.Occurrence) > Present.Wall)
-        NextExpiry = std::min(
-            NextExpiry,
-            Present.Now + (Job.dueAt(Step.Occurrence) - Present.Wall));
+        NextExpiry =
+            std::min(NextExpiry,
+                     Present.Now + (Job.dueAt(Step.Occurrence) - Present.Wall));
       // Members of a gang start together: none while an earlier run goes on.
       const bool Whole =
           !Job.step(Step.Step).Gang || Count == Job.step(Step.Step).Count;
@@ -279,10 +276,10 @@
   });
 }
 
-placement_request work_scheduler::requestFor(
-    const live_job &Job, const step_ref &Step,
-    std::span<const task_position> Tasks,
-    std::vector<const live_run *> &Siblings) const {
+placement_request
+work_scheduler::requestFor(const live_job &Job, const step_ref &Step,
+                           std::span<const task_position> Tasks,
+                           std::vector<const live_run *> &Siblings) const {
   Siblings.clear();
   for (const live_run *Run : Runs.ofJob(Step.Job)) {
     const task_position &At = Run->Run.Task.Position;
@@ -342,8 +339,8 @@
 
 std::string_view name(decision_kind Kind) {
   static constexpr std::array<std::string_view, 10> Names{
-      "job_arrived", "job_ended",   "run_placed",   "run_stopped",
-      "run_ended",   "run_lost",    "run_refused",  "worker_known",
+      "job_arrived", "job_ended",       "run_placed",  "run_stopped",
+      "run_ended",   "run_lost",        "run_refused", "worker_known",
       "worker_gone", "worker_suspected"};
   return Names.at(static_cast<std::size_t>(Kind));
 }
--- a/src/core/work/internal/workerreports.cpp
+++ b/src/core/work/internal/workerreports.cpp
@@ -90,8 +90,7 @@
       Task.State == task_state::Running && Task.Run == Row.Run.Run;
   if (Current && !Row.Checkpoint.empty() && Row.Checkpoint != Task.Checkpoint)
     Job->setCheckpoint(Position, Row.Checkpoint);
-  const duration Stall =
-      std::max(StallLimit, Run->Expected / StallPart);
+  const duration Stall = std::max(StallLimit, Run->Expected / StallPart);
   const bool Hangs = !Run->LongRunning && !Run->Stopping && Current &&
                      Present.Now - Run->PercentAt > Stall;
   if (Hangs) {
@@ -174,8 +173,7 @@
     return;
   std::vector<run_ref> Over;
   for (const live_run *Run : Worker.Runs)
-    if (Run->Stopping && !Run->Listed &&
-        Report.Applied.Number >= Run->StopIn)
+    if (Run->Stopping && !Run->Listed && Report.Applied.Number >= Run->StopIn)
       Over.push_back(Run->Run);
   for (const run_ref &Key : Over) {
     const live_run Run = *Runs.find(Key);
--- a/src/core/work/internal/workscheduler.cpp
+++ b/src/core/work/internal/workscheduler.cpp
@@ -22,8 +22,7 @@
   using table =
       member_table<&work_scheduler::onArrived, &work_scheduler::onCancel,
                    &work_scheduler::onReported, &work_scheduler::onEarlierEnded,
-                   &work_scheduler::onStored,
-                   &work_scheduler::onTimePassed>;
+                   &work_scheduler::onStored, &work_scheduler::onTimePassed>;
   table::dispatch(*this, Event, Present);
   decide(Present);
   flush();
--- a/src/core/work/livejobs.h
+++ b/src/core/work/livejobs.h
@@ -72,7 +72,7 @@
   std::vector<step_ref> Steps;
   std::vector<std::uint32_t> OpenByStep;    ///< tasks not done, by stepIndex
   std::vector<std::uint32_t> WaitingByStep; ///< tasks that wait for a run
-  std::vector<std::uint32_t> FailedRun;  ///< of gangs: the last one counted
+  std::vector<std::uint32_t> FailedRun;     ///< of gangs: the last one counted
   std::size_t OpenTasks = 0;
 };
 
--- a/src/core/work/placementround.h
+++ b/src/core/work/placementround.h
@@ -76,7 +76,7 @@
     std::size_t Rack = 0;
     bool Reserved = false;
     time_point ReservedAt{};
-    resources Spare; ///< free at ReservedAt beside what is reserved
+    resources Spare;          ///< free at ReservedAt beside what is reserved
     bool Eligible = false;    ///< for the request at hand
     bool Probed = false;      ///< on probation, and has a task in this round
     std::uint32_t Placed = 0; ///< of the step at hand, siblings too
--- a/src/core/work/tests/placementtest.cpp
+++ b/src/core/work/tests/placementtest.cpp
@@ -60,8 +60,8 @@
 
   placement_round round() { return {Pool, Now}; }
 
-  static std::set<std::string>
-  workersOf(const std::vector<assignment> &Placed) {
+  static std::set<std::string> workersOf(
+      const std::vector<assignment> &Placed) {
     std::set<std::string> Ids;
     for (const assignment &Each : Placed)
       Ids.insert(Each.Worker.Worker.str());
--- a/src/core/work/tests/urgentdemandtest.cpp
+++ b/src/core/work/tests/urgentdemandtest.cpp
@@ -1,5 +1,5 @@
-#include "core/work/tests/workbuilders.h"
 #include "core/work/urgentdemand.h"
+#include "core/work/tests/workbuilders.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/src/core/work/tests/workbooktest.cpp
+++ b/src/core/work/tests/workbooktest.cpp
@@ -1,6 +1,6 @@
+#include "core/work/workbook.h"
 #include "core/work/retention.h"
 #include "core/work/tests/workbuilders.h"
-#include "core/work/workbook.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -99,10 +99,11 @@
   constexpr duration Kept = std::chrono::seconds(120);
   submit(0);
   Book.apply({Cancellation, 1}, job_cancelled{Job});
-  Book.apply({Progress, 0},
-             job_progressed{Job, {.State = job_state::Cancelled,
-                                  .EndedAt = Ended}});
-  CHECK(findExpired(Book, Later - std::chrono::seconds(1), Kept, 9).Submissions.empty());
+  Book.apply(
+      {Progress, 0},
+      job_progressed{Job, {.State = job_state::Cancelled, .EndedAt = Ended}});
+  CHECK(findExpired(Book, Later - std::chrono::seconds(1), Kept, 9)
+            .Submissions.empty());
   CHECK(findExpired(Book, Later, Kept, 9).Submissions == std::vector{Job});
   CHECK(findExpired(Book, Later, Kept, 0).Submissions.empty());
   CHECK(findExpired(Book, Later, Kept, 9).Leftovers.empty());
--- a/src/core/work/tests/workbuilders.h
+++ b/src/core/work/tests/workbuilders.h
@@ -31,14 +31,13 @@
 inline worker_description makeWorker(std::string_view Id,
                                      std::string_view Rack = "r1",
                                      std::uint64_t Born = 1) {
-  return {.Life = {worker_id(Id), Born},
-          .Service = service_id("desk"),
-          .Zone = availability_zone_id("a"),
-          .Capacity = {.Accelerators = 8,
-                       .MilliCores = 64000,
-                       .MemoryMb = 100000},
-          .Kind = "plain",
-          .Rack = std::string(Rack)};
+  return {
+      .Life = {worker_id(Id), Born},
+      .Service = service_id("desk"),
+      .Zone = availability_zone_id("a"),
+      .Capacity = {.Accelerators = 8, .MilliCores = 64000, .MemoryMb = 100000},
+      .Kind = "plain",
+      .Rack = std::string(Rack)};
 }
 
 inline configuration makeConfiguration(std::uint64_t Version = 1) {
--- a/src/core/work/types/records.h
+++ b/src/core/work/types/records.h
@@ -40,9 +40,8 @@
 
 /// A record of the system's own topics. Each has a key; the newest record of a
 /// key is kept for good.
-using work_record =
-    std::variant<job_submitted, job_cancelled, job_progressed, entry_present,
-                 term_holder>;
+using work_record = std::variant<job_submitted, job_cancelled, job_progressed,
+                                 entry_present, term_holder>;
 
 /// Where a record stands: its topic's newest records are read again after a
 /// gap, so a record may be seen twice.
--- a/src/core/work/workerpool.h
+++ b/src/core/work/workerpool.h
@@ -17,14 +17,14 @@
   resources Used;  ///< by runs that have not ended, those being stopped too
   resources Freed; ///< part of Used that is being stopped
   std::vector<live_run *> Runs;
-  time_point LeaseEnd{}; ///< nothing runs there after this without a report
-  std::uint64_t Listed = 0;       ///< highest number of an end taken in
+  time_point LeaseEnd{};    ///< nothing runs there after this without a report
+  std::uint64_t Listed = 0; ///< highest number of an end taken in
   std::uint64_t Acknowledged = 0; ///< ends up to here are in the log
   std::uint64_t OrderNumber = 1;
-  int FailuresInRow = 0;       ///< runs that failed since one ended well
-  bool OnProbation = false;    ///< suspected, and no run has ended well since
-  time_point SuspectUntil{};   ///< gets no tasks before
-  int Suspicions = 0;          ///< in a row
+  int FailuresInRow = 0;     ///< runs that failed since one ended well
+  bool OnProbation = false;  ///< suspected, and no run has ended well since
+  time_point SuspectUntil{}; ///< gets no tasks before
+  int Suspicions = 0;        ///< in a row
 
   bool usable(time_point Now) const {
     return Described && HasListing && Reachable && !Description.Draining &&
--- a/src/core/work/workscheduler.h
+++ b/src/core/work/workscheduler.h
@@ -142,7 +142,8 @@
   void makeRoom(placement_round &Round, const candidate &Step,
                 const placement_request &Request, const present_time &Present);
   bool worthPreempting(const candidate &Step, const placement_request &Request,
-                       const preemption &Plan, const present_time &Present) const;
+                       const preemption &Plan,
+                       const present_time &Present) const;
 
   const std::uint64_t Term;
   const scheduler_limits Limits;
--- a/src/core/workhost/internal/runhost.cpp
+++ b/src/core/workhost/internal/runhost.cpp
@@ -119,9 +119,9 @@
   ListingAsked = false;
   ReceivedListing = AskedListings;
   FailedListings = 0;
-  const std::uint64_t Before =
-      Listing && !Listing->Finished.empty() ? Listing->Finished.back().Number
-                                            : Orders.AcknowledgedEnds;
+  const std::uint64_t Before = Listing && !Listing->Finished.empty()
+                                   ? Listing->Finished.back().Number
+                                   : Orders.AcknowledgedEnds;
   const auto &Ends = Event.Listing.Finished;
   const bool NewEnds = !Ends.empty() && Ends.back().Number > Before;
   const bool OpenEnds =
@@ -150,17 +150,15 @@
 void run_host::onTimePassed(const host_time_passed &, const time_point &) {}
 
 bool run_host::listed(const run_ref &Run) const {
-  return Listing && std::any_of(Listing->Running.begin(),
-                                Listing->Running.end(), [&](const auto &Row) {
-                                  return Row.Run == Run;
-                                });
+  return Listing &&
+         std::any_of(Listing->Running.begin(), Listing->Running.end(),
+                     [&](const auto &Row) { return Row.Run == Run; });
 }
 
 bool run_host::finished(const run_ref &Run) const {
-  return Listing && std::any_of(Listing->Finished.begin(),
-                                Listing->Finished.end(), [&](const auto &Row) {
-                                  return Row.Run == Run;
-                                });
+  return Listing &&
+         std::any_of(Listing->Finished.begin(), Listing->Finished.end(),
+                     [&](const auto &Row) { return Row.Run == Run; });
 }
 
 void run_host::refuse(const run_ref &Run, start_refusal Reason) {
@@ -183,9 +181,8 @@
     return;
   if (Description.Draining || !Desired.HasBody) {
     // Without its body the run was there once and is not any more.
-    const start_refusal Reason = Description.Draining
-                                     ? start_refusal::Draining
-                                     : start_refusal::Stale;
+    const start_refusal Reason =
+        Description.Draining ? start_refusal::Draining : start_refusal::Stale;
     refuse(Run, Reason);
     if (Uncertain.contains(Run))
       sendStop(Run);
--- a/src/core/workhost/runhost.h
+++ b/src/core/workhost/runhost.h
@@ -19,8 +19,7 @@
   run_host(const host_limits &Limits, worker_description Description);
 
   /// \returns commands that are valid until the next call.
-  std::span<const host_command> handle(const host_event &Event,
-                                       time_point Now);
+  std::span<const host_command> handle(const host_event &Event, time_point Now);
 
   /// What to tell the scheduler now.
   worker_report report() const;
--- a/src/core/workhost/tests/workworld.cpp
+++ b/src/core/workhost/tests/workworld.cpp
@@ -197,9 +197,8 @@
       feedAgent(Worker, start_answered{Command.Run.Run, Result, Reason});
   };
   if (chance(Faults.LateOrders)) {
-    later(2s + 1ms * (Random() % 10000), [=, this] {
-      Field.start(Life, Token, Command, Now);
-    });
+    later(2s + 1ms * (Random() % 10000),
+          [=, this] { Field.start(Life, Token, Command, Now); });
     later(500ms, [=] { Answered(worker_call::Unknown, {}); });
     return;
   }
@@ -240,8 +239,8 @@
   if (Agent.CutUntil > Now || chance(Faults.LostReports))
     return;
   const worker_report Report = Agent.Host->report();
-  const auto Clock = Report.Listing ? std::optional(Report.Listing->ClockMs)
-                                    : std::nullopt;
+  const auto Clock =
+      Report.Listing ? std::optional(Report.Listing->ClockMs) : std::nullopt;
   const auto Incarnation = Agent.Incarnation;
   later(delay(), [=, this] {
     feedScheduler(worker_reported{Report});
@@ -312,10 +311,9 @@
 }
 
 bool work_world::allEnded() const {
-  return std::all_of(Book.jobs().begin(), Book.jobs().end(),
-                     [](const auto &Each) {
-                       return ended(Each.second.state());
-                     });
+  return std::all_of(
+      Book.jobs().begin(), Book.jobs().end(),
+      [](const auto &Each) { return ended(Each.second.state()); });
 }
 
 } // namespace geraniumpaddle::work::testing
--- a/src/core/workhost/tests/workworld.h
+++ b/src/core/workhost/tests/workworld.h
@@ -18,10 +18,10 @@
 
 /// Shares of messages that go wrong, in hundredths.
 struct world_faults {
-  int LostReports = 0;    ///< reports or their answers
-  int LostOrders = 0;     ///< starts and stops that are done without an answer
-  int LateOrders = 0;     ///< starts that are done seconds later
-  int SlowAppends = 0;    ///< appends that take up to 2 s
+  int LostReports = 0; ///< reports or their answers
+  int LostOrders = 0;  ///< starts and stops that are done without an answer
+  int LateOrders = 0;  ///< starts that are done seconds later
+  int SlowAppends = 0; ///< appends that take up to 2 s
 };
 
 /// Scheduler, agents, workers and the log, without sockets: the core classes
--- a/src/core/workhost/tests/workworldtest.cpp
+++ b/src/core/workhost/tests/workworldtest.cpp
@@ -122,8 +122,8 @@
   World.submit(jobOf("j1", 32, "4000"));
   World.runFor(1s);
   World.cutAgent(0, 60s);
-  CHECK(World.runUntil(
-      [&] { return World.state(Job) == job_state::Completed; }, 18s));
+  CHECK(World.runUntil([&] { return World.state(Job) == job_state::Completed; },
+                       18s));
 }
 
 TEST(WorkWorld, AnEarlierTermThatTellsItsLeasesShortensTheWaitForLostWorkers) {
@@ -198,8 +198,8 @@
   void play(const world_step &Step) {
     using action = void (random_day::*)(const world_step &);
     static constexpr action Actions[] = {
-        &random_day::submit,   &random_day::submit,   &random_day::submitGang,
-        &random_day::urgent,   &random_day::cancel,   &random_day::takeOver,
+        &random_day::submit,   &random_day::submit,    &random_day::submitGang,
+        &random_day::urgent,   &random_day::cancel,    &random_day::takeOver,
         &random_day::newAgent, &random_day::newWorker, &random_day::cut};
     (this->*Actions[Step.Kind])(Step);
     World.runFor(1ms * Step.WaitMs);
@@ -266,7 +266,7 @@
 
 } // namespace
 
-TEST_GROUP(WorkWorldProperties) {};
+TEST_GROUP(WorkWorldProperties){};
 
 TEST(WorkWorldProperties, HoldWithoutLostMessages) { CHECK(holds({})); }
 
--- a/src/core/workhost/types/hostevents.h
+++ b/src/core/workhost/types/hostevents.h
@@ -41,10 +41,9 @@
 struct listing_failed {};
 struct host_time_passed {};
 
-using host_event =
-    std::variant<worker_described, orders_arrived, start_answered,
-                 stop_answered, listing_arrived, listing_failed,
-                 host_time_passed>;
+using host_event = std::variant<worker_described, orders_arrived,
+                                start_answered, stop_answered, listing_arrived,
+                                listing_failed, host_time_passed>;
 
 // Commands.
 
@@ -67,8 +66,8 @@
   time_point At{};
 };
 
-using host_command = std::variant<start_run, stop_run, list_runs, report_now,
-                                  host_wake_at>;
+using host_command =
+    std::variant<start_run, stop_run, list_runs, report_now, host_wake_at>;
 
 struct host_limits {
   duration Lease = std::chrono::seconds(6); ///< the platform's longest lease
--- a/src/daemon/internal/processhost.cpp
+++ b/src/daemon/internal/processhost.cpp
@@ -62,8 +62,7 @@
   std::fflush(stdout);
 }
 
-void process_host::listenAlso(const std::string &Listen,
-                              http_handler Handler) {
+void process_host::listenAlso(const std::string &Listen, http_handler Handler) {
   MoreServers.push_back(std::make_unique<http_server>(
       Loop, Listen, serverLimits(Settings), std::move(Handler)));
   std::printf("listening also=%s\n",
@@ -126,12 +125,12 @@
 
 void process_host::endWhenWritten(int DelaysLeft) {
   Loop.startTimer(ExitDelay, [this, DelaysLeft] {
-    const bool Busy =
-        HttpServer->openConnections() > 0 || PeerServer->openCalls() > 0 ||
-        std::any_of(MoreServers.begin(), MoreServers.end(),
-                    [](const auto &Server) {
-                      return Server->openConnections() > 0;
-                    });
+    const bool Busy = HttpServer->openConnections() > 0 ||
+                      PeerServer->openCalls() > 0 ||
+                      std::any_of(MoreServers.begin(), MoreServers.end(),
+                                  [](const auto &Server) {
+                                    return Server->openConnections() > 0;
+                                  });
     if (Busy && DelaysLeft > 0)
       endWhenWritten(DelaysLeft - 1);
     else
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -101,9 +101,9 @@
   relaying_transport Transport(Host.loop(), Host.peers(), Direct,
                                Host.identity());
   store_client Store(Transport, StoreGrace);
-  job_entry_role Role({Host.loop(), Host.peers(), Store, Transport,
-                       Host.metrics()},
-                      Settings, Host.identity(), [&Host] { Host.stop(); });
+  job_entry_role Role(
+      {Host.loop(), Host.peers(), Store, Transport, Host.metrics()}, Settings,
+      Host.identity(), [&Host] { Host.stop(); });
   Host.listen(
       [&Role](const proto::PeerRequest &Request,
               const peer_responder &Respond) {
--- a/src/daemon/tests/jobplatformtest.cpp
+++ b/src/daemon/tests/jobplatformtest.cpp
@@ -94,8 +94,8 @@
 }
 
 TEST(JobPlatform, AGangRunsOnBothWorkers) {
-  LONGS_EQUAL(200, submit(jobBody(2, 8, R"({"ms":300,"needs":8,"gang":2})",
-                                  true)));
+  LONGS_EQUAL(200,
+              submit(jobBody(2, 8, R"({"ms":300,"needs":8,"gang":2})", true)));
   CHECK(becomes("completed"));
 }
 
@@ -159,14 +159,13 @@
 
 TEST(JobPlatform, WhileTheStoreRefusesNothingIsAccepted) {
   Cluster.setFault("store", R"({"mode":"refuse"})");
-  const http_result Refused = Cluster.jobCall("entry-1", "POST", Batch,
-                                              jobBody(1, 1, R"({"ms":100})"));
+  const http_result Refused =
+      Cluster.jobCall("entry-1", "POST", Batch, jobBody(1, 1, R"({"ms":100})"));
   LONGS_EQUAL(503, Refused.Code);
   CHECK(!header(Refused, "Retry-After").empty());
   Cluster.setFault("store", R"({"mode":"none"})");
-  CHECK(Cluster.waitFor([&] {
-    return Cluster.jobCall("entry-1", "GET", Batch).Code == 410;
-  }));
+  CHECK(Cluster.waitFor(
+      [&] { return Cluster.jobCall("entry-1", "GET", Batch).Code == 410; }));
 }
 
 TEST(JobPlatform, WhatRunsGoesOnWhileTheStoreIsSilent) {
--- a/src/daemon/tests/processcluster.cpp
+++ b/src/daemon/tests/processcluster.cpp
@@ -200,17 +200,17 @@
 
 void process_cluster::putConfiguration(int Version) {
   std::string Routes;
-  for (const auto &[Queue, Priority] : {std::pair("urgent", 0),
-                                        std::pair("batch", 1)})
+  for (const auto &[Queue, Priority] :
+       {std::pair("urgent", 0), std::pair("batch", 1)})
     Routes += std::string(Routes.empty() ? "" : ",") + R"({"Name":")" + Queue +
               R"(","Host":"jobs.example","PathPrefix":"/)" + Queue +
               R"(/","Service":"desk","Attempts":2,"SlackFactor":3,)"
               R"("TargetLatencyMs":1000,"Priority":)" +
               std::to_string(Priority) + "}";
-  const std::string Value =
-      R"({"Version":)" + std::to_string(Version) + R"(,"Routes":[)" + Routes +
-      R"(],"Tenants":[{"Name":"acme","ApiKeys":["key"],)"
-      R"("GuaranteedGpus":{"Gpu":8}}]})";
+  const std::string Value = R"({"Version":)" + std::to_string(Version) +
+                            R"(,"Routes":[)" + Routes +
+                            R"(],"Tenants":[{"Name":"acme","ApiKeys":["key"],)"
+                            R"("GuaranteedGpus":{"Gpu":8}}]})";
   const std::string Record = std::string(1, '\6') + "config" + Value;
   std::string Frame;
   for (int Shift = 24; Shift >= 0; Shift -= 8)
--- a/src/daemon/tests/soak/linkproxy.cpp
+++ b/src/daemon/tests/soak/linkproxy.cpp
@@ -67,8 +67,8 @@
 link_proxy::~link_proxy() = default;
 
 std::string link_proxy::address() const {
-  return "127.0.0.1:" + std::to_string(boundPort(
-                            evconnlistener_get_fd(Listener->Raw.get())));
+  return "127.0.0.1:" +
+         std::to_string(boundPort(evconnlistener_get_fd(Listener->Raw.get())));
 }
 
 void link_proxy::accepted(int Descriptor) {
@@ -78,8 +78,8 @@
   }
   auto Pair = std::make_unique<pair>();
   Pair->Owner = this;
-  Pair->Caller.reset(bufferevent_socket_new(Loop.base(), Descriptor,
-                                            BEV_OPT_CLOSE_ON_FREE));
+  Pair->Caller.reset(
+      bufferevent_socket_new(Loop.base(), Descriptor, BEV_OPT_CLOSE_ON_FREE));
   Pair->Target.reset(
       bufferevent_socket_new(Loop.base(), -1, BEV_OPT_CLOSE_ON_FREE));
   const auto OnEvent = [](bufferevent *, short What, void *Raw) {
@@ -102,9 +102,8 @@
       },
       nullptr, OnEvent, Pair.get());
   const sockaddr_in To = socketAddress(parseAddress(Target));
-  bufferevent_socket_connect(Pair->Target.get(),
-                             reinterpret_cast<const sockaddr *>(&To),
-                             sizeof To);
+  bufferevent_socket_connect(
+      Pair->Target.get(), reinterpret_cast<const sockaddr *>(&To), sizeof To);
   bufferevent_enable(Pair->Caller.get(), EV_READ | EV_WRITE);
   bufferevent_enable(Pair->Target.get(), EV_READ | EV_WRITE);
   Pairs.push_back(std::move(Pair));
--- a/src/daemon/tests/soak/linkproxy.h
+++ b/src/daemon/tests/soak/linkproxy.h
@@ -11,10 +11,10 @@
 
 enum class link_fault : std::uint8_t {
   None,
-  Delay,   ///< what arrives is passed on later
-  Silent,  ///< nothing is passed on, connections stay open
-  OneWay,  ///< requests pass, answers do not
-  Refuse,  ///< new connections are closed at once
+  Delay,  ///< what arrives is passed on later
+  Silent, ///< nothing is passed on, connections stay open
+  OneWay, ///< requests pass, answers do not
+  Refuse, ///< new connections are closed at once
 };
 
 /// A TCP proxy on loopback that does to connections what a network does.
--- a/src/daemon/tests/soak/soaktest.cpp
+++ b/src/daemon/tests/soak/soaktest.cpp
@@ -25,8 +25,8 @@
 
 constexpr int Entries = 3;
 constexpr int Agents = 4;
-/// A job that was accepted is shown as completed this long after the last fault:
-/// leases, a takeover and the run itself several times over.
+/// A job that was accepted is shown as completed this long after the last
+/// fault: leases, a takeover and the run itself several times over.
 constexpr duration SettleLimit = 60s;
 
 /// Played in CI. A seed that ever failed stays here, with its cause.
@@ -92,10 +92,10 @@
 
   void step() {
     static constexpr std::array<action, 12> Actions{
-        &soak_run::submit,      &soak_run::submit,     &soak_run::submit,
-        &soak_run::submit,      &soak_run::cancel,     &soak_run::killEntry,
-        &soak_run::freeze,      &soak_run::drainEntry, &soak_run::cutLink,
-        &soak_run::breakLinks,  &soak_run::storeFault, &soak_run::mendOne};
+        &soak_run::submit,     &soak_run::submit,     &soak_run::submit,
+        &soak_run::submit,     &soak_run::cancel,     &soak_run::killEntry,
+        &soak_run::freeze,     &soak_run::drainEntry, &soak_run::cutLink,
+        &soak_run::breakLinks, &soak_run::storeFault, &soak_run::mendOne};
     (this->*Actions[static_cast<std::size_t>(pick(Actions.size()))])();
   }
 
@@ -155,9 +155,9 @@
     const int Number = pick(Entries);
     child_process &Process = Cluster.process(entryName(Number));
     Process.signal(SIGTERM);
-    CHECK_TEXT(Cluster.waitFor([&] { return Process.exitCode().has_value(); },
-                               10s),
-               text("a drain did not end").c_str());
+    CHECK_TEXT(
+        Cluster.waitFor([&] { return Process.exitCode().has_value(); }, 10s),
+        text("a drain did not end").c_str());
     LONGS_EQUAL_TEXT(0, *Process.exitCode(), text("exit code").c_str());
     startEntry(Number);
   }
@@ -183,9 +183,12 @@
 
   void storeFault() {
     static constexpr std::array<const char *, 6> Modes{
-        R"({"mode":"slow","delay_ms":200})", R"({"mode":"refuse"})",
-        R"({"mode":"silent"})",              R"({"mode":"lose_answer"})",
-        R"({"mode":"down"})",                R"({"mode":"none"})"};
+        R"({"mode":"slow","delay_ms":200})",
+        R"({"mode":"refuse"})",
+        R"({"mode":"silent"})",
+        R"({"mode":"lose_answer"})",
+        R"({"mode":"down"})",
+        R"({"mode":"none"})"};
     Cluster.setFault("store", Modes[static_cast<std::size_t>(pick(6))]);
     if (pick(3) == 0)
       Cluster.post(Cluster.address("store"), "/compact", "");
@@ -259,7 +262,7 @@
 
 } // namespace
 
-TEST_GROUP(Soak) {};
+TEST_GROUP(Soak){};
 
 TEST(Soak, KeepsThePromisesUnderFaults) {
   std::vector<unsigned> Seeds(Regressions.begin(), Regressions.end());
--- a/src/jobagent/internal/jobagentrole.cpp
+++ b/src/jobagent/internal/jobagentrole.cpp
@@ -115,8 +115,8 @@
            Each.first == Description.Life.Worker;
   });
   auto Session = std::make_unique<worker_session>(
-      Environment.Loop, Environment.Worker, Link, Fencing,
-      limitsFrom(Settings), Called, Description);
+      Environment.Loop, Environment.Worker, Link, Fencing, limitsFrom(Settings),
+      Called, Description);
   worker_session &Added = *Session;
   Sessions[Description.Life.Worker] = std::move(Session);
   Added.start();
--- a/src/jobagent/internal/schedulerlink.cpp
+++ b/src/jobagent/internal/schedulerlink.cpp
@@ -44,32 +44,31 @@
 void scheduler_link::readEntries() {
   Refresh.start(InOffice ? IdleInterval : SearchInterval,
                 [this] { readEntries(); });
-  Store.newest(store_topic::Entries, "",
-               [this, Life = Alive](const newest_outcome &Outcome) {
-                 if (!*Life)
-                   return;
-                 for (const keyed_record &Record : Outcome.Page.Records) {
-                   if (Record.Dropped)
-                     continue;
-                   try {
-                     const auto Decoded = work::decodeRecord(Record.Value);
-                     if (const auto *Entry =
-                             std::get_if<work::entry_present>(&Decoded))
-                       learn(*Entry);
-                   } catch (const error &Problem) {
-                     Log.problem("record_unreadable",
-                                 {{"key", Record.Key},
-                                  {"problem", Problem.what()}});
-                   }
-                 }
-               });
+  Store.newest(
+      store_topic::Entries, "",
+      [this, Life = Alive](const newest_outcome &Outcome) {
+        if (!*Life)
+          return;
+        for (const keyed_record &Record : Outcome.Page.Records) {
+          if (Record.Dropped)
+            continue;
+          try {
+            const auto Decoded = work::decodeRecord(Record.Value);
+            if (const auto *Entry = std::get_if<work::entry_present>(&Decoded))
+              learn(*Entry);
+          } catch (const error &Problem) {
+            Log.problem("record_unreadable",
+                        {{"key", Record.Key}, {"problem", Problem.what()}});
+          }
+        }
+      });
 }
 
 void scheduler_link::learn(const work::entry_present &Entry) {
   work::entry_present &Stored = Known[Entry.Node];
-  const bool Newer = Entry.StartedMs > Stored.StartedMs ||
-                     (Entry.StartedMs == Stored.StartedMs &&
-                      Entry.Term >= Stored.Term);
+  const bool Newer =
+      Entry.StartedMs > Stored.StartedMs ||
+      (Entry.StartedMs == Stored.StartedMs && Entry.Term >= Stored.Term);
   if (!Newer)
     return;
   if (Stored.PeerAddress != Entry.PeerAddress)
--- a/src/jobagent/internal/workersession.cpp
+++ b/src/jobagent/internal/workersession.cpp
@@ -20,8 +20,9 @@
                                const work::host_limits &Limits,
                                std::string Address,
                                work::worker_description Description)
-    : Loop(Loop), Worker(Worker), Link(Link), Fencing(Fencing),
-      Target{std::move(Address), Description.Life.Worker, Fencing.token()},
+    : Loop(Loop), Worker(Worker), Link(Link),
+      Fencing(Fencing), Target{std::move(Address), Description.Life.Worker,
+                               Fencing.token()},
       Host(Limits, std::move(Description)), LastHeartbeat(Loop.now()),
       Wake(Loop), ReportTimer(Loop) {}
 
@@ -55,19 +56,18 @@
                       {"index", Run.Task.Position.Index},
                       {"run", Run.Run},
                       {"lease_end", Command.LeaseEndMs}});
-  Worker.start(Target, Command,
-               [this, Run, Life = Alive](const start_outcome &Outcome) {
-                 if (!*Life)
-                   return;
-                 if (Outcome.Reason == work::start_refusal::Fenced &&
-                     Outcome.Result == work::worker_call::Refused) {
-                   Fencing.raise();
-                   feed(work::start_answered{Run, work::worker_call::Unknown});
-                   return;
-                 }
-                 feed(work::start_answered{Run, Outcome.Result,
-                                           Outcome.Reason});
-               });
+  Worker.start(
+      Target, Command, [this, Run, Life = Alive](const start_outcome &Outcome) {
+        if (!*Life)
+          return;
+        if (Outcome.Reason == work::start_refusal::Fenced &&
+            Outcome.Result == work::worker_call::Refused) {
+          Fencing.raise();
+          feed(work::start_answered{Run, work::worker_call::Unknown});
+          return;
+        }
+        feed(work::start_answered{Run, Outcome.Result, Outcome.Reason});
+      });
 }
 
 void worker_session::carryOut(const work::stop_run &Command) {
@@ -119,11 +119,11 @@
   Message.set_known_term(Known.Term);
   Message.set_known_number(Known.Number);
   Message.set_wait_ms(ReportWaitMs);
-  const auto Clock = Report.Listing ? std::optional(Report.Listing->ClockMs)
-                                    : std::nullopt;
+  const auto Clock =
+      Report.Listing ? std::optional(Report.Listing->ClockMs) : std::nullopt;
   const std::uint64_t Number = ++LastReport;
-  Link.report(Message, [this, Clock, Number, Life = Alive](
-                           const proto::work::WorkerOrders *Orders) {
+  Link.report(Message, [this, Clock, Number,
+                        Life = Alive](const proto::work::WorkerOrders *Orders) {
     if (*Life)
       reported(Orders, Clock, Number);
   });
--- a/src/jobagent/schedulerlink.h
+++ b/src/jobagent/schedulerlink.h
@@ -43,9 +43,9 @@
 private:
   void readEntries();
   void learn(const work::entry_present &Entry);
-  void answered(const std::string &Address, const peer_result &Result,
-                const std::function<void(const proto::work::WorkerOrders *)>
-                    &Done);
+  void
+  answered(const std::string &Address, const peer_result &Result,
+           const std::function<void(const proto::work::WorkerOrders *)> &Done);
   void tryNext(const std::string &Failed);
   void follow(const proto::work::WorkerOrders &Orders);
 
--- a/src/jobentry/internal/jobapi.cpp
+++ b/src/jobentry/internal/jobapi.cpp
@@ -105,12 +105,12 @@
 
 void job_api::handle(const http_request_view &Request,
                      const std::shared_ptr<ihttp_responder> &Responder) {
-  static constexpr auto Routes = std::to_array<route>(
-      {{"POST", &job_api::submit},
-       {"GET", &job_api::show},
-       {"DELETE", &job_api::cancel}});
-  const work::admitted_call Admitted = Queues.admit(
-      hostOf(Request), Request.Path, bearerToken(Request.Headers));
+  static constexpr auto Routes =
+      std::to_array<route>({{"POST", &job_api::submit},
+                            {"GET", &job_api::show},
+                            {"DELETE", &job_api::cancel}});
+  const work::admitted_call Admitted =
+      Queues.admit(hostOf(Request), Request.Path, bearerToken(Request.Headers));
   job_call Call{.Responder = Responder,
                 .Since = Loop.now(),
                 .Until = deadlineOf(Request),
@@ -125,18 +125,21 @@
     return;
   }
   if (!isJobId(Admitted.Rest)) {
-    finish(Call, encodeError(NotFound, "no_job_id",
-                             "a job id has 16 hexadecimal digits"),
+    finish(Call,
+           encodeError(NotFound, "no_job_id",
+                       "a job id has 16 hexadecimal digits"),
            "no_job_id");
     return;
   }
   Call.Job = job_id(Admitted.Rest);
-  const auto Found = std::find_if(
-      Routes.begin(), Routes.end(),
-      [&](const route &Each) { return Each.Method == Request.Method; });
+  const auto Found =
+      std::find_if(Routes.begin(), Routes.end(), [&](const route &Each) {
+        return Each.Method == Request.Method;
+      });
   if (Found == Routes.end())
-    finish(Call, encodeError(MethodNotAllowed, "method",
-                             "jobs take POST, GET and DELETE"),
+    finish(Call,
+           encodeError(MethodNotAllowed, "method",
+                       "jobs take POST, GET and DELETE"),
            "method");
   else
     (this->*Found->Handler)(std::move(Call), Admitted, Request);
@@ -145,9 +148,9 @@
 void job_api::finish(const job_call &Call, http_response Response,
                      std::string_view Reason) {
   Metrics
-      .getCounter("geraniumpaddle_job_calls", "Answers to callers of jobs.",
-                  {{"method", Call.Verb},
-                   {"code", std::to_string(Response.Code)}})
+      .getCounter(
+          "geraniumpaddle_job_calls", "Answers to callers of jobs.",
+          {{"method", Call.Verb}, {"code", std::to_string(Response.Code)}})
       .add();
   Metrics
       .getHistogram("geraniumpaddle_job_call_seconds",
@@ -179,8 +182,8 @@
     return;
   }
   if (taskCount(Record.Spec) > MaxTasks) {
-    finish(Call, encodeError(BadRequest, "too_large",
-                             "a job has at most 4096 tasks"),
+    finish(Call,
+           encodeError(BadRequest, "too_large", "a job has at most 4096 tasks"),
            "too_large");
     return;
   }
@@ -232,9 +235,9 @@
       finish(Call, encodeError(Gone, "no_job", "no such job is known"),
              "unknown_job");
     else
-      finish(Call, encodeError(Unavailable, "store_unavailable",
-                               "the job cannot be looked up now",
-                               StoreRetryAfter),
+      finish(Call,
+             encodeError(Unavailable, "store_unavailable",
+                         "the job cannot be looked up now", StoreRetryAfter),
              "store_unavailable");
   });
 }
@@ -272,21 +275,22 @@
   const bool GiveUp = Loop.now() + AppendRetryDelay >= Call.Until;
   if (!Call.Uncertain &&
       (GiveUp || Loop.now() - Call.RefusedSince >= RefusedFor)) {
-    finish(Call, encodeError(Unavailable, "store_unavailable",
-                             "it was not recorded", storeRetryAfter()),
+    finish(Call,
+           encodeError(Unavailable, "store_unavailable", "it was not recorded",
+                       storeRetryAfter()),
            "store_refused");
     return;
   }
   if (GiveUp) {
-    finish(Call, encodeError(Undetermined, "undetermined",
-                             "it may or may not have been recorded",
-                             storeRetryAfter()),
+    finish(Call,
+           encodeError(Undetermined, "undetermined",
+                       "it may or may not have been recorded",
+                       storeRetryAfter()),
            "undetermined");
     return;
   }
   // A record replaces an equal one of its key, so a repeat does no harm.
-  Loop.startTimer(AppendRetryDelay, [this, Life = Alive,
-                                     Call = std::move(Call),
+  Loop.startTimer(AppendRetryDelay, [this, Life = Alive, Call = std::move(Call),
                                      Append = std::move(Append)]() mutable {
     if (*Life)
       store(std::move(Call), std::move(Append));
--- a/src/jobentry/internal/jobentryrole.cpp
+++ b/src/jobentry/internal/jobentryrole.cpp
@@ -235,15 +235,15 @@
       });
   };
   // Every progress that is recorded belongs to a submission before it.
-  Progress.whenReached(
-      TopicEnd, CatchUpLimit, [this, Begin, Life = Alive](bool Reached) {
-        if (!*Life)
-          return;
-        if (Reached)
-          Jobs.catchUp(CatchUpLimit, Begin);
-        else
-          Begin(false);
-      });
+  Progress.whenReached(TopicEnd, CatchUpLimit,
+                       [this, Begin, Life = Alive](bool Reached) {
+                         if (!*Life)
+                           return;
+                         if (Reached)
+                           Jobs.catchUp(CatchUpLimit, Begin);
+                         else
+                           Begin(false);
+                       });
 }
 
 /// The term is recorded before it grants any lease, so that the next one knows
@@ -427,8 +427,7 @@
     const std::shared_ptr<ihttp_responder> &Responder) {
   if (!loaded()) {
     Responder->respond(encodeError(Unavailable, "not_ready",
-                                   "the jobs are being read",
-                                   AnnounceTimeout));
+                                   "the jobs are being read", AnnounceTimeout));
     return;
   }
   Api.handle(Request, Responder);
--- a/src/jobentry/internal/relayingtransport.cpp
+++ b/src/jobentry/internal/relayingtransport.cpp
@@ -50,19 +50,19 @@
 void relaying_transport::callDirect(
     store_request Request, std::function<void(const store_reply &)> Done) {
   const store_request Again = Request;
-  Direct.call(std::move(Request), [this, Life = Alive, Again,
-                                   Done = std::move(Done)](
-                                      const store_reply &Reply) {
-    if (!*Life)
-      return;
-    // A rate limit or outage of the store shows to the other entries too; then
-    // the relayed call is refused as well.
-    directEnded(Reply);
-    if (Again.Relayable && turnedAway(Reply))
-      callRelay(Again, Done);
-    else
-      Done(Reply);
-  });
+  Direct.call(std::move(Request),
+              [this, Life = Alive, Again,
+               Done = std::move(Done)](const store_reply &Reply) {
+                if (!*Life)
+                  return;
+                // A rate limit or outage of the store shows to the other
+                // entries too; then the relayed call is refused as well.
+                directEnded(Reply);
+                if (Again.Relayable && turnedAway(Reply))
+                  callRelay(Again, Done);
+                else
+                  Done(Reply);
+              });
 }
 
 void relaying_transport::directEnded(const store_reply &Reply) {
--- a/src/jobentry/internal/workdriver.cpp
+++ b/src/jobentry/internal/workdriver.cpp
@@ -30,8 +30,8 @@
                          std::uint64_t Term, const work::work_book &Book,
                          const work::queue_directory &Queues)
     : Loop(Loop), Store(Store), Office(Office), Metrics(Metrics),
-      Decisions(Metrics), Scheduler(Term, Limits, Book, Queues, present()), Wake(Loop),
-      AppendRetry(Loop) {
+      Decisions(Metrics), Scheduler(Term, Limits, Book, Queues, present()),
+      Wake(Loop), AppendRetry(Loop) {
   Log.event("term_begins", {{"term", Term},
                             {"jobs", Scheduler.openJobs()},
                             {"runs", Scheduler.runningRuns()}});
@@ -77,8 +77,8 @@
                    .Stamp = producer_stamp{Scheduler.term(), NextSequence},
                    .Timeout = AppendTimeout};
   for (work::job_progressed &Record : Command.Records)
-    Call.Records.push_back({work::progressKey(Record.Job),
-                            work::encodeRecord(std::move(Record))});
+    Call.Records.push_back(
+        {work::progressKey(Record.Job), work::encodeRecord(std::move(Record))});
   Batch = Command.Batch;
   Append = std::move(Call);
   AppendedAt = Loop.now();
@@ -100,7 +100,8 @@
         .getHistogram("geraniumpaddle_progress_append_seconds",
                       "From a record of progress to its place in the log.",
                       latencyBounds())
-        .observe(std::chrono::duration<double>(Loop.now() - AppendedAt).count());
+        .observe(
+            std::chrono::duration<double>(Loop.now() - AppendedAt).count());
     NextSequence = Append->Stamp->Sequence + 1;
     Append.reset();
     feed(work::progress_stored{Batch});
@@ -111,9 +112,8 @@
     Office.feed(term_fenced{Scheduler.term()}); // destroys this driver
     return;
   case stored_status::OutOfSequence:
-    Log.problem("append_out_of_sequence",
-                {{"sent", Append->Stamp->Sequence},
-                 {"expected", Outcome.Sequence}});
+    Log.problem("append_out_of_sequence", {{"sent", Append->Stamp->Sequence},
+                                           {"expected", Outcome.Sequence}});
     Append->Stamp->Sequence = Outcome.Sequence;
     break;
   case stored_status::Refused:
@@ -135,13 +135,12 @@
 
 void work_driver::carryOut(const work::decision_note &Command) {
   Decisions.observe(Command, Loop.now());
-  Log.event(name(Command.Kind),
-            {{"job", Command.Run.Task.Job.view()},
-             {"task", taskText(Command.Run.Task.Position)},
-             {"run", Command.Run.Run},
-             {"worker", Command.Worker.Worker.view()},
-             {"born", Command.Worker.Born},
-             {"detail", Command.Detail}});
+  Log.event(name(Command.Kind), {{"job", Command.Run.Task.Job.view()},
+                                 {"task", taskText(Command.Run.Task.Position)},
+                                 {"run", Command.Run.Run},
+                                 {"worker", Command.Worker.Worker.view()},
+                                 {"born", Command.Worker.Born},
+                                 {"detail", Command.Detail}});
 }
 
 void work_driver::exchange(const proto::work::WorkerReport &Message,
--- a/src/jobentry/jobapi.h
+++ b/src/jobentry/jobapi.h
@@ -36,8 +36,8 @@
     std::shared_ptr<ihttp_responder> Responder;
     job_id Job;
     time_point Since{}; ///< its arrival
-    time_point Until; ///< then the caller is told what is known
-    std::string Verb; ///< for the log
+    time_point Until;   ///< then the caller is told what is known
+    std::string Verb;   ///< for the log
     /// An append of it may have been stored without an answer.
     bool Uncertain = false;
     time_point RefusedSince{}; ///< by the store; 0: not yet
@@ -58,8 +58,7 @@
   /// Calls \p Then once the job is known, or answers that it is not.
   void whenKnown(job_call Call, std::function<void(job_call)> Then);
   void store(job_call Call, append_call Append);
-  void stored(job_call Call, append_call Append,
-              const append_outcome &Outcome);
+  void stored(job_call Call, append_call Append, const append_outcome &Outcome);
   void finish(const job_call &Call, http_response Response,
               std::string_view Reason);
   /// Longer, the longer the store has not stored anything.
--- a/src/logging/internal/logging.cpp
+++ b/src/logging/internal/logging.cpp
@@ -28,9 +28,8 @@
 using stream_backend = blog::sinks::text_ostream_backend;
 
 /// Hands formatted lines to an ilog_output.
-class output_backend final
-    : public blog::sinks::basic_formatted_sink_backend<
-          char, blog::sinks::synchronized_feeding> {
+class output_backend final : public blog::sinks::basic_formatted_sink_backend<
+                                 char, blog::sinks::synchronized_feeding> {
 public:
   explicit output_backend(ilog_output &Output) : Output(Output) {}
 
--- a/src/logging/internal/standardoutput.cpp
+++ b/src/logging/internal/standardoutput.cpp
@@ -52,8 +52,8 @@
     return;
   }
   if (LeftOut > 0) {
-    const std::string Notice = "message=lines_left_out count=" +
-                               std::to_string(LeftOut) + "\n";
+    const std::string Notice =
+        "message=lines_left_out count=" + std::to_string(LeftOut) + "\n";
     if (writeNow(Notice))
       LeftOut = 0;
   }
--- a/src/platform/internal/jsonfields.cpp
+++ b/src/platform/internal/jsonfields.cpp
@@ -34,8 +34,7 @@
   return std::llround(Number);
 }
 
-std::optional<std::int64_t> integerField(const json &Object,
-                                         const char *Name) {
+std::optional<std::int64_t> integerField(const json &Object, const char *Name) {
   const json *Value = member(Object, Name);
   return Value ? asInteger(*Value) : 0;
 }
@@ -60,8 +59,7 @@
   const json *Value = member(Object, Name);
   if (!Value)
     return false;
-  return Value->is_boolean() ? std::optional(Value->get<bool>())
-                             : std::nullopt;
+  return Value->is_boolean() ? std::optional(Value->get<bool>()) : std::nullopt;
 }
 
 } // namespace geraniumpaddle
--- a/src/platform/internal/platformdecode.cpp
+++ b/src/platform/internal/platformdecode.cpp
@@ -11,8 +11,7 @@
 constexpr int MillisecondsPerSecond = 1000;
 
 [[noreturn]] void failField(std::string_view Field, std::string_view Problem) {
-  throw malformed_message_error(
-      std::string(Field).append(" ").append(Problem));
+  throw malformed_message_error(std::string(Field).append(" ").append(Problem));
 }
 
 /// A whole number of at least \p Least that fits the type.
@@ -95,9 +94,9 @@
 }
 
 work::customer_config decodeCustomer(const json &Row) {
-  work::customer_config Customer{
-      .Name = customer_id(text(Row, "Name")),
-      .GuaranteedAccelerators = guaranteedAccelerators(Row)};
+  work::customer_config Customer{.Name = customer_id(text(Row, "Name")),
+                                 .GuaranteedAccelerators =
+                                     guaranteedAccelerators(Row)};
   for (const json &Key : rows(Row, "ApiKeys"))
     if (Key.is_string())
       Customer.Keys.push_back(Key.get<std::string>());
@@ -166,8 +165,8 @@
     failField("Capacity", "is missing");
   Worker.Capacity = needOf(*Capacity);
   const json &Labels = rows(Row, "Labels");
-  const bool Labelled = Labels.size() >= 2 && Labels[0].is_string() &&
-                        Labels[1].is_string();
+  const bool Labelled =
+      Labels.size() >= 2 && Labels[0].is_string() && Labels[1].is_string();
   if (!Labelled)
     failField("Labels", "does not name kind and rack");
   Worker.Kind = Labels[0].get<std::string>();
@@ -228,15 +227,15 @@
 
 http_response encodeError(int Code, std::string_view Reason,
                           std::string_view Message, duration RetryAfter) {
-  http_response Response = jsonAnswer(
-      Code, {{"Error", Reason}, {"Message", Message}});
+  http_response Response =
+      jsonAnswer(Code, {{"Error", Reason}, {"Message", Message}});
   if (RetryAfter > duration{}) {
     const auto Milliseconds =
         std::chrono::duration_cast<std::chrono::milliseconds>(RetryAfter)
             .count();
     // The header counts whole seconds, rounded up.
-    const auto Seconds = (Milliseconds + MillisecondsPerSecond - 1) /
-                         MillisecondsPerSecond;
+    const auto Seconds =
+        (Milliseconds + MillisecondsPerSecond - 1) / MillisecondsPerSecond;
     Response.Headers.push_back({"Retry-After", std::to_string(Seconds)});
   }
   return Response;
--- a/src/platform/internal/storeclient.cpp
+++ b/src/platform/internal/storeclient.cpp
@@ -25,8 +25,10 @@
 }
 
 std::string topicQuery(std::string_view Path, store_topic Topic) {
-  return std::string(Path).append("?Topic=").append(nameOf(Topic)).append(
-      Partition);
+  return std::string(Path)
+      .append("?Topic=")
+      .append(nameOf(Topic))
+      .append(Partition);
 }
 
 std::int64_t milliseconds(duration Time) {
@@ -130,19 +132,17 @@
   if (Call.Stamp) {
     Request.Target.append("&Producer=").append(ProducerName);
     Request.Target.append("&epoch=").append(std::to_string(Call.Stamp->Term));
-    Request.Target.append("&Seq=").append(
-        std::to_string(Call.Stamp->Sequence));
+    Request.Target.append("&Seq=").append(std::to_string(Call.Stamp->Sequence));
   }
-  Transport.call(std::move(Request),
-                 [this, Done = std::move(Done)](const store_reply &Reply) {
-                   const append_outcome Outcome = toOutcome(Reply);
-                   if (Outcome.Status != stored_status::Stored)
-                     Log.event("append_not_stored",
-                              {{"code", Reply.Code},
-                               {"call", name(Reply.Status)},
-                               {"answer", Reply.Body}});
-                   Done(Outcome);
-                 });
+  Transport.call(std::move(Request), [this, Done = std::move(Done)](
+                                         const store_reply &Reply) {
+    const append_outcome Outcome = toOutcome(Reply);
+    if (Outcome.Status != stored_status::Stored)
+      Log.event("append_not_stored", {{"code", Reply.Code},
+                                      {"call", name(Reply.Status)},
+                                      {"answer", Reply.Body}});
+    Done(Outcome);
+  });
 }
 
 void store_client::read(store_topic Topic, std::uint64_t From, duration Wait,
@@ -152,19 +152,18 @@
                         .Timeout = Wait + ReadGrace};
   Request.Target.append("&From=").append(std::to_string(From));
   Request.Target.append("&WaitMs=").append(std::to_string(milliseconds(Wait)));
-  Transport.call(
-      std::move(Request),
-      [From, Done = std::move(Done)](const store_reply &Reply) {
-        read_outcome Outcome;
-        const bool Answered = Reply.Status == call_status::Completed;
-        Outcome.HistoryGone = Answered && Reply.Code == Gone;
-        if (Answered && Reply.Code == Ok)
-          if (auto Batch = decodeFrames(Reply.Body, From)) {
-            Outcome.Ok = true;
-            Outcome.Batch = std::move(*Batch);
-          }
-        Done(Outcome);
-      });
+  Transport.call(std::move(Request),
+                 [From, Done = std::move(Done)](const store_reply &Reply) {
+                   read_outcome Outcome;
+                   const bool Answered = Reply.Status == call_status::Completed;
+                   Outcome.HistoryGone = Answered && Reply.Code == Gone;
+                   if (Answered && Reply.Code == Ok)
+                     if (auto Batch = decodeFrames(Reply.Body, From)) {
+                       Outcome.Ok = true;
+                       Outcome.Batch = std::move(*Batch);
+                     }
+                   Done(Outcome);
+                 });
 }
 
 void store_client::newest(store_topic Topic, std::string_view After,
--- a/src/platform/internal/storeframes.cpp
+++ b/src/platform/internal/storeframes.cpp
@@ -57,7 +57,8 @@
                                         std::uint64_t From) {
   if (Bytes.size() < 2 * OffsetBytes)
     return std::nullopt;
-  topic_batch Batch{.From = From, .End = bigEndian(Bytes.substr(0, OffsetBytes))};
+  topic_batch Batch{.From = From,
+                    .End = bigEndian(Bytes.substr(0, OffsetBytes))};
   Bytes.remove_prefix(2 * OffsetBytes);
   std::uint64_t Offset = From;
   while (!Bytes.empty()) {
@@ -82,15 +83,14 @@
   if (Text.size() % GroupChars != 0)
     return std::nullopt;
   std::string Out(Text.size() / GroupChars * GroupBytes, '\0');
-  const int Size = EVP_DecodeBlock(
-      reinterpret_cast<unsigned char *>(Out.data()),
-      reinterpret_cast<const unsigned char *>(Text.data()),
-      static_cast<int>(Text.size()));
+  const int Size =
+      EVP_DecodeBlock(reinterpret_cast<unsigned char *>(Out.data()),
+                      reinterpret_cast<const unsigned char *>(Text.data()),
+                      static_cast<int>(Text.size()));
   if (Size < 0)
     return std::nullopt;
-  const auto Padding = std::count(Text.end() - std::min<std::ptrdiff_t>(
-                                                   2, Text.size()),
-                                  Text.end(), '=');
+  const auto Padding = std::count(
+      Text.end() - std::min<std::ptrdiff_t>(2, Text.size()), Text.end(), '=');
   Out.resize(static_cast<std::size_t>(Size - Padding));
   return Out;
 }
--- a/src/platform/internal/tasknames.cpp
+++ b/src/platform/internal/tasknames.cpp
@@ -7,8 +7,8 @@
 
 std::string taskName(const work::task_ref &Task) {
   std::string Name = Task.Job.str();
-  for (const std::uint32_t Part : {Task.Position.Occurrence, Task.Position.Step,
-                                   Task.Position.Index})
+  for (const std::uint32_t Part :
+       {Task.Position.Occurrence, Task.Position.Step, Task.Position.Index})
     Name.append(".").append(std::to_string(Part));
   return Name;
 }
@@ -20,8 +20,8 @@
     if (Dot == std::string_view::npos)
       return std::nullopt;
     const std::string_view Text = Name.substr(Dot + 1);
-    const auto [End, Error] = std::from_chars(
-        Text.data(), Text.data() + Text.size(), Numbers.at(I));
+    const auto [End, Error] =
+        std::from_chars(Text.data(), Text.data() + Text.size(), Numbers.at(I));
     if (Error != std::errc() || End != Text.data() + Text.size())
       return std::nullopt;
     Name = Name.substr(0, Dot);
--- a/src/platform/internal/taskworkerclient.cpp
+++ b/src/platform/internal/taskworkerclient.cpp
@@ -65,8 +65,8 @@
   const bool Readable = Row.is_array() && Row.size() >= 3 &&
                         Row[0].is_string() && asInteger(Row[1]) &&
                         Row[2].is_string();
-  const auto Task = Readable ? parseTaskName(Row[0].get<std::string>())
-                             : std::nullopt;
+  const auto Task =
+      Readable ? parseTaskName(Row[0].get<std::string>()) : std::nullopt;
   if (!Task)
     return std::nullopt;
   const auto Run = static_cast<std::uint32_t>(*asInteger(Row[1]));
@@ -153,9 +153,9 @@
             std::move(Done));
 }
 
-void task_worker_client::start(const worker_target &Target,
-                               const work::start_run &Order,
-                               std::function<void(const start_outcome &)> Done) {
+void task_worker_client::start(
+    const worker_target &Target, const work::start_run &Order,
+    std::function<void(const start_outcome &)> Done) {
   json Body = runBody(Target, Order.Run.Run);
   Body["Spec"] = Order.Run.Payload;
   Body["DeadlineMs"] = Order.LeaseEndMs;
--- a/src/platform/tests/platformdecodetest.cpp
+++ b/src/platform/tests/platformdecodetest.cpp
@@ -29,7 +29,7 @@
 
 } // namespace
 
-TEST_GROUP(PlatformDecode) {};
+TEST_GROUP(PlatformDecode){};
 
 TEST(PlatformDecode, ReadsAConfiguration) {
   const auto Config = decodeConfiguration(
--- a/src/platform/tests/storeclienttest.cpp
+++ b/src/platform/tests/storeclienttest.cpp
@@ -19,7 +19,8 @@
   }
 
   store_request Last;
-  store_reply Reply{.Status = call_status::Completed, .Code = 200, .Body = "{}"};
+  store_reply Reply{
+      .Status = call_status::Completed, .Code = 200, .Body = "{}"};
 };
 
 struct append_case {
@@ -55,19 +56,26 @@
 // What each answer says of the append: done, not done, or unknown.
 TEST(StoreClient, TellsWhatIsKnownOfAnAppend) {
   const append_case Cases[] = {
-      {"stored", {call_status::Completed, 200, R"({"Offset":4,"End":5})"},
+      {"stored",
+       {call_status::Completed, 200, R"({"Offset":4,"End":5})"},
        stored_status::Stored},
-      {"fenced", {call_status::Completed, 409, R"({"Reason":"fenced"})"},
+      {"fenced",
+       {call_status::Completed, 409, R"({"Reason":"fenced"})"},
        stored_status::Fenced},
-      {"sequence", {call_status::Completed, 409, R"({"Reason":"seq","Seq":3})"},
+      {"sequence",
+       {call_status::Completed, 409, R"({"Reason":"seq","Seq":3})"},
        stored_status::OutOfSequence},
       {"rate limit", {call_status::Completed, 429, ""}, stored_status::Refused},
-      {"unavailable", {call_status::Completed, 503, ""}, stored_status::Refused},
+      {"unavailable",
+       {call_status::Completed, 503, ""},
+       stored_status::Refused},
       {"full", {call_status::Completed, 507, ""}, stored_status::Refused},
       {"not sent", {call_status::NotSent, 0, ""}, stored_status::Refused},
-      {"server error", {call_status::Completed, 500, ""},
+      {"server error",
+       {call_status::Completed, 500, ""},
        stored_status::Unknown},
-      {"no body", {call_status::Completed, 200, "<html>"},
+      {"no body",
+       {call_status::Completed, 200, "<html>"},
        stored_status::Unknown},
       {"lost", {call_status::Lost, 0, ""}, stored_status::Unknown},
       {"timed out", {call_status::TimedOut, 0, ""}, stored_status::Unknown},
@@ -81,7 +89,8 @@
 TEST(StoreClient, TellsTheEndAndTheExpectedSequence) {
   Transport.Reply.Body = R"({"Offset":4,"End":5})";
   LONGS_EQUAL(5, append().End);
-  Transport.Reply = {call_status::Completed, 409, R"({"Reason":"seq","Seq":3})"};
+  Transport.Reply = {call_status::Completed, 409,
+                     R"({"Reason":"seq","Seq":3})"};
   LONGS_EQUAL(3, append().Sequence);
 }
 
--- a/src/platform/tests/storeframestest.cpp
+++ b/src/platform/tests/storeframestest.cpp
@@ -5,11 +5,11 @@
 using namespace geraniumpaddle;
 using namespace std::string_literals;
 
-TEST_GROUP(StoreFrames) {
-  static std::string header(char End) {
+TEST_GROUP(StoreFrames){static std::string header(char End){
     return std::string(7, '\0') + End + std::string(8, '\0');
-  }
-};
+}
+}
+;
 
 TEST(StoreFrames, ARecordHasItsLengthItsKeyAndItsValue) {
   const std::vector<keyed_value> Records{{"ab", "xyz"}, {"c", ""}};
--- a/src/platform/tests/taskworkerclienttest.cpp
+++ b/src/platform/tests/taskworkerclienttest.cpp
@@ -1,5 +1,5 @@
-#include "platform/internal/tasknames.h"
 #include "platform/taskworkerclient.h"
+#include "platform/internal/tasknames.h"
 #include "testkit/fakehttp.h"
 
 #include <nlohmann/json.hpp>
@@ -33,7 +33,8 @@
     listing_outcome Outcome;
     Worker.list(Target, {.AcknowledgedEnds = 5},
                 [&](const listing_outcome &Each) { Outcome = Each; });
-    Http.answer({.Status = call_status::Completed, .Code = Code, .Body = Answer});
+    Http.answer(
+        {.Status = call_status::Completed, .Code = Code, .Body = Answer});
     return Outcome;
   }
 };
@@ -64,24 +65,40 @@
   constexpr auto Whole = call_status::Completed;
   const start_case Cases[] = {
       {"done", {Whole, 200, {}, R"({"ClockMs":1})"}, worker_call::Done},
-      {"fence", {Whole, 409, {}, R"({"Reason":"fence"})"},
-       worker_call::Refused, start_refusal::Fenced},
-      {"old", {Whole, 409, {}, R"({"Reason":"old"})"}, worker_call::Refused,
+      {"fence",
+       {Whole, 409, {}, R"({"Reason":"fence"})"},
+       worker_call::Refused,
+       start_refusal::Fenced},
+      {"old",
+       {Whole, 409, {}, R"({"Reason":"old"})"},
+       worker_call::Refused,
        start_refusal::Stale},
-      {"late", {Whole, 409, {}, R"({"Reason":"late"})"}, worker_call::Refused,
+      {"late",
+       {Whole, 409, {}, R"({"Reason":"late"})"},
+       worker_call::Refused,
        start_refusal::Late},
-      {"room", {Whole, 409, {}, R"({"Reason":"room"})"}, worker_call::Refused,
+      {"room",
+       {Whole, 409, {}, R"({"Reason":"room"})"},
+       worker_call::Refused,
        start_refusal::NoRoom},
-      {"unhealthy", {Whole, 503, {}, ""}, worker_call::Refused,
+      {"unhealthy",
+       {Whole, 503, {}, ""},
+       worker_call::Refused,
        start_refusal::Unhealthy},
-      {"other life", {Whole, 421, {}, ""}, worker_call::Refused,
+      {"other life",
+       {Whole, 421, {}, ""},
+       worker_call::Refused,
        start_refusal::Stale},
-      {"malformed", {Whole, 400, {}, ""}, worker_call::Refused,
+      {"malformed",
+       {Whole, 400, {}, ""},
+       worker_call::Refused,
        start_refusal::Invalid},
       {"error", {Whole, 500, {}, ""}, worker_call::Unknown},
       {"lost", {call_status::Lost, 0, {}, ""}, worker_call::Unknown},
       {"timed out", {call_status::TimedOut, 0, {}, ""}, worker_call::Unknown},
-      {"not sent", {call_status::NotSent, 0, {}, ""}, worker_call::Refused,
+      {"not sent",
+       {call_status::NotSent, 0, {}, ""},
+       worker_call::Refused,
        start_refusal::Unhealthy},
   };
   for (const start_case &Each : Cases) {
--- a/src/settings/internal/settingsreader.cpp
+++ b/src/settings/internal/settingsreader.cpp
@@ -21,11 +21,11 @@
   Enum Value;
 };
 
-constexpr auto RoleNames = std::to_array<named_value<node_role>>(
-    {{"entry", node_role::Entry},
-     {"agent", node_role::Agent},
-     {"job_entry", node_role::JobEntry},
-     {"job_agent", node_role::JobAgent}});
+constexpr auto RoleNames =
+    std::to_array<named_value<node_role>>({{"entry", node_role::Entry},
+                                           {"agent", node_role::Agent},
+                                           {"job_entry", node_role::JobEntry},
+                                           {"job_agent", node_role::JobAgent}});
 constexpr auto ObjectiveNames = std::to_array<named_value<objective_setting>>(
     {{"completion_time", objective_setting::CompletionTime},
      {"fragmentation", objective_setting::Fragmentation}});
--- a/src/workcodec/internal/peerconvert.cpp
+++ b/src/workcodec/internal/peerconvert.cpp
@@ -64,8 +64,7 @@
 }
 
 worker_listing fromProto(const proto::work::WorkerListing &Message) {
-  worker_listing Listing{.Born = Message.born(),
-                         .ClockMs = Message.clock_ms()};
+  worker_listing Listing{.Born = Message.born(), .ClockMs = Message.clock_ms()};
   for (const proto::work::RunningRun &Row : Message.running())
     Listing.Running.push_back(
         {fromProto(Row.run()), Row.checkpoint(), Row.percent()});
--- a/src/workcodec/internal/specconvert.cpp
+++ b/src/workcodec/internal/specconvert.cpp
@@ -102,7 +102,8 @@
     Spec.Steps.push_back(fromProto(Step));
     for (const std::uint32_t Earlier : Spec.Steps.back().After)
       if (Earlier + 1 >= Spec.Steps.size())
-        throw malformed_message_error("a step depends on itself or a later one");
+        throw malformed_message_error(
+            "a step depends on itself or a later one");
   }
   Spec.SubmittedAt = wallTime(Message.submitted_ms());
   Spec.Scheduled = Message.scheduled();
--- a/src/workcodec/tests/workcodectest.cpp
+++ b/src/workcodec/tests/workcodectest.cpp
@@ -8,36 +8,37 @@
 using namespace geraniumpaddle;
 using namespace geraniumpaddle::work;
 
-TEST_GROUP(WorkCodec) {
-  template <typename Record> Record roundTrip(const Record &Sent) {
-    return std::get<Record>(decodeRecord(encodeRecord(Sent)));
-  }
+TEST_GROUP(WorkCodec){
+    template <typename Record> Record roundTrip(const Record &Sent){
+        return std::get<Record>(decodeRecord(encodeRecord(Sent)));
+}
 
-  static job_spec fullSpec() {
-    job_spec Spec = work::testing::makeJob("00000000000000aa", 3, 4);
-    Spec.Scheduled = true;
-    Spec.Occurrences = 2;
-    Spec.FirstStart = wall_time(std::chrono::milliseconds(1773605482535));
-    Spec.SubmittedAt = wall_time(std::chrono::milliseconds(1773605482000));
-    Spec.Interval = std::chrono::milliseconds(1500);
-    Spec.Payload = "\xff raw";
-    Spec.Steps.push_back({.Count = 2,
-                          .After = {0},
-                          .Checkpointing = true,
-                          .Gang = true,
-                          .SameRack = true,
-                          .Speculative = true,
-                          .LongRunning = true,
-                          .Fills = true,
-                          .RequiredLabel = "a",
-                          .DataRack = "r1",
-                          .Image = "image",
-                          .MaxPerWorker = 3,
-                          .TailLatencyTarget = std::chrono::milliseconds(40),
-                          .MaxUnavailable = 1});
-    return Spec;
-  }
-};
+static job_spec fullSpec() {
+  job_spec Spec = work::testing::makeJob("00000000000000aa", 3, 4);
+  Spec.Scheduled = true;
+  Spec.Occurrences = 2;
+  Spec.FirstStart = wall_time(std::chrono::milliseconds(1773605482535));
+  Spec.SubmittedAt = wall_time(std::chrono::milliseconds(1773605482000));
+  Spec.Interval = std::chrono::milliseconds(1500);
+  Spec.Payload = "\xff raw";
+  Spec.Steps.push_back({.Count = 2,
+                        .After = {0},
+                        .Checkpointing = true,
+                        .Gang = true,
+                        .SameRack = true,
+                        .Speculative = true,
+                        .LongRunning = true,
+                        .Fills = true,
+                        .RequiredLabel = "a",
+                        .DataRack = "r1",
+                        .Image = "image",
+                        .MaxPerWorker = 3,
+                        .TailLatencyTarget = std::chrono::milliseconds(40),
+                        .MaxUnavailable = 1});
+  return Spec;
+}
+}
+;
 
 TEST(WorkCodec, ASubmissionKeepsEveryField) {
   CHECK(roundTrip(job_submitted{fullSpec()}).Spec == fullSpec());
@@ -80,7 +81,8 @@
                decodeRecord(Unknown.SerializeAsString()));
   proto::work::WorkRecord Cycle;
   Cycle.mutable_submitted()->add_steps()->add_after(0);
-  CHECK_THROWS(malformed_message_error, decodeRecord(Cycle.SerializeAsString()));
+  CHECK_THROWS(malformed_message_error,
+               decodeRecord(Cycle.SerializeAsString()));
 }
 
 TEST(WorkCodec, AReportKeepsEveryField) {
--- a/standins/store/storemodel.cpp
+++ b/standins/store/storemodel.cpp
@@ -71,8 +71,7 @@
   return Read;
 }
 
-std::vector<newest_record>
-store_model::newest(const std::string &Topic) const {
+std::vector<newest_record> store_model::newest(const std::string &Topic) const {
   std::vector<newest_record> Records;
   const auto Found = Topics.find(Topic);
   if (Found != Topics.end())
@@ -124,8 +123,8 @@
     Holder.clear();
   if (Holder.empty() && Assigned == Member)
     Holder = Member;
-  return {.Generation = Generation, .Holds = Holder == Member &&
-                                             Assigned == Member};
+  return {.Generation = Generation,
+          .Holds = Holder == Member && Assigned == Member};
 }
 
 void store_model::leave(const std::string &Member, time_point Now) {
--- a/standins/store/storeserver.cpp
+++ b/standins/store/storeserver.cpp
@@ -67,9 +67,8 @@
               (I + J < Bytes.size() ? static_cast<unsigned char>(Bytes[I + J])
                                     : 0U);
     for (std::size_t J = 0; J < 4; ++J)
-      Text += I + J > Bytes.size()
-                  ? '='
-                  : Digits[Group >> (18U - 6U * J) & 0x3FU];
+      Text +=
+          I + J > Bytes.size() ? '=' : Digits[Group >> (18U - 6U * J) & 0x3FU];
   }
   return Text;
 }
@@ -83,13 +82,12 @@
 } // namespace
 
 store_server::store_server(event_loop &Loop, std::string_view Listen)
-    : Loop(Loop),
-      Server(std::make_unique<http_server>(
-          Loop, Listen, http_server_limits{},
-          [this](const http_request_view &Request,
-                 const responder_ptr &Responder) {
-            handle(Request, Responder);
-          })) {}
+    : Loop(Loop), Server(std::make_unique<http_server>(
+                      Loop, Listen, http_server_limits{},
+                      [this](const http_request_view &Request,
+                             const responder_ptr &Responder) {
+                        handle(Request, Responder);
+                      })) {}
 
 void store_server::handle(const http_request_view &Request,
                           const responder_ptr &Responder) {
@@ -162,8 +160,8 @@
     Call.Responder->respond(jsonAnswer(Conflict, {{"Reason", "fenced"}}));
     return;
   case store_answer::OutOfSequence:
-    Call.Responder->respond(jsonAnswer(
-        Conflict, {{"Reason", "seq"}, {"Seq", Answer.Expected}}));
+    Call.Responder->respond(
+        jsonAnswer(Conflict, {{"Reason", "seq"}, {"Seq", Answer.Expected}}));
     return;
   case store_answer::Done:
   case store_answer::Gone:
@@ -235,10 +233,8 @@
                      {"Value", base64(Record.Value)},
                      {"Offset", Record.Offset}});
   }
-  Call.Responder->respond(
-      jsonAnswer(Ok, {{"items", Items},
-                      {"HasMore", HasMore},
-                      {"End", Model.end(Topic)}}));
+  Call.Responder->respond(jsonAnswer(
+      Ok, {{"items", Items}, {"HasMore", HasMore}, {"End", Model.end(Topic)}}));
 }
 
 void store_server::join(const call &Call) {
@@ -249,8 +245,8 @@
   json Parts = json::array();
   if (Answer.Holds)
     Parts.push_back({Body.at("Topics").at(0), 0, 0});
-  Call.Responder->respond(jsonAnswer(
-      Ok, {{"Generation", Answer.Generation}, {"parts", Parts}}));
+  Call.Responder->respond(
+      jsonAnswer(Ok, {{"Generation", Answer.Generation}, {"parts", Parts}}));
 }
 
 void store_server::leave(const call &Call) {
--- a/standins/store/tests/storemodeltest.cpp
+++ b/standins/store/tests/storemodeltest.cpp
@@ -14,7 +14,8 @@
     return static_cast<char>(Key.size()) + Key + Value;
   }
   store_append append(std::uint64_t Term, std::uint64_t Sequence) {
-    return Model.append("t", {record("k", "v")}, store_stamp{"p", Term, Sequence});
+    return Model.append("t", {record("k", "v")},
+                        store_stamp{"p", Term, Sequence});
   }
 };
 
--- a/standins/taskworkers/fieldserver.cpp
+++ b/standins/taskworkers/fieldserver.cpp
@@ -15,9 +15,8 @@
 
 constexpr duration TickTime = 20ms;
 constexpr duration BeatTime = 500ms;
-constexpr resources Capacity{.Accelerators = 8,
-                             .MilliCores = 64000,
-                             .MemoryMb = 262144};
+constexpr resources Capacity{
+    .Accelerators = 8, .MilliCores = 64000, .MemoryMb = 262144};
 
 constexpr int Ok = 200;
 constexpr int NotFound = 404;
@@ -66,8 +65,7 @@
 
 } // namespace
 
-field_server::field_server(event_loop &Loop,
-                           std::span<const field_plan> Plans)
+field_server::field_server(event_loop &Loop, std::span<const field_plan> Plans)
     : Loop(Loop), Http(Loop, http_client_limits{}, Traffic),
       Field({}, &field_server::behaviour), Tick(Loop), Beat(Loop) {
   for (const field_plan &Plan : Plans) {
@@ -116,8 +114,7 @@
     Order.Run = {.Run = runOf(Body),
                  .Payload = Body.value("Spec", ""),
                  .Checkpoint = Body.value("LastCheckpoint", "")};
-    Responder->respond(
-        answerOf(Field.start(Life, Token, Order, Now), ClockMs));
+    Responder->respond(answerOf(Field.start(Life, Token, Order, Now), ClockMs));
   } else if (Request.Path == "/api/run-stop") {
     Responder->respond(
         answerOf(Field.stop(Life, Token, runOf(Body), Now), ClockMs));
@@ -130,8 +127,8 @@
     if (Answer != field_answer::Done)
       Responder->respond(answerOf(Answer, ClockMs));
     else
-      Worker.Open.push_back(
-          {Responder, Now + std::chrono::milliseconds(Body.value("WaitMs", 0))});
+      Worker.Open.push_back({Responder, Now + std::chrono::milliseconds(
+                                                  Body.value("WaitMs", 0))});
     tick();
   } else {
     Responder->respond({.Code = NotFound});
@@ -144,8 +141,8 @@
       Field.listing(worker_id(Worker.Plan.Name), Loop.now());
   json Running = json::array();
   for (const work::running_run &Row : Listing.Running)
-    Running.push_back({taskText(Row.Run.Task), Row.Run.Run, Row.Checkpoint,
-                       Row.Percent, 0});
+    Running.push_back(
+        {taskText(Row.Run.Task), Row.Run.Run, Row.Checkpoint, Row.Percent, 0});
   json Finished = json::array();
   for (const work::finished_run &Row : Listing.Finished)
     Finished.push_back({Row.Number, taskText(Row.Run.Task), Row.Run.Run,
--- a/standins/taskworkers/workerfield.cpp
+++ b/standins/taskworkers/workerfield.cpp
@@ -46,9 +46,9 @@
   return milliseconds(Now - Workers.at(Id).ClockZero);
 }
 
-worker_field::field_worker *
-worker_field::check(const work::worker_life &Life, std::uint64_t Token,
-                    field_answer &Answer) {
+worker_field::field_worker *worker_field::check(const work::worker_life &Life,
+                                                std::uint64_t Token,
+                                                field_answer &Answer) {
   const auto Found = Workers.find(Life.Worker);
   if (Found == Workers.end() || Found->second.Born != Life.Born) {
     Answer = field_answer::OtherLife;
@@ -67,8 +67,8 @@
                                time_point Now) const {
   const time_point Wanted =
       Worker.ClockZero + std::chrono::milliseconds(LeaseEndMs);
-  Worker.LeaseEnd = std::max(Worker.LeaseEnd,
-                             std::min(Wanted, Now + Limits.LongestLease));
+  Worker.LeaseEnd =
+      std::max(Worker.LeaseEnd, std::min(Wanted, Now + Limits.LongestLease));
 }
 
 field_answer worker_field::start(const work::worker_life &Life,
@@ -87,9 +87,8 @@
   const auto Highest = Worker->Highest.find(Key.Task);
   if (Highest != Worker->Highest.end() && Key.Run <= Highest->second)
     return field_answer::Stale;
-  field_run Run{.Run = Key,
-                .What = Behaviour(Key, Order.Run.Payload),
-                .ArrivedAt = Now};
+  field_run Run{
+      .Run = Key, .What = Behaviour(Key, Order.Run.Payload), .ArrivedAt = Now};
   Run.Worked = std::chrono::milliseconds(
       std::strtoll(Order.Run.Checkpoint.c_str(), nullptr, 16));
   Run.FirstWorked = Run.Worked;
@@ -138,8 +137,7 @@
     return Answer;
   if (Order.LeaseEndMs)
     extendLease(*Worker, *Order.LeaseEndMs, Now);
-  Worker->Acknowledged =
-      std::max(Worker->Acknowledged, Order.AcknowledgedEnds);
+  Worker->Acknowledged = std::max(Worker->Acknowledged, Order.AcknowledgedEnds);
   std::erase_if(Worker->Ends, [&](const work::finished_run &End) {
     if (End.Number > Worker->Acknowledged)
       return false;
@@ -237,8 +235,8 @@
     } else if (Run.StopAt != time_point{} && Run.StopAt <= Now) {
       EndWith(work::run_end::Stopped, work::run_end::Broken);
     } else if (!Gang.empty() && present(Gang) < Run.What.GangSize) {
-      const bool Alone =
-          Run.Worked == Run.FirstWorked && Now - Run.ArrivedAt > Limits.GangWait;
+      const bool Alone = Run.Worked == Run.FirstWorked &&
+                         Now - Run.ArrivedAt > Limits.GangWait;
       if (Alone)
         EndWith(work::run_end::Alone, work::run_end::Alone);
     } else if (!Run.What.Hangs) {
--- a/standins/taskworkers/workerfield.h
+++ b/standins/taskworkers/workerfield.h
@@ -101,8 +101,8 @@
   void extendLease(field_worker &Worker, std::int64_t LeaseEndMs,
                    time_point Now) const;
   void end(field_worker &Worker, const work::run_ref &Run, work::run_end How);
-  void endGang(const std::string &Gang, work::run_end First,
-               work::run_end Rest, const work::run_ref &Which);
+  void endGang(const std::string &Gang, work::run_end First, work::run_end Rest,
+               const work::run_ref &Which);
   std::uint32_t present(const std::string &Gang) const;
   void advanceWorker(field_worker &Worker, time_point Now, duration Step);
   void checkStart(const field_worker &Worker, const field_run &Run);
