--- a/src/core/work/internal/livejobs.cpp
+++ b/src/core/work/internal/livejobs.cpp
@@ -11,7 +11,7 @@
       KnownAt(KnownAt) {
   this->Progress.Tasks.resize(Layout.size());
   const auto StepCount = static_cast<std::uint32_t>(this->Spec->Steps.size());
-  OpenByStep.resize(StepCount * this->Spec->Occurrences);
+  OpenByStep.resize(std::size_t{StepCount} * this->Spec->Occurrences);
   WaitingByStep.resize(OpenByStep.size());
   FailedRun.resize(OpenByStep.size());
   for (std::uint32_t K = 0; K < this->Spec->Occurrences; ++K)
--- a/src/core/work/internal/runtable.cpp
+++ b/src/core/work/internal/runtable.cpp
@@ -11,9 +11,9 @@
   return Hash;
 }
 
-live_run *run_table::add(live_run Run) {
+live_run *run_table::add(const live_run &Run) {
   const run_ref Key = Run.Run;
-  const auto [Added, IsNew] = Runs.try_emplace(Key, std::move(Run));
+  const auto [Added, IsNew] = Runs.try_emplace(Key, Run);
   if (!IsNew)
     return nullptr;
   ByJob[Key.Task.Job].push_back(&Added->second);
--- a/src/core/work/internal/workscheduler.cpp
+++ b/src/core/work/internal/workscheduler.cpp
@@ -75,10 +75,10 @@
   for (auto &[Id, Worker] : Pool.all()) {
     if (Worker.Described)
       continue; // it has reported to this term
+    const worker_life &Life = Worker.Description.Life;
     const auto Found = std::find_if(
-        Event.Leases.begin(), Event.Leases.end(), [&](const lease_left &Each) {
-          return Each.Life == Worker.Description.Life;
-        });
+        Event.Leases.begin(), Event.Leases.end(),
+        [&Life](const lease_left &Each) { return Each.Life == Life; });
     const time_point End =
         Found == Event.Leases.end() ? Present.Now : Found->End;
     Worker.LeaseEnd = std::min(Worker.LeaseEnd, End);
@@ -110,8 +110,8 @@
   return Now ? *Now : Job.spec().Terms;
 }
 
-void work_scheduler::addRun(live_run Run) {
-  if (live_run *Added = Runs.add(std::move(Run)))
+void work_scheduler::addRun(const live_run &Run) {
+  if (live_run *Added = Runs.add(Run))
     Pool.hold(*Added);
 }
 
@@ -175,16 +175,15 @@
 
 void work_scheduler::endJob(const job_id &Job, job_state State,
                             const present_time &Present) {
-  const job_id Id = Job;
-  const auto Found = Jobs.find(Id);
+  const auto Found = Jobs.find(Job);
   Found->second.end(State, Present.Wall);
-  markChanged(Id);
-  note(decision_kind::JobEnded, {{Id, {}}, 0}, {}, name(State));
+  markChanged(Job);
+  note(decision_kind::JobEnded, {{Job, {}}, 0}, {}, name(State));
   Jobs.erase(Found);
-  EndedJobs.insert(Id);
-  Waiting.erase(Id);
-  FailedOn.erase(Id);
-  for (const live_run *Run : Runs.ofJob(Id))
+  EndedJobs.insert(Job);
+  Waiting.erase(Job);
+  FailedOn.erase(Job);
+  for (const live_run *Run : Runs.ofJob(Job))
     stopRun(Run->Run, name(State));
 }
 
--- a/src/core/work/runtable.h
+++ b/src/core/work/runtable.h
@@ -16,7 +16,7 @@
 class run_table {
 public:
   /// \returns the run, at an address that stays; null if it is there already.
-  live_run *add(live_run Run);
+  live_run *add(const live_run &Run);
   void erase(const live_run &Run);
   live_run *find(const run_ref &Run);
   const live_run *find(const run_ref &Run) const;
--- a/src/core/work/workscheduler.h
+++ b/src/core/work/workscheduler.h
@@ -80,7 +80,7 @@
   void adoptRuns(const live_job &Job, const present_time &Present);
   live_job *findJob(const job_id &Job);
   const live_job *findJob(const job_id &Job) const;
-  void addRun(live_run Run);
+  void addRun(const live_run &Run);
   void eraseRun(const run_ref &Run);
   void markChanged(const job_id &Job);
   void ordersChanged(pool_worker &Worker);
--- a/src/daemon/tests/soak/soaktest.cpp
+++ b/src/daemon/tests/soak/soaktest.cpp
@@ -231,7 +231,8 @@
                    (MayBeCancelled && Last.find("cancelled") != Last.npos);
           },
           SettleLimit);
-      CHECK_TEXT(Ended, text(Path + " is " + Last).c_str());
+      CHECK_TEXT(Ended,
+                 text(std::string(Path).append(" is ").append(Last)).c_str());
     }
     for (const std::string &Path : Refused)
       STRCMP_EQUAL_TEXT("unknown", state(Path).c_str(),
--- a/src/jobentry/internal/jobapi.cpp
+++ b/src/jobentry/internal/jobapi.cpp
@@ -132,7 +132,7 @@
     return;
   }
   Call.Job = job_id(Admitted.Rest);
-  const auto Found =
+  const auto *const Found =
       std::find_if(Routes.begin(), Routes.end(), [&](const route &Each) {
         return Each.Method == Request.Method;
       });
--- a/src/jobentry/internal/relayingtransport.cpp
+++ b/src/jobentry/internal/relayingtransport.cpp
@@ -102,7 +102,7 @@
   Call.set_timeout_ms(static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(Request.Timeout)
           .count()));
-  const std::string Address = Others[Route.relay(Others.size())];
+  const std::string &Address = Others[Route.relay(Others.size())];
   Peers.call(Address, Message, Request.Timeout + RelayGrace,
              [this, Life = Alive, Address,
               Done = std::move(Done)](const peer_result &Result) {
--- a/src/platform/internal/storeframes.cpp
+++ b/src/platform/internal/storeframes.cpp
@@ -89,8 +89,9 @@
                       static_cast<int>(Text.size()));
   if (Size < 0)
     return std::nullopt;
-  const auto Padding = std::count(
-      Text.end() - std::min<std::ptrdiff_t>(2, Text.size()), Text.end(), '=');
+  const std::string_view Tail =
+      Text.substr(Text.size() - std::min<std::size_t>(2, Text.size()));
+  const auto Padding = std::count(Tail.begin(), Tail.end(), '=');
   Out.resize(static_cast<std::size_t>(Size - Padding));
   return Out;
 }
--- a/src/platform/tests/platformdecodetest.cpp
+++ b/src/platform/tests/platformdecodetest.cpp
@@ -75,11 +75,12 @@
       {R"("Gpu":8)", R"("Gpu":99999999999)"},
       {R"("Seq":4)", R"("Seq":[])"},
   };
-  for (const auto &[Part, Instead] : Changes)
+  for (const auto &Each : Changes)
     CHECK_TEXT(isMalformed([&] {
-                 decodeHeartbeat("i-1", without(Heartbeat, Part, Instead));
+                 decodeHeartbeat("i-1",
+                                 without(Heartbeat, Each.first, Each.second));
                }),
-               Instead);
+               Each.second);
   CHECK(isMalformed([] { decodeHeartbeat("i-1", "\xff\xfe"); }));
   CHECK(isMalformed([] { decodeHeartbeat("i-1", "[]"); }));
 }
