--- a/src/core/work/internal/placementround.cpp
+++ b/src/core/work/internal/placementround.cpp
@@ -186,7 +186,6 @@
 std::vector<placement_round::placed_task>
 placement_round::placeIn(const placement_request &Request, view View) {
   const step_spec &Step = *Request.Step;
-  std::vector<placed_task> Best;
   for (const std::size_t Rack : rackChoices(Request)) {
     std::vector<placed_task> Placed = fill(Request, View, Rack);
     if (Placed.size() == Request.Tasks.size() || (!Step.SameRack && !Step.Gang))
--- a/src/workcodec/internal/convert.h
+++ b/src/workcodec/internal/convert.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "core/base/error.h"
 #include "core/work/types/worker.h"
 
 #include "work.pb.h"
 
+#include <string>
 #include <string_view>
 
 namespace geraniumpaddle::work {
@@ -25,7 +27,11 @@
 /// The enumerator numbered \p Value, up to \p Last.
 /// \throws malformed_message_error if there is none.
 template <typename Enum>
-Enum checkedEnum(std::uint32_t Value, Enum Last, std::string_view Field);
+Enum checkedEnum(std::uint32_t Value, Enum Last, std::string_view Field) {
+  if (Value > static_cast<std::uint32_t>(Last))
+    throw malformed_message_error("unknown value of " + std::string(Field));
+  return static_cast<Enum>(Value);
+}
 
 void toProto(const worker_life &Life, proto::work::WorkerLife &Message);
 worker_life fromProto(const proto::work::WorkerLife &Message);
@@ -36,13 +42,3 @@
 job_spec fromProto(const proto::work::JobSubmitted &Message);
 
 } // namespace geraniumpaddle::work
-
-#include "core/base/error.h"
-
-template <typename Enum>
-Enum geraniumpaddle::work::checkedEnum(std::uint32_t Value, Enum Last,
-                                       std::string_view Field) {
-  if (Value > static_cast<std::uint32_t>(Last))
-    throw malformed_message_error("unknown value of " + std::string(Field));
-  return static_cast<Enum>(Value);
-}
