--- a/src/agent/internal/ganghost.cpp
+++ b/src/agent/internal/ganghost.cpp
@@ -165,8 +165,7 @@
 void gang_host::onWakeup(const set_wakeup &Command) {
   if (Command.At == time_point::max())
     return Wakeup.cancel();
-  Wakeup.start(std::max(Command.At - Loop.now(), duration::zero()),
-               [this] { push(wakeup_due{}); });
+  Wakeup.startAt(Command.At, [this] { push(wakeup_due{}); });
 }
 
 worker_callback gang_host::workerAnswer(worker_call_id Call, bool Complete) {
--- a/src/agent/internal/requesthost.cpp
+++ b/src/agent/internal/requesthost.cpp
@@ -142,8 +142,7 @@
 void request_host::onDrained(const agent_drained &) { Drained(); }
 
 void request_host::onWakeAt(const agent_wake_at &Command) {
-  Wakeup.start(std::max(Command.At - Loop.now(), duration::zero()),
-               [this] { push(agent_timer_fired{}); });
+  Wakeup.startAt(Command.At, [this] { push(agent_timer_fired{}); });
 }
 
 } // namespace geraniumpaddle
--- a/src/core/work/internal/scheduledecisions.cpp
+++ b/src/core/work/internal/scheduledecisions.cpp
@@ -227,6 +227,8 @@
 
 std::vector<work_scheduler::candidate>
 work_scheduler::readySteps(const present_time &Present) {
+  if (Waiting.empty())
+    return {};
   std::vector<candidate> Ready;
   std::vector<job_id> Idle;
   const std::set<customer_id> Within = guaranteedCustomers();
--- a/src/entry/internal/agentdirectory.cpp
+++ b/src/entry/internal/agentdirectory.cpp
@@ -275,8 +275,8 @@
 }
 
 void agent_directory::onWakeAt(const liveness_wake_at &Command) {
-  LivenessTimer.start(std::max(Command.At - Loop.now(), duration::zero()),
-                      [this] { pushLiveness(liveness_timer_fired{}); });
+  LivenessTimer.startAt(Command.At,
+                        [this] { pushLiveness(liveness_timer_fired{}); });
 }
 
 proto::RegionSummary agent_directory::summary() const {
--- a/src/entry/internal/entrymembers.cpp
+++ b/src/entry/internal/entrymembers.cpp
@@ -134,8 +134,8 @@
 }
 
 void entry_members::onWakeAt(const liveness_wake_at &Command) {
-  LivenessTimer.start(std::max(Command.At - Loop.now(), duration::zero()),
-                      [this] { pushLiveness(liveness_timer_fired{}); });
+  LivenessTimer.startAt(Command.At,
+                        [this] { pushLiveness(liveness_timer_fired{}); });
 }
 
 std::vector<std::string> entry_members::stateSources() const {
--- a/src/entry/internal/gangdriver.cpp
+++ b/src/entry/internal/gangdriver.cpp
@@ -182,8 +182,7 @@
 }
 
 void gang_driver::onWakeAt(const supervision_wake_at &Command) {
-  Wakeup.start(std::max(Command.At - Loop.now(), duration::zero()),
-               [this] { push(supervision_timer_fired{}); });
+  Wakeup.startAt(Command.At, [this] { push(supervision_timer_fired{}); });
 }
 
 /// A lead repeats a report whose answer it has missed.
--- a/src/entry/internal/healthdriver.cpp
+++ b/src/entry/internal/healthdriver.cpp
@@ -115,8 +115,7 @@
   time_point At = Health.nextWakeup();
   if (At == time_point::max())
     return Wakeup.cancel();
-  Wakeup.start(std::max(At - Loop.now(), duration::zero()),
-               [this] { run(Health.onTime(Loop.now())); });
+  Wakeup.startAt(At, [this] { run(Health.onTime(Loop.now())); });
 }
 
 } // namespace geraniumpaddle
--- a/src/entry/internal/requestgateway.cpp
+++ b/src/entry/internal/requestgateway.cpp
@@ -288,8 +288,7 @@
 }
 
 void request_gateway::onWakeAt(const wake_at &Command) {
-  Wakeup.start(std::max(Command.At - Loop.now(), duration::zero()),
-               [this] { push(router_timer_fired{}); });
+  Wakeup.startAt(Command.At, [this] { push(router_timer_fired{}); });
 }
 
 void request_gateway::registerMetrics(metric_registry &Metrics) {
--- a/src/jobagent/internal/workersession.cpp
+++ b/src/jobagent/internal/workersession.cpp
@@ -108,8 +108,7 @@
   if (Wake.running() && WakeAt <= Command.At)
     return;
   WakeAt = Command.At;
-  Wake.start(std::max(Command.At - Loop.now(), duration{}),
-             [this] { feed(work::host_time_passed{}); });
+  Wake.startAt(Command.At, [this] { feed(work::host_time_passed{}); });
 }
 
 void worker_session::sendReport() {
--- a/src/jobentry/internal/jobentryrole.cpp
+++ b/src/jobentry/internal/jobentryrole.cpp
@@ -62,7 +62,7 @@
                                const peer_identity &Self,
                                std::function<void()> Stopped)
     : Environment(Environment), Settings(Settings), Self(Self),
-      Stopped(std::move(Stopped)),
+      Limits(limitsFrom(Settings)), Stopped(std::move(Stopped)),
       Operator(Environment.Loop, Environment.Store, store_topic::Operator,
                ReadWait, *this),
       Jobs(Environment.Loop, Environment.Store, store_topic::Jobs, ReadWait,
@@ -272,9 +272,9 @@
 }
 
 void job_entry_role::beginTerm(std::uint64_t NewTerm) {
-  Work = std::make_unique<work_driver>(
-      Environment.Loop, Environment.Store, Office, Environment.Metrics,
-      limitsFrom(Settings), NewTerm, Book, Queues);
+  Work = std::make_unique<work_driver>(Environment.Loop, Environment.Store,
+                                       Office, Environment.Metrics, Limits,
+                                       NewTerm, Book, Queues);
   askEarlierTerm(EarlierTermTries);
   dropExpired();
 }
@@ -378,7 +378,6 @@
 }
 
 bool job_entry_role::mayConfirm() const {
-  const work::scheduler_limits Limits = limitsFrom(Settings);
   return Environment.Loop.now() - Office.lastAnswer() < Limits.EarlierTerm;
 }
 
--- a/src/jobentry/internal/officedriver.cpp
+++ b/src/jobentry/internal/officedriver.cpp
@@ -79,8 +79,7 @@
 }
 
 void office_driver::carryOut(const office_wake_at &Command) {
-  Wake.start(std::max(Command.At - Loop.now(), duration{}),
-             [this] { feed(office_time_passed{}); });
+  Wake.startAt(Command.At, [this] { feed(office_time_passed{}); });
 }
 
 } // namespace geraniumpaddle
--- a/src/jobentry/internal/topicreader.cpp
+++ b/src/jobentry/internal/topicreader.cpp
@@ -58,8 +58,7 @@
 void topic_reader::carryOut(const topic_loaded &) { Content.onLoaded(Topic); }
 
 void topic_reader::carryOut(const topic_wake_at &Command) {
-  Wake.start(std::max(Command.At - Loop.now(), duration{}),
-             [this] { feed(topic_time_passed{}); });
+  Wake.startAt(Command.At, [this] { feed(topic_time_passed{}); });
 }
 
 void topic_reader::catchUp(duration Limit, std::function<void(bool)> Done) {
@@ -94,7 +93,7 @@
     const auto First = std::min_element(
         Waiters.begin(), Waiters.end(),
         [](const auto &A, const auto &B) { return A.Until < B.Until; });
-    WaiterLimit.start(First->Until - Loop.now(), [this] { wakeWaiters(); });
+    WaiterLimit.startAt(First->Until, [this] { wakeWaiters(); });
   }
   for (const waiter &Each : Over)
     Each.Done(loaded() && Follower.next() >= Each.End);
--- a/src/jobentry/internal/workdriver.cpp
+++ b/src/jobentry/internal/workdriver.cpp
@@ -125,8 +125,7 @@
 }
 
 void work_driver::carryOut(const work::wake_at &Command) {
-  Wake.start(std::max(Command.At - Loop.now(), duration{}),
-             [this] { feed(work::time_passed{}); });
+  Wake.startAt(Command.At, [this] { feed(work::time_passed{}); });
 }
 
 void work_driver::carryOut(const work::send_orders &Command) {
--- a/src/jobentry/jobentryrole.h
+++ b/src/jobentry/jobentryrole.h
@@ -87,6 +87,7 @@
   job_entry_environment Environment;
   const settings Settings;
   const peer_identity Self;
+  const work::scheduler_limits Limits;
   std::function<void()> Stopped;
   std::string PeerAddress;
   bool Draining = false;
--- a/src/platform/internal/taskworkerclient.cpp
+++ b/src/platform/internal/taskworkerclient.cpp
@@ -122,7 +122,6 @@
 
 listing_outcome toListingOutcome(const http_result &Result) {
   listing_outcome Outcome;
-  Outcome.ConnectionRefused = Result.Status == call_status::NotSent;
   if (Result.Status != call_status::Completed)
     return Outcome;
   Outcome.OtherLife = Result.Code == OtherInstance;
--- a/src/platform/types/taskcalls.h
+++ b/src/platform/types/taskcalls.h
@@ -23,7 +23,6 @@
   std::optional<work::worker_listing> Listing; ///< nothing if it failed
   bool Fenced = false;    ///< a higher token was seen there
   bool OtherLife = false; ///< another worker answers at the address
-  bool ConnectionRefused = false;
 };
 
 } // namespace geraniumpaddle
--- a/src/transport/timer.h
+++ b/src/transport/timer.h
@@ -2,7 +2,9 @@
 
 #include "transport/ieventloop.h"
 
+#include <algorithm>
 #include <functional>
+#include <utility>
 
 namespace geraniumpaddle {
 
@@ -26,6 +28,11 @@
     });
   }
 
+  /// As above, at \p At, or as soon as the loop turns if that is over.
+  void startAt(time_point At, std::function<void()> Fire) {
+    start(std::max(At - Loop.now(), duration::zero()), std::move(Fire));
+  }
+
   void cancel() {
     if (Running) {
       Running = false;
--- a/standins/endpoint/main.cpp
+++ b/standins/endpoint/main.cpp
@@ -2,6 +2,7 @@
 
 #include "core/base/error.h"
 #include "standins/endpoint/endpointserver.h"
+#include "standins/portfile.h"
 
 #include <event2/event.h>
 #include <gflags/gflags.h>
@@ -9,7 +10,6 @@
 #include <csignal>
 #include <cstdio>
 #include <exception>
-#include <fstream>
 #include <memory>
 
 DEFINE_string(listen, "127.0.0.1:0",
@@ -26,18 +26,6 @@
   static_cast<endpoint_server *>(Server)->drain();
 }
 
-/// Written under another name first, so that a reader sees the whole number.
-void writePort(std::uint16_t Port) {
-  std::printf("%u\n", static_cast<unsigned>(Port));
-  std::fflush(stdout);
-  if (FLAGS_port_file.empty())
-    return;
-  const std::string Partial = FLAGS_port_file + ".part";
-  std::ofstream(Partial) << Port << '\n';
-  if (std::rename(Partial.c_str(), FLAGS_port_file.c_str()) != 0)
-    throw unavailable_error("cannot write " + FLAGS_port_file);
-}
-
 void run() {
   std::signal(SIGPIPE, SIG_IGN);
   const std::unique_ptr<event_base, decltype(&event_base_free)> Base(
@@ -48,7 +36,7 @@
   const std::unique_ptr<event, decltype(&event_free)> Terminate(
       evsignal_new(Base.get(), SIGTERM, drainServer, &Server), event_free);
   evsignal_add(Terminate.get(), nullptr);
-  writePort(Server.port());
+  writePort(Server.port(), FLAGS_port_file);
   event_base_dispatch(Base.get());
 }
 
--- a/standins/logservice/main.cpp
+++ b/standins/logservice/main.cpp
@@ -3,6 +3,7 @@
 #include "core/base/error.h"
 #include "logging/logging.h"
 #include "standins/logservice/logserver.h"
+#include "standins/portfile.h"
 #include "transport/eventloop.h"
 
 #include <gflags/gflags.h>
@@ -10,7 +11,6 @@
 #include <csignal>
 #include <cstdio>
 #include <exception>
-#include <fstream>
 
 DEFINE_string(listen, "127.0.0.1:0",
               "ip:port to serve on; port 0 takes a free one");
@@ -22,20 +22,6 @@
 namespace geraniumpaddle::standins {
 namespace {
 
-/// Written under another name first, so that a reader sees the whole number.
-void writePort(std::uint16_t Port) {
-  std::printf("%u\n", static_cast<unsigned>(Port));
-  std::fflush(stdout);
-  if (FLAGS_port_file.empty()) {
-    return;
-  }
-  const std::string Partial = FLAGS_port_file + ".part";
-  std::ofstream(Partial) << Port << '\n';
-  if (std::rename(Partial.c_str(), FLAGS_port_file.c_str()) != 0) {
-    throw unavailable_error("cannot write " + FLAGS_port_file);
-  }
-}
-
 void run() {
   startLogging({});
   event_loop Loop;
@@ -45,7 +31,7 @@
                      .MaxAppendsPerSecond = FLAGS_max_appends_per_second});
   Loop.onSignal(SIGTERM, [&Loop] { Loop.stop(); });
   Loop.onSignal(SIGINT, [&Loop] { Loop.stop(); });
-  writePort(Server.port());
+  writePort(Server.port(), FLAGS_port_file);
   Loop.run();
 }
 
--- a/standins/worker/main.cpp
+++ b/standins/worker/main.cpp
@@ -1,6 +1,7 @@
 // A worker for tests and the demo: runs pretended tasks under leases.
 
 #include "core/base/error.h"
+#include "standins/portfile.h"
 #include "standins/worker/workerserver.h"
 
 #include <event2/event.h>
@@ -9,7 +10,6 @@
 #include <csignal>
 #include <cstdio>
 #include <exception>
-#include <fstream>
 #include <memory>
 
 DEFINE_string(listen, "127.0.0.1:0",
@@ -42,18 +42,6 @@
   event_base_loopbreak(static_cast<event_base *>(Base));
 }
 
-/// Written under another name first, so that a reader sees the whole number.
-void writePort(std::uint16_t Port) {
-  std::printf("%u\n", static_cast<unsigned>(Port));
-  std::fflush(stdout);
-  if (FLAGS_port_file.empty())
-    return;
-  const std::string Partial = FLAGS_port_file + ".part";
-  std::ofstream(Partial) << Port << '\n';
-  if (std::rename(Partial.c_str(), FLAGS_port_file.c_str()) != 0)
-    throw unavailable_error("cannot write " + FLAGS_port_file);
-}
-
 void run() {
   if (FLAGS_accelerators < 0 || FLAGS_accelerators > MaxAccelerators)
     throw invalid_argument_error("--accelerators is not in 0..32");
@@ -67,7 +55,7 @@
   worker_interface Interface(
       FLAGS_worker, {FLAGS_accelerators, FLAGS_milli_cores, FLAGS_memory_mb});
   worker_server Server(Base.get(), Listen.Ip, Listen.Port, Interface);
-  writePort(Server.port());
+  writePort(Server.port(), FLAGS_port_file);
   event_base_dispatch(Base.get());
 }
 
