The office of the scheduler stays with an entry that works; entries tell each other of stored records

Cause: the platform's group deals the office anew whenever an entry comes or goes, so a rolled restart of 12 entries changed the scheduler 15 times; and a reading of the store can be seconds behind (history dropped), so that jobs that were stored at 7.2 s reached the scheduler at 10.2 s. Ruled out: slow append of the claim (4 ms), slow machines (0.03 cores). Change: the group only deals the right to stand. The candidate asks the holder, and takes over if that is out of office, silent while other entries answer, has had nothing stored for 1.2 s, or is reached by fewer agents. The holder leaves the group, so that another stands by, and repeats its term's record every 0.5 s, so that it learns of a later term. Whoever stores a submission, a cancellation or an end tells the other entries. An append counts from when it was sent. EarlierTerm is read once. A failed process test keeps the logs of its processes.

--- a/src/core/topics/internal/officeholder.cpp
+++ b/src/core/topics/internal/officeholder.cpp
@@ -20,8 +20,8 @@
   Commands.clear();
   using table =
       member_table<&office_holder::onJoined, &office_holder::onJoinFailed,
-                   &office_holder::onClaimed, &office_holder::onFenced,
-                   &office_holder::onClaimFailed, &office_holder::onResign,
+                   &office_holder::onHolderAnswered, &office_holder::onClaimed,
+                   &office_holder::onFenced, &office_holder::onClaimFailed,
                    &office_holder::onRetire, &office_holder::onTimePassed>;
   table::dispatch(*this, Event, Now);
   return Commands;
@@ -36,16 +36,18 @@
   Commands.emplace_back(office_wake_at{At});
 }
 
-void office_holder::loseOffice() {
+void office_holder::loseOffice(time_point Now) {
   if (Phase == phase::InOffice)
     Commands.emplace_back(office_lost{});
-  if (Phase != phase::Retired)
-    Phase = phase::Candidate;
+  if (Phase == phase::Retired)
+    return;
+  Phase = phase::Candidate;
+  planJoin(Now);
 }
 
 void office_holder::onTimePassed(const office_time_passed &,
                                  const time_point &Now) {
-  if (Phase == phase::Retired || Joining)
+  if (Phase == phase::Retired || Phase == phase::InOffice || Joining)
     return;
   if (Now < NextJoin) {
     Commands.emplace_back(office_wake_at{NextJoin});
@@ -58,21 +60,69 @@
 void office_holder::onJoined(const join_answered &Event,
                              const time_point &Now) {
   Joining = false;
-  if (Phase == phase::Retired || Event.Generation < Generation)
+  if (Phase == phase::Retired || Phase == phase::InOffice ||
+      Event.Generation < Generation)
     return;
-  LastAnswer = Now;
   Generation = Event.Generation;
-  // The group's answer to a candidate that has resigned since is out of date.
-  const bool Resigned = NextJoin > Now + Limits.JoinEvery;
-  if (Resigned)
+  Dealt = Event.Dealt;
+  if (!Dealt || Event.Agents > 0)
+    AloneSince.reset();
+  else if (!AloneSince)
+    AloneSince = Now;
+  // Whoever the agents can't reach keeps the office from those they can.
+  if (AloneSince && Now - *AloneSince >= Limits.AloneFor) {
+    AloneSince.reset();
+    Dealt = false;
+    Commands.emplace_back(send_leave{});
+    planJoin(Now + Limits.StandAsideFor);
     return;
+  }
   planJoin(Now + Limits.JoinEvery);
-  if (!Event.Holds) {
-    loseOffice();
+  if (!Dealt || Asking || Phase != phase::Candidate)
     return;
+  Asking = true;
+  Commands.emplace_back(ask_holder{});
+}
+
+void office_holder::onJoinFailed(const join_failed &, const time_point &Now) {
+  Joining = false;
+  if (Phase != phase::Retired)
+    planJoin(Now + Limits.JoinEvery);
+}
+
+void office_holder::onHolderAnswered(const holder_answered &Event,
+                                     const time_point &Now) {
+  Asking = false;
+  if (Phase == phase::Candidate && Dealt && !Claiming &&
+      mayTakeOver(Event, Now))
+    claim();
+}
+
+bool office_holder::mayTakeOver(const holder_answered &Holder, time_point Now) {
+  using enum holder_answered::holder_state;
+  const bool Unstored =
+      Holder.State == InOffice && Holder.SinceStored > Limits.StoredWithin;
+  if (!Unstored)
+    UnstoredSince.reset();
+  else if (!UnstoredSince)
+    UnstoredSince = Now;
+  switch (Holder.State) {
+  case Unknown:
+  case OutOfOffice:
+    return true;
+  case Silent:
+    // It may be this candidate that is cut off.
+    return Holder.AgentsHere > 0 || Holder.OthersAnswer;
+  case InOffice:
+    if (UnstoredSince)
+      return Now - *UnstoredSince >= Limits.StoredAgain;
+    return Holder.SinceWon >= Limits.FoundWithin &&
+           Holder.AgentsHere > Holder.Agents;
   }
-  if (Phase == phase::InOffice || Claiming)
-    return;
+  return false;
+}
+
+void office_holder::claim() {
   Phase = phase::Claiming;
   Claiming = true;
   const std::uint64_t First = Generation * TermsPerGeneration + TermOffset +
@@ -81,23 +131,19 @@
   Commands.emplace_back(send_claim{Term});
 }
 
-void office_holder::onJoinFailed(const join_failed &, const time_point &Now) {
-  Joining = false;
-  if (Phase != phase::Retired)
-    planJoin(std::max(NextJoin, Now + Limits.JoinEvery));
-}
-
-void office_holder::onClaimed(const claim_stored &Event,
-                              const time_point &Now) {
+void office_holder::onClaimed(const claim_stored &Event, const time_point &) {
   Claiming = false;
   if (Phase != phase::Claiming || Event.Term != Term)
     return;
-  LastAnswer = Now;
   Phase = phase::InOffice;
+  Dealt = false;
+  AloneSince.reset();
   Commands.emplace_back(office_won{Term, Event.TopicEnd});
+  // Another candidate is to stand by.
+  Commands.emplace_back(send_leave{});
 }
 
-void office_holder::onFenced(const term_fenced &Event, const time_point &) {
+void office_holder::onFenced(const term_fenced &Event, const time_point &Now) {
   if (Event.Term != Term)
     return;
   if (Phase == phase::Claiming) {
@@ -105,7 +151,7 @@
     // The group's generations, or the clock, have begun anew.
     TermOffset += TermsPerGeneration;
   }
-  loseOffice();
+  loseOffice(Now);
 }
 
 void office_holder::onClaimFailed(const claim_failed &, const time_point &) {
@@ -114,16 +160,8 @@
     Phase = phase::Candidate;
 }
 
-void office_holder::onResign(const resign &, const time_point &Now) {
-  if (Phase == phase::Retired)
-    return;
-  loseOffice();
-  Commands.emplace_back(send_leave{});
-  planJoin(Now + Limits.ResignFor);
-}
-
-void office_holder::onRetire(const retire &, const time_point &) {
-  loseOffice();
+void office_holder::onRetire(const retire &, const time_point &Now) {
+  loseOffice(Now);
   Phase = phase::Retired;
   Commands.emplace_back(send_leave{});
 }
--- a/src/core/topics/officeholder.h
+++ b/src/core/topics/officeholder.h
@@ -8,9 +8,11 @@
 
 namespace geraniumpaddle {
 
-/// Stands for the office of the scheduler in the platform's group. The group
-/// deals the office to one member; the fencing mark in the topic makes sure
-/// that an earlier holder can record nothing any more.
+/// Stands for the office of the scheduler. The platform's group deals the
+/// right to stand to one candidate; that one takes office only if the entry in
+/// office can't do its work any more, and then leaves the group, so that
+/// another stands by. The fencing mark in the topic makes sure that an earlier
+/// holder can record nothing.
 class office_holder {
 public:
   /// \param Incarnation rises with each start of this candidate; its terms in
@@ -24,21 +26,21 @@
 
   /// The term in office; nothing while out of office.
   std::optional<std::uint64_t> term() const;
-  /// When the group or the topic last confirmed this candidate.
-  time_point lastAnswer() const { return LastAnswer; }
 
 private:
   enum class phase : std::uint8_t { Candidate, Claiming, InOffice, Retired };
 
   void onJoined(const join_answered &Event, const time_point &Now);
   void onJoinFailed(const join_failed &Event, const time_point &Now);
+  void onHolderAnswered(const holder_answered &Event, const time_point &Now);
   void onClaimed(const claim_stored &Event, const time_point &Now);
   void onFenced(const term_fenced &Event, const time_point &Now);
   void onClaimFailed(const claim_failed &Event, const time_point &Now);
-  void onResign(const resign &Event, const time_point &Now);
   void onRetire(const retire &Event, const time_point &Now);
   void onTimePassed(const office_time_passed &Event, const time_point &Now);
-  void loseOffice();
+  bool mayTakeOver(const holder_answered &Holder, time_point Now);
+  void claim();
+  void loseOffice(time_point Now);
   void planJoin(time_point At);
 
   const office_limits Limits;
@@ -48,10 +50,14 @@
   std::uint64_t Term = 0;
   /// Added to the generation if the topic has seen a higher term than that.
   std::uint64_t TermOffset = 0;
+  bool Dealt = false; ///< by the group's last answer
   bool Joining = false;
   bool Claiming = false;
+  bool Asking = false;
   time_point NextJoin{};
-  time_point LastAnswer{};
+  std::optional<time_point> AloneSince; ///< while dealt the office
+  /// Since when the holder's last record is seen to be too old.
+  std::optional<time_point> UnstoredSince;
   std::vector<office_command> Commands;
 };
 
--- a/src/daemon/tests/processcluster.cpp
+++ b/src/daemon/tests/processcluster.cpp
@@ -5,6 +5,7 @@
 #include "core/base/error.h"
 
 #include <CppUTest/TestHarness.h>
+#include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -49,6 +50,12 @@
 
 process_cluster::~process_cluster() {
   Processes.clear();
+  if (UtestShell::getCurrent()->hasFailed()) {
+    // The logs of a failure that shows once are all there is to trace it.
+    std::fprintf(stderr, "the processes' logs are kept in %s\n",
+                 Folder.c_str());
+    return;
+  }
   std::filesystem::remove_all(Folder);
 }
 
--- a/src/jobentry/internal/jobapi.cpp
+++ b/src/jobentry/internal/jobapi.cpp
@@ -86,9 +86,10 @@
 
 job_api::job_api(ievent_loop &Loop, istore &Store, topic_reader &Jobs,
                  metric_registry &Metrics, const work::work_book &Book,
-                 const work::queue_directory &Queues)
+                 const work::queue_directory &Queues,
+                 std::function<void(const keyed_record &)> Recorded)
     : Loop(Loop), Store(Store), Jobs(Jobs), Metrics(Metrics), Book(Book),
-      Queues(Queues) {}
+      Queues(Queues), Recorded(std::move(Recorded)) {}
 
 time_point job_api::deadlineOf(const http_request_view &Request) const {
   const std::string_view Text = headerValue(Request.Headers, TimeoutHeader);
@@ -265,6 +266,9 @@
   if (Outcome.Status == stored_status::Stored) {
     StoreFailsSince = {};
     finish(Call, encodeEmpty(Success), "stored");
+    const keyed_value &Stored = Append.Records.front();
+    Recorded(
+        {.Key = Stored.Key, .Value = Stored.Value, .Offset = Outcome.Offset});
     return;
   }
   Call.Uncertain |= Outcome.Status == stored_status::Unknown;
--- a/src/jobentry/internal/jobentryrole.cpp
+++ b/src/jobentry/internal/jobentryrole.cpp
@@ -71,10 +71,12 @@
                ReadWait, *this),
       Entries(Environment.Loop, Environment.Store, store_topic::Entries,
               EntriesWait, *this),
+      Inquiry(Environment.Peers, Self),
+      News(Environment.Peers, Environment.Metrics, Self),
       Office(Environment.Loop, Environment.Store, Self.Node.str(),
              office_limits{}, raw(Self.Incarnation), *this),
       Api(Environment.Loop, Environment.Store, Jobs, Environment.Metrics, Book,
-          Queues),
+          Queues, [this](const keyed_record &Record) { onRecorded(Record); }),
       AnnounceRetry(Environment.Loop), DrainTimer(Environment.Loop),
       TermRetry(Environment.Loop), EarlierRetry(Environment.Loop),
       Retention(Environment.Loop) {}
@@ -203,6 +205,12 @@
   }
 }
 
+/// A record of this entry's own is in the log.
+void job_entry_role::onRecorded(const keyed_record &Record) {
+  onWorkRecord(Record);
+  News.tell(otherEntries(), Record);
+}
+
 void job_entry_role::tellScheduler(const work::work_record &Record) {
   if (const auto *Submitted = std::get_if<work::job_submitted>(&Record)) {
     const work::book_entry *Entry = Book.find(Submitted->Spec.Id);
@@ -223,16 +231,23 @@
 void job_entry_role::onOfficeWon(std::uint64_t NewTerm,
                                  std::uint64_t TopicEnd) {
   Term = NewTerm;
+  TermWonAt = Environment.Loop.now();
   announce();
+  catchUp(NewTerm, TopicEnd);
+}
+
+void job_entry_role::catchUp(std::uint64_t NewTerm, std::uint64_t TopicEnd) {
   auto Begin = [this, NewTerm, TopicEnd, Life = Alive](bool CaughtUp) {
     if (!*Life || Office.term() != NewTerm || Work)
       return;
-    if (CaughtUp)
+    if (CaughtUp) {
+      // Read once: a try that seemed to fail may have been stored.
+      EarlierTerm = Book.lastTerm();
       recordTerm(NewTerm);
-    else
-      TermRetry.start(AnnounceRetryDelay, [this, NewTerm, TopicEnd] {
-        onOfficeWon(NewTerm, TopicEnd);
-      });
+      return;
+    }
+    TermRetry.start(AnnounceRetryDelay,
+                    [this, NewTerm, TopicEnd] { catchUp(NewTerm, TopicEnd); });
   };
   // Every progress that is recorded belongs to a submission before it.
   Progress.whenReached(TopicEnd, CatchUpLimit,
@@ -249,11 +264,9 @@
 /// The term is recorded before it grants any lease, so that the next one knows
 /// whom to ask.
 void job_entry_role::recordTerm(std::uint64_t NewTerm) {
-  EarlierTerm = Book.lastTerm();
-  const work::term_holder Holder{NewTerm, present()};
   append_call Append{
       .Topic = store_topic::Progress,
-      .Records = {{std::string(work::TermKey), work::encodeRecord(Holder)}},
+      .Records = {termRecord()},
       .Stamp = producer_stamp{NewTerm, work_driver::FirstSequence - 1},
       .Timeout = AnnounceTimeout,
       .Relayable = false};
@@ -271,14 +284,81 @@
       });
 }
 
+keyed_value job_entry_role::termRecord() const {
+  return {std::string(work::TermKey),
+          work::encodeRecord(work::term_holder{Term, present()})};
+}
+
 void job_entry_role::beginTerm(std::uint64_t NewTerm) {
-  Work = std::make_unique<work_driver>(Environment.Loop, Environment.Store,
-                                       Office, Environment.Metrics, Limits,
-                                       NewTerm, Book, Queues);
+  Work = std::make_unique<work_driver>(
+      Environment.Loop, Environment.Store, Office, Environment.Metrics, Limits,
+      NewTerm, termRecord(), Book, Queues,
+      [this](const keyed_record &Record) { onRecorded(Record); });
   askEarlierTerm(EarlierTermTries);
   dropExpired();
 }
 
+/// The entry in office, or the last one that was, as far as is known here.
+work::entry_present job_entry_role::lastHolder() const {
+  work::entry_present Last = Book.lastTerm().Entry;
+  Last.Term = Book.lastTerm().Term;
+  for (const auto &[Node, Entry] : Book.entries())
+    if (Entry.Term > Last.Term)
+      Last = Entry;
+  return Last;
+}
+
+void job_entry_role::askHolder(std::function<void(holder_answered)> Done) {
+  const work::entry_present Holder = lastHolder();
+  if (Holder.Term == 0 || Holder.Node == Self.Node) {
+    Done({});
+    return;
+  }
+  Inquiry.ask(Holder.PeerAddress,
+              [this, Address = Holder.PeerAddress,
+               Done = std::move(Done)](holder_answered Answer) {
+                Answer.AgentsHere = agentsHeard();
+                if (Answer.State == holder_answered::holder_state::Silent)
+                  surveyOthers(Address, Answer, Done);
+                else
+                  Done(Answer);
+              });
+}
+
+void job_entry_role::surveyOthers(const std::string &Holder,
+                                  const holder_answered &Answer,
+                                  std::function<void(holder_answered)> Done) {
+  std::vector<std::string> Others = otherEntries();
+  std::erase(Others, Holder);
+  Inquiry.survey(Others, [Answer, Done = std::move(Done)](bool Answers) {
+    holder_answered Surveyed = Answer;
+    Surveyed.OthersAnswer = Answers;
+    Done(Surveyed);
+  });
+}
+
+std::size_t job_entry_role::agentsHeard() {
+  return Agents.count(Environment.Loop.now());
+}
+
+void job_entry_role::answerOfficeAsked(const peer_responder &Respond) {
+  const time_point Now = Environment.Loop.now();
+  const auto Milliseconds = [Now](time_point Since) {
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(Now - Since)
+            .count());
+  };
+  proto::PeerResponse Response;
+  proto::work::OfficeState &State = *Response.mutable_office_state();
+  State.set_in_office(Office.term().has_value());
+  if (State.in_office()) {
+    State.set_since_stored_ms(Milliseconds(Office.lastStored()));
+    State.set_since_won_ms(Milliseconds(TermWonAt));
+    State.set_agents(static_cast<std::uint32_t>(agentsHeard()));
+  }
+  Respond(std::move(Response));
+}
+
 void job_entry_role::onOfficeLost() {
   EarlierRetry.cancel();
   Retention.cancel();
@@ -378,7 +458,7 @@
 }
 
 bool job_entry_role::mayConfirm() const {
-  return Environment.Loop.now() - Office.lastAnswer() < Limits.EarlierTerm;
+  return Environment.Loop.now() - Office.lastStored() < Limits.EarlierTerm;
 }
 
 // Interfaces.
@@ -400,6 +480,7 @@
 void job_entry_role::handlePeer(const proto::PeerRequest &Request,
                                 const peer_responder &Respond) {
   if (Request.has_worker_report()) {
+    Agents.heard(Request.node(), Environment.Loop.now());
     try {
       exchange(Request.worker_report(), Respond);
       return;
@@ -408,6 +489,15 @@
                   {{"node", Request.node()}, {"problem", Problem.what()}});
     }
   }
+  if (Request.has_record_stored()) {
+    onWorkRecord(decodeNews(Request.record_stored()));
+    Respond({});
+    return;
+  }
+  if (Request.has_office_asked()) {
+    answerOfficeAsked(Respond);
+    return;
+  }
   if (Request.has_term_begun()) {
     answerTermBegun(Request.term_begun().term(), Respond);
     return;
--- a/src/jobentry/internal/officedriver.cpp
+++ b/src/jobentry/internal/officedriver.cpp
@@ -1,6 +1,6 @@
 #include "jobentry/officedriver.h"
 
-#include <algorithm>
+#include <array>
 #include <vector>
 
 namespace geraniumpaddle {
@@ -13,6 +13,13 @@
 /// Limit of one call of the group and of one claim.
 constexpr duration CallTimeout = std::chrono::milliseconds(700);
 
+/// Lower-case name, for logs.
+std::string_view name(holder_answered::holder_state State) {
+  static constexpr std::array<std::string_view, 4> Names{
+      "unknown", "silent", "out_of_office", "in_office"};
+  return Names.at(static_cast<std::size_t>(State));
+}
+
 } // namespace
 
 office_driver::office_driver(ievent_loop &Loop, istore &Store,
@@ -22,10 +29,6 @@
     : Loop(Loop), Store(Store), Member(std::move(Member)), Content(Content),
       Holder(Limits, Incarnation), Wake(Loop) {}
 
-time_point office_driver::lastAnswer() const {
-  return std::max(Holder.lastAnswer(), LastAppend);
-}
-
 void office_driver::feed(const office_event &Event) {
   const auto Commands = Holder.handle(Event, Loop.now());
   const std::vector<office_command> Copy(Commands.begin(), Commands.end());
@@ -42,7 +45,8 @@
                if (!*Life)
                  return;
                if (Outcome.Ok)
-                 feed(join_answered{Outcome.Generation, Outcome.HoldsProgress});
+                 feed(join_answered{Outcome.Generation, Outcome.HoldsProgress,
+                                    Content.agentsHeard()});
                else
                  feed(join_failed{});
              });
@@ -50,21 +54,44 @@
 
 void office_driver::carryOut(const send_leave &) { Store.leave(Member); }
 
+void office_driver::carryOut(const ask_holder &) {
+  Content.askHolder([this, Life = Alive](const holder_answered &Holder) {
+    if (!*Life)
+      return;
+    if (Holder.State != LastHolder.State)
+      Log.event("holder_seen", {{"holder", name(Holder.State)}});
+    LastHolder = Holder;
+    feed(Holder);
+  });
+}
+
 void office_driver::carryOut(const send_claim &Command) {
   const std::uint64_t Term = Command.Term;
+  const time_point Sent = Loop.now();
+  Log.event(
+      "office_claimed",
+      {{"term", Term},
+       {"holder", name(LastHolder.State)},
+       {"stored_ms_ago", std::chrono::duration_cast<std::chrono::milliseconds>(
+                             LastHolder.SinceStored)
+                             .count()},
+       {"agents", LastHolder.Agents},
+       {"agents_here", LastHolder.AgentsHere}});
   Store.append({.Topic = store_topic::Progress,
                 .Stamp = producer_stamp{Term, 0},
                 .Timeout = CallTimeout,
                 .Relayable = false},
-               [this, Term, Life = Alive](const append_outcome &Outcome) {
+               [this, Term, Sent, Life = Alive](const append_outcome &Outcome) {
                  if (!*Life)
                    return;
-                 if (Outcome.Status == stored_status::Stored)
+                 if (Outcome.Status == stored_status::Stored) {
+                   confirmed(Sent);
                    feed(claim_stored{Term, Outcome.End});
-                 else if (Outcome.Status == stored_status::Fenced)
+                 } else if (Outcome.Status == stored_status::Fenced) {
                    feed(term_fenced{Term});
-                 else
+                 } else {
                    feed(claim_failed{});
+                 }
                });
 }
 
--- /dev/null
+++ b/src/jobentry/internal/officeinquiry.cpp
@@ -0,0 +1,83 @@
+#include "jobentry/officeinquiry.h"
+
+#include <utility>
+
+namespace geraniumpaddle {
+
+namespace {
+
+/// Limit of one question: a way between regions and back, on slow machines.
+constexpr duration AnswerTimeout = std::chrono::milliseconds(300);
+constexpr int Tries = 2;
+
+holder_answered decode(const proto::work::OfficeState &State) {
+  using enum holder_answered::holder_state;
+  if (!State.in_office())
+    return {.State = OutOfOffice};
+  return {.State = InOffice,
+          .SinceStored = std::chrono::milliseconds(State.since_stored_ms()),
+          .SinceWon = std::chrono::milliseconds(State.since_won_ms()),
+          .Agents = State.agents()};
+}
+
+} // namespace
+
+void office_inquiry::ask(const std::string &Address,
+                         std::function<void(holder_answered)> Done) {
+  tryOnce(Address, Tries, std::move(Done));
+}
+
+void office_inquiry::survey(std::span<const std::string> Addresses,
+                            std::function<void(bool)> Done) {
+  if (Addresses.empty()) {
+    Done(false);
+    return;
+  }
+  proto::PeerRequest Request = makeRequest(Self);
+  Request.mutable_office_asked();
+  auto Count = std::make_shared<survey_count>();
+  Count->Open = Addresses.size();
+  Count->Wanted = (Addresses.size() + 1) / 2;
+  for (const std::string &Address : Addresses)
+    Peers.call(Address, Request, AnswerTimeout,
+               [Life = Alive, Count, Done](const peer_result &Result) {
+                 if (*Life)
+                   counted(*Count, Result.Status == call_status::Completed,
+                           Done);
+               });
+}
+
+void office_inquiry::counted(survey_count &Count, bool Answered,
+                             const std::function<void(bool)> &Done) {
+  --Count.Open;
+  Count.Answered += Answered ? 1 : 0;
+  const bool Enough = Count.Answered >= Count.Wanted;
+  if (Count.Told || (!Enough && Count.Open > 0))
+    return;
+  Count.Told = true;
+  Done(Enough);
+}
+
+void office_inquiry::tryOnce(const std::string &Address, int TriesLeft,
+                             std::function<void(holder_answered)> Done) {
+  proto::PeerRequest Request = makeRequest(Self);
+  Request.mutable_office_asked();
+  Peers.call(Address, Request, AnswerTimeout,
+             [this, Life = Alive, Address, TriesLeft,
+              Done = std::move(Done)](const peer_result &Result) {
+               if (!*Life)
+                 return;
+               if (Result.Status == call_status::Completed) {
+                 Done(decode(Result.Response.office_state()));
+                 return;
+               }
+               // The connection may be silent although the entry lives.
+               Peers.reconnect(Address);
+               if (TriesLeft > 1)
+                 tryOnce(Address, TriesLeft - 1, Done);
+               else
+                 Done({.State = holder_answered::holder_state::Silent});
+             });
+}
+
+} // namespace geraniumpaddle
--- a/src/jobentry/internal/workdriver.cpp
+++ b/src/jobentry/internal/workdriver.cpp
@@ -14,6 +14,9 @@
 /// Limit of one append, and the pause before it is repeated.
 constexpr duration AppendTimeout = std::chrono::milliseconds(1200);
 constexpr duration AppendRetryDelay = std::chrono::milliseconds(50);
+/// How long the log may stay without a record of the term. A candidate takes
+/// over when it is silent for more than twice as long.
+constexpr duration TermRepeatInterval = std::chrono::milliseconds(500);
 /// An agent may not keep its report waiting longer than this.
 constexpr std::uint64_t MaxWaitMs = 5000;
 
@@ -27,16 +30,26 @@
 work_driver::work_driver(ievent_loop &Loop, istore &Store,
                          office_driver &Office, metric_registry &Metrics,
                          const work::scheduler_limits &Limits,
-                         std::uint64_t Term, const work::work_book &Book,
-                         const work::queue_directory &Queues)
+                         std::uint64_t Term, keyed_value TermRecord,
+                         const work::work_book &Book,
+                         const work::queue_directory &Queues,
+                         std::function<void(const keyed_record &)> Ended)
     : Loop(Loop), Store(Store), Office(Office), Metrics(Metrics),
       Decisions(Metrics), Scheduler(Term, Limits, Book, Queues, present()),
-      Wake(Loop), AppendRetry(Loop) {
+      TermRecord(std::move(TermRecord)), Ended(std::move(Ended)), Wake(Loop),
+      AppendRetry(Loop), TermRepeat(Loop) {
   Log.event("term_begins", {{"term", Term},
                             {"jobs", Scheduler.openJobs()},
                             {"runs", Scheduler.runningRuns()}});
   feed(work::time_passed{});
   updateGauges();
+  repeatTermRecord();
+}
+
+void work_driver::repeatTermRecord() {
+  TermRepeat.start(TermRepeatInterval / 2, [this] { repeatTermRecord(); });
+  if (!InFlight && Loop.now() - Office.lastStored() >= TermRepeatInterval)
+    append({.Records = {TermRecord}, .Since = Loop.now()});
 }
 
 void work_driver::updateGauges() {
@@ -73,55 +86,77 @@
 }
 
 void work_driver::carryOut(work::append_progress &Command) {
-  append_call Call{.Topic = store_topic::Progress,
-                   .Stamp = producer_stamp{Scheduler.term(), NextSequence},
-                   .Timeout = AppendTimeout};
-  for (work::job_progressed &Record : Command.Records)
-    Call.Records.push_back(
+  progress_batch Batch{.Batch = Command.Batch, .Since = Loop.now()};
+  for (work::job_progressed &Record : Command.Records) {
+    if (work::ended(Record.Progress.State))
+      Batch.Ends.push_back(Batch.Records.size());
+    Batch.Records.push_back(
         {work::progressKey(Record.Job), work::encodeRecord(std::move(Record))});
-  Batch = Command.Batch;
-  Append = std::move(Call);
-  AppendedAt = Loop.now();
-  append();
+  }
+  if (InFlight)
+    Next = std::move(Batch);
+  else
+    append(std::move(Batch));
+}
+
+void work_driver::append(progress_batch Batch) {
+  InFlight = std::move(Batch);
+  send();
 }
 
-void work_driver::append() {
-  Store.append(*Append, [this, Life = Alive](const append_outcome &Outcome) {
-    if (*Life)
-      appended(Outcome);
-  });
+void work_driver::send() {
+  SentAt = Loop.now();
+  Store.append({.Topic = store_topic::Progress,
+                .Records = InFlight->Records,
+                .Stamp = producer_stamp{Scheduler.term(), NextSequence},
+                .Timeout = AppendTimeout},
+               [this, Life = Alive](const append_outcome &Outcome) {
+                 if (*Life)
+                   appended(Outcome);
+               });
 }
 
 void work_driver::appended(const append_outcome &Outcome) {
   switch (Outcome.Status) {
   case stored_status::Stored:
-    Office.confirmed();
-    Metrics
-        .getHistogram("geraniumpaddle_progress_append_seconds",
-                      "From a record of progress to its place in the log.",
-                      latencyBounds())
-        .observe(
-            std::chrono::duration<double>(Loop.now() - AppendedAt).count());
-    NextSequence = Append->Stamp->Sequence + 1;
-    Append.reset();
-    feed(work::progress_stored{Batch});
-    updateGauges();
+    stored(Outcome);
     return;
   case stored_status::Fenced:
     Log.problem("term_fenced", {{"term", Scheduler.term()}});
     Office.feed(term_fenced{Scheduler.term()}); // destroys this driver
     return;
   case stored_status::OutOfSequence:
-    Log.problem("append_out_of_sequence", {{"sent", Append->Stamp->Sequence},
-                                           {"expected", Outcome.Sequence}});
-    Append->Stamp->Sequence = Outcome.Sequence;
+    Log.problem("append_out_of_sequence",
+                {{"sent", NextSequence}, {"expected", Outcome.Sequence}});
+    NextSequence = Outcome.Sequence;
     break;
   case stored_status::Refused:
   case stored_status::Unknown:
     break;
   }
   // The sequence number makes a repeat of a stored append harmless.
-  AppendRetry.start(AppendRetryDelay, [this] { append(); });
+  AppendRetry.start(AppendRetryDelay, [this] { send(); });
+}
+
+void work_driver::stored(const append_outcome &Outcome) {
+  Office.confirmed(SentAt);
+  Metrics
+      .getHistogram("geraniumpaddle_progress_append_seconds",
+                    "From a record of progress to its place in the log.",
+                    latencyBounds())
+      .observe(
+          std::chrono::duration<double>(Loop.now() - InFlight->Since).count());
+  ++NextSequence;
+  const progress_batch Stored = *std::exchange(InFlight, std::nullopt);
+  if (Next)
+    append(*std::exchange(Next, std::nullopt));
+  for (const std::size_t End : Stored.Ends)
+    Ended({.Key = Stored.Records[End].Key,
+           .Value = Stored.Records[End].Value,
+           .Offset = Outcome.Offset + End});
+  if (Stored.Batch)
+    feed(work::progress_stored{*Stored.Batch});
+  updateGauges();
 }
 
 void work_driver::carryOut(const work::wake_at &Command) {
--- a/src/jobentry/jobapi.h
+++ b/src/jobentry/jobapi.h
@@ -21,9 +21,11 @@
 /// with a refusal only if it is certainly not there and never will be.
 class job_api {
 public:
+  /// \param Recorded is told of each record once it is in the log.
   job_api(ievent_loop &Loop, istore &Store, topic_reader &Jobs,
           metric_registry &Metrics, const work::work_book &Book,
-          const work::queue_directory &Queues);
+          const work::queue_directory &Queues,
+          std::function<void(const keyed_record &)> Recorded);
   ~job_api() { *Alive = false; }
   job_api(const job_api &) = delete;
   job_api &operator=(const job_api &) = delete;
@@ -71,6 +73,7 @@
   metric_registry &Metrics;
   const work::work_book &Book;
   const work::queue_directory &Queues;
+  const std::function<void(const keyed_record &)> Recorded;
   time_point StoreFailsSince{}; ///< 0: the last append was stored
   logger Log{"jobs"};
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/src/jobentry/jobentryrole.h
+++ b/src/jobentry/jobentryrole.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include "core/topics/recentagents.h"
 #include "core/work/queuedirectory.h"
 #include "core/work/workbook.h"
 #include "jobentry/jobapi.h"
 #include "jobentry/officedriver.h"
+#include "jobentry/officeinquiry.h"
+#include "jobentry/recordnews.h"
 #include "jobentry/relayingtransport.h"
 #include "jobentry/topicreader.h"
 #include "jobentry/workdriver.h"
@@ -63,16 +66,25 @@
   void onLoaded(store_topic Topic) override;
   void onOfficeWon(std::uint64_t Term, std::uint64_t TopicEnd) override;
   void onOfficeLost() override;
+  void askHolder(std::function<void(holder_answered)> Done) override;
+  std::size_t agentsHeard() override;
 
 private:
   void onOperatorRecord(const keyed_record &Record);
   void onWorkRecord(const keyed_record &Record);
+  void onRecorded(const keyed_record &Record);
   void tellScheduler(const work::work_record &Record);
+  void catchUp(std::uint64_t Term, std::uint64_t TopicEnd);
   void recordTerm(std::uint64_t Term);
+  keyed_value termRecord() const;
   void beginTerm(std::uint64_t Term);
   work::entry_present present() const;
   void askEarlierTerm(int TriesLeft);
   void takeEarlierTerm(const proto::work::TermEnded &Ended);
+  work::entry_present lastHolder() const;
+  void surveyOthers(const std::string &Holder, const holder_answered &Answer,
+                    std::function<void(holder_answered)> Done);
+  void answerOfficeAsked(const peer_responder &Respond);
   void answerTermBegun(std::uint64_t NewTerm, const peer_responder &Respond);
   void announce();
   void exchange(const proto::work::WorkerReport &Report,
@@ -93,6 +105,7 @@
   bool Draining = false;
   bool EverReady = false;
   std::uint64_t Term = 0; ///< of the last office
+  time_point TermWonAt{};
   /// The last term that this process granted leases in, once it is over, and
   /// those leases.
   std::uint64_t EndedTerm = 0;
@@ -104,6 +117,9 @@
   topic_reader Jobs;
   topic_reader Progress;
   topic_reader Entries;
+  recent_agents Agents;
+  office_inquiry Inquiry;
+  record_news News;
   office_driver Office;
   job_api Api;
   std::unique_ptr<work_driver> Work;
--- a/src/jobentry/officedriver.h
+++ b/src/jobentry/officedriver.h
@@ -20,6 +20,10 @@
   /// \param TopicEnd progress before it was recorded by earlier terms.
   virtual void onOfficeWon(std::uint64_t Term, std::uint64_t TopicEnd) = 0;
   virtual void onOfficeLost() = 0;
+  /// Finds out about the entry that was in office last.
+  virtual void askHolder(std::function<void(holder_answered)> Done) = 0;
+  /// Agents that reported to this entry lately.
+  virtual std::size_t agentsHeard() = 0;
 };
 
 /// Carries out what the office_holder decides.
@@ -36,14 +40,16 @@
   void start() { feed(office_time_passed{}); }
   void feed(const office_event &Event);
   std::optional<std::uint64_t> term() const { return Holder.term(); }
-  /// When the store last confirmed the office.
-  time_point lastAnswer() const;
-  /// An append of the term was stored.
-  void confirmed() { LastAppend = Loop.now(); }
+  /// An append of the term that was sent at \p Sent was stored: no later term
+  /// had begun by then.
+  void confirmed(time_point Sent) { LastStored = Sent; }
+  /// When the last append of the term that was stored was sent.
+  time_point lastStored() const { return LastStored; }
 
 private:
   void carryOut(const send_join &Command);
   void carryOut(const send_leave &Command);
+  void carryOut(const ask_holder &Command);
   void carryOut(const send_claim &Command);
   void carryOut(const office_won &Command);
   void carryOut(const office_lost &Command);
@@ -54,7 +60,8 @@
   const std::string Member;
   ioffice_content &Content;
   office_holder Holder;
-  time_point LastAppend{};
+  time_point LastStored{};
+  holder_answered LastHolder; ///< by the last answer
   timer Wake;
   logger Log{"office"};
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/src/jobentry/workdriver.h
+++ b/src/jobentry/workdriver.h
@@ -10,6 +10,7 @@
 #include "transport/ipeerserver.h"
 #include "transport/timer.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -20,11 +21,15 @@
 /// answers the agents' reports with its orders.
 class work_driver {
 public:
+  /// \param TermRecord is repeated while nothing else is recorded, so that a
+  ///        scheduler whose term is over learns so.
+  /// \param Ended is told of the record that ends a job, once it is in the log.
   /// \param Book and \p Queues are those of the entry and outlive the driver.
   work_driver(ievent_loop &Loop, istore &Store, office_driver &Office,
               metric_registry &Metrics, const work::scheduler_limits &Limits,
-              std::uint64_t Term, const work::work_book &Book,
-              const work::queue_directory &Queues);
+              std::uint64_t Term, keyed_value TermRecord,
+              const work::work_book &Book, const work::queue_directory &Queues,
+              std::function<void(const keyed_record &)> Ended);
   ~work_driver();
   work_driver(const work_driver &) = delete;
   work_driver &operator=(const work_driver &) = delete;
@@ -40,6 +45,14 @@
                 peer_responder Respond);
 
 private:
+  /// Records for the log, and the scheduler's batch that they are.
+  struct progress_batch {
+    std::vector<keyed_value> Records;
+    std::optional<std::uint64_t> Batch; ///< nothing: the term's record
+    std::vector<std::size_t> Ends;      ///< which of the records end a job
+    time_point Since{};                 ///< when they were to be stored
+  };
+
   struct pending {
     explicit pending(ievent_loop &Loop) : Limit(Loop) {}
     work::worker_life Life;
@@ -52,8 +65,11 @@
   void carryOut(const work::send_orders &Command);
   void carryOut(const work::wake_at &Command);
   void carryOut(const work::decision_note &Command);
-  void append();
+  void append(progress_batch Batch);
+  void send();
   void appended(const append_outcome &Outcome);
+  void stored(const append_outcome &Outcome);
+  void repeatTermRecord();
   void answer(const worker_id &Worker);
   void updateGauges();
   work::present_time present() const;
@@ -65,12 +81,15 @@
   decision_metrics Decisions;
   work::work_scheduler Scheduler;
   std::map<worker_id, pending> Pending;
-  std::optional<append_call> Append; ///< the one in flight
-  std::uint64_t Batch = 0;           ///< of it
-  time_point AppendedAt{};           ///< when it was first sent
+  const keyed_value TermRecord;
+  const std::function<void(const keyed_record &)> Ended;
+  std::optional<progress_batch> InFlight;
+  std::optional<progress_batch> Next; ///< while the term's record is in flight
+  time_point SentAt{};                ///< the last try of the one in flight
   std::uint64_t NextSequence = FirstSequence;
   timer Wake;
   timer AppendRetry;
+  timer TermRepeat;
   logger Log{"scheduler"};
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
--- a/src/platform/internal/storeclient.cpp
+++ b/src/platform/internal/storeclient.cpp
@@ -52,6 +52,8 @@
   const auto Body = parseObject(Reply.Body);
   if (Reply.Status == call_status::Completed && Reply.Code == Ok && Body) {
     Outcome.Status = stored_status::Stored;
+    Outcome.Offset =
+        static_cast<std::uint64_t>(integerField(*Body, "Offset").value_or(0));
     Outcome.End =
         static_cast<std::uint64_t>(integerField(*Body, "End").value_or(0));
     return Outcome;
--- a/src/platform/types/storecalls.h
+++ b/src/platform/types/storecalls.h
@@ -47,6 +47,7 @@
 struct append_outcome {
   stored_status Status = stored_status::Unknown;
   int Code = 0;               ///< HTTP status, for logs
+  std::uint64_t Offset = 0;   ///< of the first record, if Stored
   std::uint64_t End = 0;      ///< if Stored
   std::uint64_t Sequence = 0; ///< the expected one, if OutOfSequence
 };
