--- a/src/daemon/tests/jobplatformtest.cpp
+++ b/src/daemon/tests/jobplatformtest.cpp
@@ -60,6 +60,12 @@
                const std::string &Path = Batch) {
     return Cluster.waitFor([&] { return shows(Entry, Path, State); });
   }
+  void setStale(bool On) {
+    LONGS_EQUAL(200, Cluster
+                         .post(Cluster.address("store"),
+                               On ? "/stale?on=1" : "/stale?on=0", "")
+                         .Code);
+  }
   int submit(const std::string &Body, const std::string &Entry = "entry-1",
              const std::string &Path = Batch) {
     return Cluster.jobCall(Entry, "POST", Path, Body).Code;
@@ -151,6 +157,47 @@
   CHECK(becomes("completed", "entry-1", "/urgent/00000000000000b2"));
 }
 
+// A reading of the store may be seconds behind what it has confirmed.
+TEST(JobPlatform, JobsRunAndEndWhileTheStoreShowsOldRecords) {
+  CHECK(Cluster.waitFor([&] { return !scheduler().empty(); }));
+  const std::string Other = scheduler() == "entry-1" ? "entry-2" : "entry-1";
+  setStale(true);
+  LONGS_EQUAL(200, submit(jobBody(2, 1, R"({"ms":200})"), Other));
+  CHECK(becomes("completed", "entry-1"));
+  CHECK(becomes("completed", "entry-2"));
+  setStale(false);
+}
+
+TEST(JobPlatform, AnEntryThatComesBackLeavesTheSchedulerInOffice) {
+  CHECK(Cluster.waitFor([&] { return !scheduler().empty(); }));
+  const std::string Holder = scheduler();
+  const std::string Other = Holder == "entry-1" ? "entry-2" : "entry-1";
+  const std::string Before = Cluster.process(Holder).output();
+  Cluster.process(Other).kill();
+  Cluster.startJobEntry(Other);
+  CHECK(Cluster.waitFor([&] { return ready(Other); }));
+  LONGS_EQUAL(200, submit(jobBody(2, 1, R"({"ms":1500})"), Other));
+  CHECK(becomes("completed", Other));
+  STRCMP_EQUAL(Holder.c_str(), scheduler().c_str());
+  const std::string Since =
+      Cluster.process(Holder).output().substr(Before.size());
+  CHECK(Since.find("office_lost") == std::string::npos);
+}
+
+TEST(JobPlatform, ASchedulerThatStandsStillIsReplaced) {
+  CHECK(Cluster.waitFor([&] { return !scheduler().empty(); }));
+  const std::string Old = scheduler();
+  const std::string Other = Old == "entry-1" ? "entry-2" : "entry-1";
+  Cluster.process(Old).signal(SIGSTOP);
+  LONGS_EQUAL(200, submit(jobBody(1, 1, R"({"ms":100})"), Other));
+  CHECK(becomes("completed", Other));
+  Cluster.process(Old).signal(SIGCONT);
+  CHECK(Cluster.waitFor([&] {
+    return Cluster.process(Old).output().find("office_lost") !=
+           std::string::npos;
+  }));
+}
+
 TEST(JobPlatform, AnAppendWhoseAnswerIsLostIsFoundOut) {
   Cluster.setFault("store", R"({"mode":"lose_answer","count":6})");
   LONGS_EQUAL(200, submit(jobBody(1, 1, R"({"ms":100})")));
--- a/standins/store/storeserver.cpp
+++ b/standins/store/storeserver.cpp
@@ -98,7 +98,8 @@
        {"POST", "/api/log-join", &store_server::join},
        {"POST", "/api/log-leave", &store_server::leave},
        {"POST", "/faults", &store_server::setFaults, false},
-       {"POST", "/compact", &store_server::compact, false}});
+       {"POST", "/compact", &store_server::compact, false},
+       {"POST", "/stale", &store_server::setStale, false}});
   const call Call{std::string(Request.Query), std::string(Request.Body),
                   Responder};
   for (const route &Route : Routes) {
@@ -175,7 +176,7 @@
 void store_server::read(const call &Call) {
   const reader Reader{parameter(Call.Query, "Topic"),
                       number(Call.Query, "From"), Call.Responder};
-  const store_read Now = Model.read(Reader.Topic, Reader.From);
+  const store_read Now = shown().read(Reader.Topic, Reader.From);
   const std::uint64_t WaitMs = number(Call.Query, "WaitMs");
   if (Now.Answer != store_answer::Done || !Now.Records.empty() || WaitMs == 0) {
     answerReader(Reader);
@@ -191,7 +192,7 @@
 }
 
 void store_server::answerReader(const reader &Reader) {
-  const store_read Read = Model.read(Reader.Topic, Reader.From);
+  const store_read Read = shown().read(Reader.Topic, Reader.From);
   if (Read.Answer == store_answer::Gone) {
     Reader.Responder->respond(jsonAnswer(Gone, {{"First", Read.First}}));
     return;
@@ -206,7 +207,7 @@
 void store_server::wakeReaders() {
   for (auto It = Readers.begin(); It != Readers.end();) {
     const reader Reader = It->second;
-    if (Model.end(Reader.Topic) <= Reader.From) {
+    if (shown().end(Reader.Topic) <= Reader.From) {
       ++It;
       continue;
     }
@@ -222,7 +223,7 @@
   const std::string After = parameter(Call.Query, "After");
   json Items = json::array();
   bool HasMore = false;
-  for (const newest_record &Record : Model.newest(Topic)) {
+  for (const newest_record &Record : shown().newest(Topic)) {
     if (!After.empty() && Record.Key <= After)
       continue;
     if (Items.size() == PageRecords) {
@@ -234,7 +235,8 @@
                      {"Offset", Record.Offset}});
   }
   Call.Responder->respond(jsonAnswer(
-      Ok, {{"items", Items}, {"HasMore", HasMore}, {"End", Model.end(Topic)}}));
+      Ok,
+      {{"items", Items}, {"HasMore", HasMore}, {"End", shown().end(Topic)}}));
 }
 
 void store_server::join(const call &Call) {
@@ -267,4 +269,12 @@
   Call.Responder->respond({.Code = Ok});
 }
 
+void store_server::setStale(const call &Call) {
+  Shown.reset();
+  if (parameter(Call.Query, "on") == "1")
+    Shown = Model;
+  Call.Responder->respond({.Code = Ok});
+  wakeReaders();
+}
+
 } // namespace geraniumpaddle::standins
--- a/standins/store/storeserver.h
+++ b/standins/store/storeserver.h
@@ -14,6 +14,7 @@
 namespace geraniumpaddle::standins {
 
 /// Serves a store_model over HTTP as the platform's pages tell, and
+///   POST /stale?on=1      readers see nothing that is newer; on=0 ends it
 ///   POST /faults          see log_fault_plan
 ///   POST /compact         forgets the log of every topic
 class store_server {
@@ -52,11 +53,14 @@
   void leave(const call &Call);
   void setFaults(const call &Call);
   void compact(const call &Call);
+  void setStale(const call &Call);
+  const store_model &shown() const { return Shown ? *Shown : Model; }
   void answerReader(const reader &Reader);
   void wakeReaders();
 
   event_loop &Loop;
   store_model Model;
+  std::optional<store_model> Shown; ///< to readers, while they get old data
   log_fault_plan Faults;
   std::uint64_t LastReader = 0;
   std::map<std::uint64_t, reader> Readers;
