Steps that are late already go after those of their priority that can be in time

Ruled out: room held by less urgent work (11 of 140 running tasks). Change: candidate::Late stands between the priority and the latest start. The stand-in of the store deals the partition to a member that comes, as the platform was seen to do.

--- a/src/core/work/internal/scheduledecisions.cpp
+++ b/src/core/work/internal/scheduledecisions.cpp
@@ -221,6 +221,7 @@
           .Guaranteed = FirstStep,
           .Worthless = Age + Left > Objective * WorthlessAfter,
           .LatestStart = Present.Now + (Objective - Age - Left),
+          .Late = Age + Left > Objective,
           .ReclaimBy = Present.Now +
                        (Limits.Reclaim - Age - Limits.Stop - ReclaimMargin)};
 }
--- a/src/core/work/workscheduler.h
+++ b/src/core/work/workscheduler.h
@@ -60,10 +60,12 @@
     bool Guaranteed = false;
     bool Worthless = false;   ///< too late to earn anything
     time_point LatestStart{}; ///< to be done within the objective
+    bool Late = false;        ///< that moment is over
     time_point ReclaimBy{};   ///< for a guaranteed one
 
     auto order() const {
-      return std::tuple(!Guaranteed, Worthless, Priority, LatestStart, Step);
+      return std::tuple(!Guaranteed, Worthless, Priority, Late, LatestStart,
+                        Step);
     }
   };
 
--- a/src/core/workhost/tests/workworldtest.cpp
+++ b/src/core/workhost/tests/workworldtest.cpp
@@ -156,6 +156,29 @@
   CHECK(World.state(job_id("filler")) == job_state::Running);
 }
 
+// The load: a burst of urgent jobs that the room is not enough for. The one
+// that can still be in time goes first; the late one is done after it.
+TEST(WorkWorld, AJobThatIsLateAlreadyLetsOneGoFirstThatCanBeInTime) {
+  const auto Wide = [](std::string_view Id, int Milliseconds) {
+    job_spec Spec = jobOf(Id, Workers, std::to_string(Milliseconds), 8);
+    Spec.Customer = customer_id("bolt"); // has no guarantee
+    Spec.Terms.Priority = 0;
+    Spec.Terms.SlackFactor = 1;
+    Spec.Steps[0].Estimate = std::chrono::milliseconds(Milliseconds);
+    return Spec;
+  };
+  World.submit(Wide("first", 4000));
+  CHECK(World.runUntil([&] { return World.field().running() == Workers; }, 2s));
+  World.submit(Wide("late", 1000));
+  World.runUntil([] { return false; }, 3600ms);
+  World.submit(Wide("fresh", 1000));
+  Job = job_id("fresh");
+  CHECK(becomes(job_state::Completed, 3s));
+  CHECK(World.state(job_id("late")) != job_state::Completed);
+  Job = job_id("late");
+  CHECK(becomes(job_state::Completed, 3s));
+}
+
 TEST(WorkWorld, ACheckpointedTaskGoesOnFromItsCheckpoint) {
   job_spec Spec = jobOf("j1", 32, "8000");
   Spec.Steps[0].Checkpointing = true;
--- a/standins/store/storemodel.cpp
+++ b/standins/store/storemodel.cpp
@@ -114,8 +114,11 @@
   deal(Now);
   const bool IsNew = !Members.contains(Member);
   Members[Member] = {Now + TimeToLive, SeenGeneration};
-  if (IsNew)
+  // The platform deals anew whenever a member comes, often to that one.
+  if (IsNew) {
+    Assigned = Member;
     ++Generation;
+  }
   deal(Now);
   // The holder gives the partition up when it joins with the generation that
   // took it away.
