Workers that leave: their last ends, their tasks and their leases; jobs turned away by a forecast

A task ended 2 ms before its draining worker ended; the answer to the open listing that told the end was lost with the worker, and the task was run again when the lease was over. Change: listings of a draining worker don't wait for ends, so an end is told only to an agent that is asking at that moment. A worker that says that it leaves is asked once more, beside the open listing, and is gone once nobody takes connections twice; the scheduler then takes its last ends and runs the rest elsewhere, without waiting for the lease. Tasks with checkpoints are stopped before their worker leaves. Turning away: an entry rejects (429, Retry-After) what could not be done within three times its objective, by the scheduler's forecast, which comes back with the news of stored records and is a lower bound. Tried and reverted: stopping also tasks without checkpoints.

--- a/src/core/work/internal/scheduledecisions.cpp
+++ b/src/core/work/internal/scheduledecisions.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-/// The platform pays nothing for a job that takes longer than this many times
-/// its objective.
-constexpr int WorthlessAfter = 3;
 /// Reserve before the end of the reclaim time: recording the placement,
 /// telling the agent and starting the task.
 constexpr duration ReclaimMargin = std::chrono::milliseconds(500);
@@ -20,6 +17,9 @@
 /// Work that may be thrown away for a step, as a multiple of its own.
 constexpr double PreemptionFactor = 2;
 
+/// A forecast of the queues looks at all that waits; bursts last seconds.
+constexpr duration ForecastInterval = std::chrono::milliseconds(250);
+
 /// Tasks of this priority and later ones wait for room beside what is kept for
 /// urgent jobs, unless they can be stopped cheaply.
 constexpr std::uint32_t FirstDeferrable = 1;
@@ -143,6 +143,31 @@
          Plan.LostCoreSeconds <= PreemptionFactor * coreSeconds(Request);
 }
 
+const queue_forecast &work_scheduler::forecast(const present_time &Present) {
+  if (Present.Now - ForecastAt < ForecastInterval)
+    return LastForecast;
+  ForecastAt = Present.Now;
+  backlog Ahead;
+  for (const auto &[Id, Worker] : Pool.all()) {
+    if (!Worker.usable(Present.Now))
+      continue;
+    Ahead.addCapacity(Worker.Description.Capacity);
+    for (const live_run *Run : Worker.Runs)
+      if (!Run->Stopping && !Run->LongRunning)
+        Ahead.add(Run->Priority, Run->Need, 1,
+                  expectedEnd(*Run, Present.Now) - Present.Now);
+  }
+  for (const candidate &Each : readySteps(Present)) {
+    const live_job &Job = *findJob(Each.Step.Job);
+    const step_spec &Step = Job.step(Each.Step.Step);
+    if (!Each.Worthless && !Step.LongRunning)
+      Ahead.add(Each.Priority, heldBy(Step), Job.waitingCount(Each.Step),
+                Forecast.expected(termsOf(Job), Step));
+  }
+  LastForecast = Ahead.forecast();
+  return LastForecast;
+}
+
 // Lapsed waits.
 
 void work_scheduler::expireWorkers(const present_time &Present) {
@@ -154,6 +179,7 @@
       RoundWanted = true;
     if (Worker.LeaseEnd > Present.Now) {
       NextExpiry = std::min(NextExpiry, Worker.LeaseEnd);
+      clearLeaving(Worker, Present);
       continue;
     }
     loseAll(Worker, "lease_over", Present);
@@ -163,6 +189,27 @@
     Pool.erase(Id);
 }
 
+/// Stops tasks with checkpoints that would still run when a draining worker
+/// leaves: they go on elsewhere at once. The others may yet end there, since
+/// workers often stay longer than they say.
+void work_scheduler::clearLeaving(const pool_worker &Worker,
+                                  const present_time &Present) {
+  if (Worker.LeavesAt == time_point::max())
+    return;
+  const time_point StopAt = Worker.LeavesAt - Limits.Stop - Limits.LeaveMargin;
+  if (Present.Now < StopAt) {
+    NextExpiry = std::min(NextExpiry, StopAt);
+    return;
+  }
+  std::vector<run_ref> Over;
+  for (const live_run *Run : Worker.Runs)
+    if (Run->Checkpointing && !Run->Stopping &&
+        expectedEnd(*Run, Present.Now) > Worker.LeavesAt)
+      Over.push_back(Run->Run);
+  for (const run_ref &Run : Over)
+    stopGang(Run, "worker_leaves");
+}
+
 /// Gives up gangs of which a member did not start in time, before the members
 /// that wait would end by themselves.
 void work_scheduler::expireGangs(const present_time &Present) {
--- a/src/core/work/internal/workerpool.cpp
+++ b/src/core/work/internal/workerpool.cpp
@@ -32,6 +32,11 @@
   Worker.Described = true;
   Worker.Reachable = Report.Reachable;
   Worker.LeaseEnd = leaseEnd(Now);
+  // A repeated report tells the time left as of an earlier heartbeat.
+  Worker.LeavesAt =
+      Report.Description.Draining
+          ? std::min(Worker.LeavesAt, Now + Report.Description.DrainRemaining)
+          : time_point::max();
   return Worker;
 }
 
--- a/src/core/work/internal/workerreports.cpp
+++ b/src/core/work/internal/workerreports.cpp
@@ -30,6 +30,11 @@
     Pool.erase(Life.Worker);
     Earlier = nullptr;
   }
+  if (Report.Left) {
+    if (Earlier)
+      workerLeft(*Earlier, Report, Present);
+    return;
+  }
   if (!Earlier || !Earlier->Described)
     note(decision_kind::WorkerKnown, {}, Life, Report.Description.Rack);
   const bool UsableBefore = Earlier && Earlier->usable(Present.Now);
@@ -42,6 +47,17 @@
   }
 }
 
+/// Takes its last ends; what else it had is over.
+void work_scheduler::workerLeft(pool_worker &Worker,
+                                const worker_report &Report,
+                                const present_time &Present) {
+  if (Report.Listing)
+    takeListing(Worker, Report, Present);
+  loseAll(Worker, "left", Present);
+  Pool.erase(Report.Description.Life.Worker);
+  RoundWanted = true;
+}
+
 void work_scheduler::takeListing(pool_worker &Worker,
                                  const worker_report &Report,
                                  const present_time &Present) {
--- a/src/core/work/types/limits.h
+++ b/src/core/work/types/limits.h
@@ -19,10 +19,17 @@
   duration Reclaim = std::chrono::milliseconds(2700);
   /// A worker needs up to this long to stop a task.
   duration Stop = std::chrono::milliseconds(900);
+  /// Before a draining worker leaves: orders, listings and reports take this
+  /// long beside the stop itself.
+  duration LeaveMargin = std::chrono::milliseconds(300);
   /// Time between two rounds of placement while events keep coming.
   duration RoundInterval = std::chrono::milliseconds(20);
 };
 
+/// The platform pays nothing for a job that takes longer than this many times
+/// its objective.
+constexpr int WorthlessAfter = 3;
+
 /// Longer leases only make it longer until the tasks of a lost worker may run
 /// elsewhere; entries are rarely out of reach for longer.
 constexpr duration MaxLease = std::chrono::seconds(6);
--- a/src/core/work/types/worker.h
+++ b/src/core/work/types/worker.h
@@ -91,6 +91,7 @@
   std::vector<refused_start> Refused;    ///< starts that will not happen
   orders_version Applied;                ///< orders that the listing reflects
   bool Reachable = true;                 ///< the worker answers its agent
+  bool Left = false; ///< the worker is gone, and with it all that ran there
 };
 
 /// A run that a worker shall have. The body is left out once it is there.
--- a/src/core/work/workerpool.h
+++ b/src/core/work/workerpool.h
@@ -17,6 +17,7 @@
   resources Used;  ///< by runs that have not ended, those being stopped too
   resources Freed; ///< part of Used that is being stopped
   std::vector<live_run *> Runs;
+  time_point LeavesAt = time_point::max(); ///< at the earliest; draining
   time_point LeaseEnd{};    ///< nothing runs there after this without a report
   std::uint64_t Listed = 0; ///< highest number of an end taken in
   std::uint64_t Acknowledged = 0; ///< ends up to here are in the log
--- a/src/core/work/workscheduler.h
+++ b/src/core/work/workscheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/work/backlog.h"
 #include "core/work/livejobs.h"
 #include "core/work/placementround.h"
 #include "core/work/queuedirectory.h"
@@ -48,6 +49,9 @@
   /// Workers that may hold leases of this or an earlier term.
   std::vector<lease_left> leases() const;
 
+  /// What is ahead of a job that comes now; a little old at most.
+  const queue_forecast &forecast(const present_time &Present);
+
   std::size_t runningRuns() const { return Runs.size(); }
   std::size_t openJobs() const { return Jobs.size(); }
   const worker_pool &workers() const { return Pool; }
@@ -97,6 +101,8 @@
   void stopGang(const run_ref &Member, std::string_view Why);
 
   // What workers report: workerreports.cpp.
+  void workerLeft(pool_worker &Worker, const worker_report &Report,
+                  const present_time &Present);
   void takeListing(pool_worker &Worker, const worker_report &Report,
                    const present_time &Present);
   void takeRunning(pool_worker &Worker, const running_run &Row,
@@ -128,6 +134,7 @@
   void placeAll(const present_time &Present);
   void expireWorkers(const present_time &Present);
   void expireGangs(const present_time &Present);
+  void clearLeaving(const pool_worker &Worker, const present_time &Present);
   std::vector<candidate> readySteps(const present_time &Present);
   candidate candidateFor(const live_job &Job, const step_ref &Step,
                          const present_time &Present) const;
@@ -158,6 +165,8 @@
   run_table Runs;
   worker_pool Pool;
   run_forecast Forecast;
+  queue_forecast LastForecast;
+  time_point ForecastAt{};
   urgent_demand Urgent;
   std::map<step_ref, time_point> StartingGangs; ///< and when they are given up
 
--- a/src/core/workhost/internal/runhost.cpp
+++ b/src/core/workhost/internal/runhost.cpp
@@ -14,8 +14,15 @@
 /// A listing with ends that are not acknowledged yet would be answered at
 /// once; the next one waits for the acknowledgement, but no longer than this.
 constexpr duration AcknowledgementWait = std::chrono::milliseconds(400);
+/// Listings of a draining worker don't wait for ends: the answer that tells one
+/// as the worker ends would be lost, though it was told. They are asked for
+/// this often instead.
+constexpr duration DrainListingPause = std::chrono::milliseconds(200);
 /// Unanswered listings in a row after which the worker counts as unreachable.
 constexpr int UnreachableAfter = 2;
+/// A worker that said that it leaves is gone once nobody took this many
+/// connections in a row. Alone that is no proof: a link may refuse as well.
+constexpr int GoneAfter = 2;
 
 } // namespace
 
@@ -25,12 +32,16 @@
 std::span<const host_command> run_host::handle(const host_event &Event,
                                                time_point Now) {
   Commands.clear();
+  if (Left)
+    return Commands;
   using table =
       member_table<&run_host::onDescribed, &run_host::onOrders,
                    &run_host::onStartAnswered, &run_host::onStopAnswered,
                    &run_host::onListing, &run_host::onListingFailed,
-                   &run_host::onTimePassed>;
+                   &run_host::onLeaves, &run_host::onTimePassed>;
   table::dispatch(*this, Event, Now);
+  if (Left)
+    return Commands;
   reconcile(Now);
   askListing(Now);
   return Commands;
@@ -136,17 +147,30 @@
   Commands.emplace_back(report_now{});
   if (OpenEnds)
     NextListing = Now + AcknowledgementWait;
+  else if (Description.Draining)
+    NextListing = Now + DrainListingPause;
   else if (!NewEnds)
     NextListing.reset();
 }
 
-void run_host::onListingFailed(const listing_failed &, const time_point &Now) {
+void run_host::onListingFailed(const listing_failed &Event,
+                               const time_point &Now) {
   ListingAsked = false;
+  ListenerMissing = Leaving && Event.NoListener ? ListenerMissing + 1 : 0;
+  if (ListenerMissing == GoneAfter) {
+    Left = true;
+    Commands.emplace_back(report_now{});
+    return;
+  }
   NextListing = Now + RetryDelay;
   if (++FailedListings == UnreachableAfter)
     Commands.emplace_back(report_now{});
 }
 
+void run_host::onLeaves(const worker_leaves &, const time_point &) {
+  Leaving = true;
+}
+
 void run_host::onTimePassed(const host_time_passed &, const time_point &) {}
 
 bool run_host::listed(const run_ref &Run) const {
@@ -162,7 +186,11 @@
 }
 
 void run_host::refuse(const run_ref &Run, start_refusal Reason) {
-  Refused.try_emplace(Run, refusal{Reason, AskedListings + 1});
+  const bool IsNew =
+      Refused.try_emplace(Run, refusal{Reason, AskedListings + 1}).second;
+  // It is told with the next listing.
+  if (IsNew)
+    NextListing.reset();
 }
 
 void run_host::reconcile(time_point Now) {
@@ -241,17 +269,19 @@
   ++AskedListings;
   if (settled())
     ListingCovers = Orders.Version;
-  Commands.emplace_back(
-      list_runs{.AcknowledgedEnds = Orders.AcknowledgedEnds,
-                .LeaseEndMs = LeaseEndMs,
-                .Wait = Listing ? Limits.ListingWait : duration{}});
+  Commands.emplace_back(list_runs{.AcknowledgedEnds = Orders.AcknowledgedEnds,
+                                  .LeaseEndMs = LeaseEndMs,
+                                  .Wait = Listing && !Description.Draining
+                                              ? Limits.ListingWait
+                                              : duration{}});
 }
 
 worker_report run_host::report() const {
   worker_report Report{.Description = Description,
                        .Listing = Listing,
                        .Applied = Applied,
-                       .Reachable = FailedListings < UnreachableAfter};
+                       .Reachable = FailedListings < UnreachableAfter,
+                       .Left = Left};
   if (Report.Listing)
     for (const run_ref &Run : Started)
       Report.Listing->Running.push_back({.Run = Run});
--- a/src/core/workhost/runhost.h
+++ b/src/core/workhost/runhost.h
@@ -23,8 +23,14 @@
 
   /// What to tell the scheduler now.
   worker_report report() const;
+  /// Asks for a listing at once, beside one that may be open.
+  list_runs lastListing() const {
+    return {.AcknowledgedEnds = Orders.AcknowledgedEnds};
+  }
   const worker_description &description() const { return Description; }
   bool hasListing() const { return Listing.has_value(); }
+  /// The worker is gone, and with it all that ran there.
+  bool left() const { return Left; }
 
 private:
   void onDescribed(const worker_described &Event, const time_point &Now);
@@ -33,6 +39,7 @@
   void onStopAnswered(const stop_answered &Event, const time_point &Now);
   void onListing(const listing_arrived &Event, const time_point &Now);
   void onListingFailed(const listing_failed &Event, const time_point &Now);
+  void onLeaves(const worker_leaves &Event, const time_point &Now);
   void onTimePassed(const host_time_passed &Event, const time_point &Now);
 
   void reconcile(time_point Now);
@@ -71,6 +78,9 @@
   std::uint64_t ReceivedListing = 0; ///< number of the last one
   std::optional<time_point> NextListing;
   int FailedListings = 0;
+  int ListenerMissing = 0; ///< in a row, since the worker said that it leaves
+  bool Leaving = false;
+  bool Left = false;
   std::vector<host_command> Commands;
 };
 
--- a/src/core/workhost/tests/runhosttest.cpp
+++ b/src/core/workhost/tests/runhosttest.cpp
@@ -170,3 +170,50 @@
   listing();
   CHECK(Host.report().Reachable);
 }
+
+TEST(RunHost, AWorkerThatSaidSoAndTakesNoConnectionsHasLeft) {
+  begin();
+  feed(worker_leaves{});
+  feed(listing_failed{.NoListener = true});
+  CHECK(!Host.report().Left);
+  Now += 1s;
+  feed(listing_failed{.NoListener = true});
+  CHECK(Host.report().Left);
+  Now += 1s;
+  feed(host_time_passed{});
+  CHECK(!List);
+}
+
+// A link may refuse connections while the worker runs on.
+TEST(RunHost, AWorkerThatTakesNoConnectionsMayLive) {
+  begin();
+  for (int I = 0; I < 5; ++I) {
+    feed(listing_failed{.NoListener = true});
+    Now += 1s;
+  }
+  CHECK(!Host.report().Left);
+}
+
+TEST(RunHost, AWorkerThatWasNotHeardOfSinceItSaidThatItLeavesMayLive) {
+  begin();
+  feed(worker_leaves{});
+  for (int I = 0; I < 5; ++I) {
+    feed(listing_failed{.NoListener = false});
+    Now += 1s;
+  }
+  CHECK(!Host.report().Left);
+}
+
+// The answer that tells an end is lost if the worker ends at that moment.
+TEST(RunHost, ListingsOfADrainingWorkerDoNotWaitForEnds) {
+  begin();
+  worker_description Draining = Host.description();
+  ++Draining.Sequence;
+  Draining.Draining = true;
+  feed(worker_described{Draining});
+  listing();
+  CHECK(!List);
+  Now += 200ms;
+  feed(host_time_passed{});
+  CHECK(List && List->Wait == duration{});
+}
--- a/src/core/workhost/tests/workworld.cpp
+++ b/src/core/workhost/tests/workworld.cpp
@@ -146,6 +146,26 @@
   restartAgent(Worker); // its heartbeat begins a new session
 }
 
+void work_world::leave(int Worker) {
+  feedAgent(Worker, listing_arrived{Field.listing(idOf(Worker), Now)});
+  feedAgent(Worker, worker_leaves{});
+  Gone.insert(Worker);
+  Field.restart(idOf(Worker), Now); // ends all that runs there
+}
+
+void work_world::drain(int Worker, duration Remaining) {
+  worker_description Description =
+      Agents[static_cast<std::size_t>(Worker)].Host->description();
+  ++Description.Sequence;
+  Description.Draining = true;
+  Description.DrainRemaining = Remaining;
+  feedAgent(Worker, worker_described{Description});
+}
+
+bool work_world::runsOn(int Worker) const {
+  return !Field.listing(idOf(Worker), Now).Running.empty();
+}
+
 void work_world::cutAgent(int Worker, duration For) {
   Agents[static_cast<std::size_t>(Worker)].CutUntil = Now + For;
 }
@@ -224,7 +244,7 @@
     const auto Incarnation = Agent.Incarnation;
     later(delay(), [=, this] {
       if (Agents[static_cast<std::size_t>(Worker)].Incarnation == Incarnation)
-        feedAgent(Worker, listing_failed{});
+        feedAgent(Worker, listing_failed{Gone.contains(Worker)});
     });
     return;
   }
--- a/src/core/workhost/tests/workworld.h
+++ b/src/core/workhost/tests/workworld.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,10 @@
   /// The agent process starts anew; its worker goes on.
   void restartAgent(int Worker);
   void restartWorker(int Worker);
+  /// The worker says that it leaves, is asked for its ends, and ends.
+  void leave(int Worker);
+  void drain(int Worker, duration Remaining);
+  bool runsOn(int Worker) const;
   /// Cuts the agent off from the scheduler for a time.
   void cutAgent(int Worker, duration For);
 
@@ -99,6 +104,7 @@
   std::unique_ptr<work_scheduler> Scheduler;
   time_point SchedulerWake = time_point::max();
   std::vector<agent> Agents;
+  std::set<int> Gone; ///< workers that left
   std::deque<delayed> Queue;
 };
 
--- a/src/core/workhost/tests/workworldtest.cpp
+++ b/src/core/workhost/tests/workworldtest.cpp
@@ -126,6 +126,44 @@
                        18s));
 }
 
+TEST(WorkWorld, TasksOfWorkersThatLeftRunElsewhereBeforeTheirLeasesAreOver) {
+  World.submit(jobOf("j1", 3, "3000", 8));
+  CHECK(World.runUntil([&] { return World.field().running() == 3; }, 2s));
+  World.leave(0);
+  World.leave(1);
+  // Two runs one after the other; a lease would be waited for 6 s before.
+  CHECK(becomes(job_state::Completed, 7s));
+}
+
+TEST(WorkWorld, TasksWithCheckpointsGoOnElsewhereBeforeTheirWorkerLeaves) {
+  job_spec Spec = jobOf("j1", 2, "5000c", 8);
+  Spec.Steps[0].Checkpointing = true;
+  World.submit(Spec);
+  CHECK(World.runUntil([&] { return World.field().running() == 2; }, 2s));
+  World.drain(0, 2s);
+  World.drain(1, 2s);
+  World.runFor(2s);
+  CHECK(!World.runsOn(0) && !World.runsOn(1));
+  CHECK(becomes(job_state::Completed, 6s));
+}
+
+// Workers often stay longer than they say.
+TEST(WorkWorld, TasksWithoutCheckpointsMayEndOnAWorkerThatLeaves) {
+  World.submit(jobOf("j1", 4, "3000", 8));
+  CHECK(World.runUntil([&] { return World.field().running() == 4; }, 2s));
+  World.drain(0, 1s);
+  CHECK(becomes(job_state::Completed, 4s));
+}
+
+TEST(WorkWorld, AnEndThatIsListedAsTheWorkerLeavesCounts) {
+  World.submit(jobOf("j1", 4, "1000", 8));
+  CHECK(World.runUntil([&] { return World.field().running() == 4; }, 2s));
+  World.runUntil([&] { return World.field().doneRuns() > 0; }, 2s);
+  for (int Worker = 0; Worker < Workers - 1; ++Worker)
+    World.leave(Worker);
+  CHECK(becomes(job_state::Completed, 5s));
+}
+
 TEST(WorkWorld, AnEarlierTermThatTellsItsLeasesShortensTheWaitForLostWorkers) {
   World.submit(jobOf("j1", 32, "4000"));
   World.runFor(1s);
--- a/src/core/workhost/types/hostevents.h
+++ b/src/core/workhost/types/hostevents.h
@@ -38,12 +38,17 @@
 struct listing_arrived {
   worker_listing Listing;
 };
-struct listing_failed {};
+struct listing_failed {
+  bool NoListener = false; ///< nobody takes connections at its address
+};
+/// The worker has said that it leaves.
+struct worker_leaves {};
 struct host_time_passed {};
 
-using host_event = std::variant<worker_described, orders_arrived,
-                                start_answered, stop_answered, listing_arrived,
-                                listing_failed, host_time_passed>;
+using host_event =
+    std::variant<worker_described, orders_arrived, start_answered,
+                 stop_answered, listing_arrived, listing_failed, worker_leaves,
+                 host_time_passed>;
 
 // Commands.
 
--- a/src/daemon/tests/jobplatformtest.cpp
+++ b/src/daemon/tests/jobplatformtest.cpp
@@ -147,6 +147,20 @@
   CHECK(becomes("completed"));
 }
 
+// Its answer to an open listing is lost as it ends; the end must not be.
+TEST(JobPlatform, ATaskThatEndsAsItsWorkerLeavesIsNotRunAgain) {
+  LONGS_EQUAL(200, submit(jobBody(1, 1, R"({"ms":600,"leaves":true})")));
+  CHECK(becomes("completed", "entry-1"));
+  const std::string Log = Cluster.process(scheduler()).output();
+  CHECK(Log.find("run=2") == std::string::npos);
+  CHECK(Cluster.waitFor(
+      [&] {
+        return Cluster.process(scheduler()).output().find("detail=left") !=
+               std::string::npos;
+      },
+      2s));
+}
+
 TEST(JobPlatform, AStoreThatForgetsItsLogLosesNothing) {
   LONGS_EQUAL(200, submit(jobBody(2, 1, R"({"ms":1500})")));
   CHECK(becomes("running"));
--- a/src/jobagent/internal/jobagentrole.cpp
+++ b/src/jobagent/internal/jobagentrole.cpp
@@ -71,8 +71,7 @@
     heartbeat(Call.Worker, Request, *Responder);
     return;
   case worker_message::Leaves:
-    Log.event("worker_leaves", {{"worker", Call.Worker}});
-    Responder->respond(encodeEmpty(Success));
+    leaves(Call.Worker, Request.Body, Responder);
     return;
   case worker_message::Other:
     break;
@@ -80,6 +79,21 @@
   Responder->respond(encodeError(NotFound, "no_call", "no such call"));
 }
 
+void job_agent_role::leaves(std::string_view Worker, std::string_view Body,
+                            const std::shared_ptr<ihttp_responder> &Responder) {
+  const auto Found = Sessions.find(worker_id(Worker));
+  const auto Born = decodeBorn(Body);
+  const bool Known =
+      Found != Sessions.end() && (!Born || Found->second->life().Born == *Born);
+  if (Known) {
+    Found->second->leaves(
+        [Responder] { Responder->respond(encodeEmpty(Success)); });
+    return;
+  }
+  Log.event("worker_leaves", {{"worker", Worker}, {"known", 0}});
+  Responder->respond(encodeEmpty(Success));
+}
+
 void job_agent_role::heartbeat(std::string_view Worker,
                                const http_request_view &Request,
                                ihttp_responder &Responder) {
--- a/src/jobagent/internal/workersession.cpp
+++ b/src/jobagent/internal/workersession.cpp
@@ -12,6 +12,9 @@
 
 /// How long the scheduler may keep a report until there are new orders.
 constexpr std::uint64_t ReportWaitMs = 900;
+/// A connection that fails later was not refused: the way may be cut. The
+/// worker is on this VM.
+constexpr duration RefusedWithin = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -38,6 +41,22 @@
   feed(work::worker_described{Description});
 }
 
+void worker_session::leaves(std::function<void()> Confirm) {
+  Log.event("worker_leaves",
+            {{"worker", life().Worker.view()}, {"born", life().Born}});
+  // Its answer to the listing that is open may be lost as it ends.
+  Target.FencingToken = Fencing.token();
+  Worker.list(Target, Host.lastListing(),
+              [this, Life = Alive,
+               Confirm = std::move(Confirm)](const listing_outcome &Outcome) {
+                if (*Life && Outcome.Listing)
+                  listed(Outcome);
+                Confirm();
+                if (*Life)
+                  feed(work::worker_leaves{});
+              });
+}
+
 void worker_session::feed(const work::host_event &Event) {
   const auto Commands = Host.handle(Event, Loop.now());
   const std::vector<work::host_command> Copy(Commands.begin(), Commands.end());
@@ -85,11 +104,14 @@
 
 void worker_session::carryOut(const work::list_runs &Command) {
   Target.FencingToken = Fencing.token();
-  Worker.list(Target, Command,
-              [this, Life = Alive](const listing_outcome &Outcome) {
-                if (*Life)
-                  listed(Outcome);
-              });
+  Worker.list(
+      Target, Command,
+      [this, Asked = Loop.now(), Life = Alive](listing_outcome Outcome) {
+        if (!*Life)
+          return;
+        Outcome.NoListener &= Loop.now() - Asked < RefusedWithin;
+        listed(Outcome);
+      });
 }
 
 void worker_session::listed(const listing_outcome &Outcome) {
@@ -99,7 +121,7 @@
   if (Ours)
     feed(work::listing_arrived{*Outcome.Listing});
   else
-    feed(work::listing_failed{});
+    feed(work::listing_failed{Outcome.NoListener});
 }
 
 void worker_session::carryOut(const work::report_now &) { ReportWanted = true; }
@@ -148,7 +170,7 @@
     Log.problem("orders_unreadable", {{"problem", Problem.what()}});
   }
   // Keep a question open, so that orders arrive when they are decided.
-  if (Number == LastReport)
+  if (Number == LastReport && !Host.left())
     sendReport();
 }
 
--- a/src/jobagent/jobagentrole.h
+++ b/src/jobagent/jobagentrole.h
@@ -46,6 +46,8 @@
                   const std::shared_ptr<ihttp_responder> &Responder);
 
 private:
+  void leaves(std::string_view Worker, std::string_view Body,
+              const std::shared_ptr<ihttp_responder> &Responder);
   void heartbeat(std::string_view Worker, const http_request_view &Request,
                  ihttp_responder &Responder);
   void beginSession(const work::worker_description &Description,
--- a/src/jobagent/workersession.h
+++ b/src/jobagent/workersession.h
@@ -38,6 +38,9 @@
 
   void start();
   void described(const work::worker_description &Description);
+  /// The worker is about to end. Calls \p Confirm once its last ends are known
+  /// here, or can't be.
+  void leaves(std::function<void()> Confirm);
   const work::worker_life &life() const { return Host.description().Life; }
   const std::string &address() const { return Target.Address; }
   time_point lastHeartbeat() const { return LastHeartbeat; }
--- a/src/jobentry/internal/jobapi.cpp
+++ b/src/jobentry/internal/jobapi.cpp
@@ -21,6 +21,7 @@
 constexpr int NotFound = 404;
 constexpr int MethodNotAllowed = 405;
 constexpr int Gone = 410;
+constexpr int TooManyJobs = 429;
 constexpr int Unavailable = 503;
 constexpr int Undetermined = 504;
 
@@ -86,10 +87,10 @@
 
 job_api::job_api(ievent_loop &Loop, istore &Store, topic_reader &Jobs,
                  metric_registry &Metrics, const work::work_book &Book,
-                 const work::queue_directory &Queues,
+                 const work::queue_directory &Queues, const work::door &Door,
                  std::function<void(const keyed_record &)> Recorded)
     : Loop(Loop), Store(Store), Jobs(Jobs), Metrics(Metrics), Book(Book),
-      Queues(Queues), Recorded(std::move(Recorded)) {}
+      Queues(Queues), Door(Door), Recorded(std::move(Recorded)) {}
 
 time_point job_api::deadlineOf(const http_request_view &Request) const {
   const std::string_view Text = headerValue(Request.Headers, TimeoutHeader);
@@ -192,6 +193,14 @@
   Record.Spec.Customer = Admitted.Customer;
   Record.Spec.Terms = Admitted.Route->Terms;
   Record.Spec.SubmittedAt = Loop.wallNow();
+  if (const auto RetryAfter = Door.retryAfter(Record.Spec, Loop.now())) {
+    finish(Call,
+           encodeError(TooManyJobs, "queue_full",
+                       "too much is ahead of it for it to be done in time",
+                       *RetryAfter),
+           "queue_full");
+    return;
+  }
   const std::string Key = work::submissionKey(Call.Job);
   store(std::move(Call),
         {.Topic = store_topic::Jobs,
--- a/src/jobentry/internal/jobentryrole.cpp
+++ b/src/jobentry/internal/jobentryrole.cpp
@@ -76,7 +76,8 @@
       Office(Environment.Loop, Environment.Store, Self.Node.str(),
              office_limits{}, raw(Self.Incarnation), *this),
       Api(Environment.Loop, Environment.Store, Jobs, Environment.Metrics, Book,
-          Queues, [this](const keyed_record &Record) { onRecorded(Record); }),
+          Queues, Door,
+          [this](const keyed_record &Record) { onRecorded(Record); }),
       AnnounceRetry(Environment.Loop), DrainTimer(Environment.Loop),
       TermRetry(Environment.Loop), EarlierRetry(Environment.Loop),
       Retention(Environment.Loop) {}
@@ -208,7 +209,13 @@
 /// A record of this entry's own is in the log.
 void job_entry_role::onRecorded(const keyed_record &Record) {
   onWorkRecord(Record);
-  News.tell(otherEntries(), Record);
+  if (Work)
+    Door.learn(Work->forecast(), Environment.Loop.now());
+  News.tell(otherEntries(), Record, [this](const proto::PeerResponse &Answer) {
+    if (Answer.has_queue_forecast())
+      Door.learn(work::decodeForecast(Answer.queue_forecast()),
+                 Environment.Loop.now());
+  });
 }
 
 void job_entry_role::tellScheduler(const work::work_record &Record) {
@@ -491,7 +498,11 @@
   }
   if (Request.has_record_stored()) {
     onWorkRecord(decodeNews(Request.record_stored()));
-    Respond({});
+    proto::PeerResponse Response;
+    if (Work)
+      *Response.mutable_queue_forecast() =
+          work::encodeForecast(Work->forecast());
+    Respond(std::move(Response));
     return;
   }
   if (Request.has_office_asked()) {
--- a/src/jobentry/internal/recordnews.cpp
+++ b/src/jobentry/internal/recordnews.cpp
@@ -9,8 +9,9 @@
 
 } // namespace
 
-void record_news::tell(std::span<const std::string> Addresses,
-                       const keyed_record &Record) {
+void record_news::tell(
+    std::span<const std::string> Addresses, const keyed_record &Record,
+    const std::function<void(const proto::PeerResponse &)> &Answered) {
   proto::PeerRequest Request = makeRequest(Self);
   proto::work::RecordStored &Message = *Request.mutable_record_stored();
   Message.set_key(Record.Key);
@@ -18,7 +19,7 @@
   Message.set_offset(Record.Offset);
   for (const std::string &Address : Addresses)
     Peers.call(Address, Request, NewsTimeout,
-               [this, Life = Alive, Address,
+               [this, Life = Alive, Address, Answered,
                 Key = Record.Key](const peer_result &Result) {
                  if (!*Life)
                    return;
@@ -28,7 +29,9 @@
                                  "Other entries told of a record in the log.",
                                  {{"taken", Taken ? "yes" : "no"}})
                      .add();
-                 if (!Taken)
+                 if (Taken)
+                   Answered(Result.Response);
+                 else
                    Log.event("news_not_taken", {{"entry", Address},
                                                 {"key", Key},
                                                 {"call", name(Result.Status)}});
--- a/src/jobentry/internal/workdriver.cpp
+++ b/src/jobentry/internal/workdriver.cpp
@@ -187,12 +187,15 @@
   auto [Added, IsNew] = Pending.try_emplace(Worker, Loop);
   pending &Waiting = Added->second;
   Waiting.Life = Report.Description.Life;
+  Waiting.Left = Report.Left;
   Waiting.Known = {Message.known_term(), Message.known_number()};
   Waiting.Respond = std::move(Respond);
   const auto WaitMs = std::min(Message.wait_ms(), MaxWaitMs);
   Waiting.Limit.start(std::chrono::milliseconds(WaitMs),
                       [this, Worker] { answer(Worker); });
   feed(work::worker_reported{Report});
+  if (Report.Left)
+    answer(Worker);
   const auto Still = Pending.find(Worker);
   if (Still == Pending.end())
     return;
@@ -208,7 +211,8 @@
   proto::PeerResponse Response;
   proto::work::WorkerOrders &Message = *Response.mutable_worker_orders();
   const auto Orders = Scheduler.orders(Found.mapped().Life);
-  Message.set_in_office(Orders.has_value());
+  // A life that is over gets no orders, from the scheduler nevertheless.
+  Message.set_in_office(Orders || Found.mapped().Left);
   if (Orders)
     work::encodeOrders(*Orders, Message);
   Found.mapped().Respond(std::move(Response));
--- a/src/jobentry/jobapi.h
+++ b/src/jobentry/jobapi.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/work/door.h"
 #include "core/work/queuedirectory.h"
 #include "core/work/workbook.h"
 #include "jobentry/topicreader.h"
@@ -24,7 +25,7 @@
   /// \param Recorded is told of each record once it is in the log.
   job_api(ievent_loop &Loop, istore &Store, topic_reader &Jobs,
           metric_registry &Metrics, const work::work_book &Book,
-          const work::queue_directory &Queues,
+          const work::queue_directory &Queues, const work::door &Door,
           std::function<void(const keyed_record &)> Recorded);
   ~job_api() { *Alive = false; }
   job_api(const job_api &) = delete;
@@ -73,6 +74,7 @@
   metric_registry &Metrics;
   const work::work_book &Book;
   const work::queue_directory &Queues;
+  const work::door &Door;
   const std::function<void(const keyed_record &)> Recorded;
   time_point StoreFailsSince{}; ///< 0: the last append was stored
   logger Log{"jobs"};
--- a/src/jobentry/jobentryrole.h
+++ b/src/jobentry/jobentryrole.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/topics/recentagents.h"
+#include "core/work/door.h"
 #include "core/work/queuedirectory.h"
 #include "core/work/workbook.h"
 #include "jobentry/jobapi.h"
@@ -117,6 +118,7 @@
   topic_reader Jobs;
   topic_reader Progress;
   topic_reader Entries;
+  work::door Door;
   recent_agents Agents;
   office_inquiry Inquiry;
   record_news News;
--- a/src/jobentry/recordnews.h
+++ b/src/jobentry/recordnews.h
@@ -6,6 +6,7 @@
 #include "peercodec/peercodec.h"
 #include "transport/ipeerclient.h"
 
+#include <functional>
 #include <memory>
 #include <span>
 #include <string>
@@ -24,7 +25,9 @@
   record_news &operator=(const record_news &) = delete;
 
   /// \param Addresses ip:port of the peer interfaces of the other entries.
-  void tell(std::span<const std::string> Addresses, const keyed_record &Record);
+  /// \param Answered gets each answer that arrives in time.
+  void tell(std::span<const std::string> Addresses, const keyed_record &Record,
+            const std::function<void(const proto::PeerResponse &)> &Answered);
 
 private:
   ipeer_client &Peers;
--- a/src/jobentry/workdriver.h
+++ b/src/jobentry/workdriver.h
@@ -39,6 +39,9 @@
   static constexpr std::uint64_t FirstSequence = 2;
 
   const work::work_scheduler &scheduler() const { return Scheduler; }
+  const work::queue_forecast &forecast() {
+    return Scheduler.forecast(present());
+  }
   /// Answers now if there are new orders, otherwise when there are or when the
   /// time that the agent waits is over.
   void exchange(const proto::work::WorkerReport &Message,
@@ -56,6 +59,7 @@
   struct pending {
     explicit pending(ievent_loop &Loop) : Limit(Loop) {}
     work::worker_life Life;
+    bool Left = false; ///< it told that the worker is gone
     work::orders_version Known;
     peer_responder Respond;
     timer Limit;
--- a/src/platform/internal/platformdecode.cpp
+++ b/src/platform/internal/platformdecode.cpp
@@ -197,6 +197,14 @@
   return Spec;
 }
 
+std::optional<std::uint64_t> decodeBorn(std::string_view Body) {
+  const auto Row = parseObject(Body);
+  const auto Born = Row ? integerField(*Row, "born") : std::nullopt;
+  if (!Born || *Born < 0)
+    return std::nullopt;
+  return static_cast<std::uint64_t>(*Born);
+}
+
 worker_call_path parseWorkerPath(std::string_view Method,
                                  std::string_view Path) {
   constexpr std::string_view Prefix = "/api/workers/";
--- a/src/platform/internal/taskworkerclient.cpp
+++ b/src/platform/internal/taskworkerclient.cpp
@@ -122,6 +122,7 @@
 
 listing_outcome toListingOutcome(const http_result &Result) {
   listing_outcome Outcome;
+  Outcome.NoListener = Result.Status == call_status::NotSent;
   if (Result.Status != call_status::Completed)
     return Outcome;
   Outcome.OtherLife = Result.Code == OtherInstance;
--- a/src/platform/platformdecode.h
+++ b/src/platform/platformdecode.h
@@ -35,6 +35,8 @@
   worker_message Kind = worker_message::Other;
   std::string_view Worker;
 };
+/// The life that a worker's message is about; nothing if it does not say.
+std::optional<std::uint64_t> decodeBorn(std::string_view Body);
 worker_call_path parseWorkerPath(std::string_view Method,
                                  std::string_view Path);
 
--- a/src/platform/types/taskcalls.h
+++ b/src/platform/types/taskcalls.h
@@ -21,8 +21,9 @@
 
 struct listing_outcome {
   std::optional<work::worker_listing> Listing; ///< nothing if it failed
-  bool Fenced = false;    ///< a higher token was seen there
-  bool OtherLife = false; ///< another worker answers at the address
+  bool Fenced = false;     ///< a higher token was seen there
+  bool OtherLife = false;  ///< another worker answers at the address
+  bool NoListener = false; ///< nobody takes connections there
 };
 
 } // namespace geraniumpaddle
--- a/src/workcodec/internal/peerconvert.cpp
+++ b/src/workcodec/internal/peerconvert.cpp
@@ -91,6 +91,7 @@
   Message.set_applied_term(Report.Applied.Term);
   Message.set_applied_number(Report.Applied.Number);
   Message.set_reachable(Report.Reachable);
+  Message.set_left(Report.Left);
   return Message;
 }
 
@@ -98,7 +99,8 @@
   worker_report Report{
       .Description = fromProto(Message.description()),
       .Applied = {Message.applied_term(), Message.applied_number()},
-      .Reachable = Message.reachable()};
+      .Reachable = Message.reachable(),
+      .Left = Message.left()};
   if (Message.has_listing())
     Report.Listing = fromProto(Message.listing());
   for (const proto::work::RefusedStart &Each : Message.refused())
--- a/src/workcodec/internal/recordconvert.cpp
+++ b/src/workcodec/internal/recordconvert.cpp
@@ -5,6 +5,24 @@
 
 namespace geraniumpaddle::work {
 
+proto::work::QueueForecast encodeForecast(const queue_forecast &Forecast) {
+  proto::work::QueueForecast Message;
+  for (const auto &[Priority, Wait] : Forecast) {
+    proto::work::QueueForecast::Wait &Each = *Message.add_waits();
+    Each.set_priority(Priority);
+    Each.set_wait_ms(static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(Wait).count()));
+  }
+  return Message;
+}
+
+queue_forecast decodeForecast(const proto::work::QueueForecast &Message) {
+  queue_forecast Forecast;
+  for (const proto::work::QueueForecast::Wait &Each : Message.waits())
+    Forecast[Each.priority()] = std::chrono::milliseconds(Each.wait_ms());
+  return Forecast;
+}
+
 proto::work::EntryPresent encodeEntry(const entry_present &Entry) {
   proto::work::EntryPresent Message;
   Message.set_node(Entry.Node.str());
--- a/src/workcodec/tests/workcodectest.cpp
+++ b/src/workcodec/tests/workcodectest.cpp
@@ -71,6 +71,12 @@
   CHECK(roundTrip(job_cancelled{job_id("j")}).Job == job_id("j"));
 }
 
+TEST(WorkCodec, AForecastKeepsEveryWait) {
+  const queue_forecast Forecast{{0, std::chrono::milliseconds(1250)},
+                                {2, std::chrono::seconds(40)}};
+  CHECK(decodeForecast(encodeForecast(Forecast)) == Forecast);
+}
+
 TEST(WorkCodec, BytesThatAreNoRecordAreRefused) {
   for (const std::string Bytes : {"", "\xff\xff\xff", "hello"}) {
     CHECK_THROWS(malformed_message_error, decodeRecord(Bytes));
@@ -90,7 +96,8 @@
   worker_report Sent{.Description = work::testing::makeWorker("w1"),
                      .Refused = {{Run, start_refusal::NoRoom}},
                      .Applied = {5, 6},
-                     .Reachable = false};
+                     .Reachable = false,
+                     .Left = true};
   Sent.Description.Draining = true;
   Sent.Description.DrainRemaining = std::chrono::milliseconds(700);
   Sent.Listing = worker_listing{
@@ -102,6 +109,7 @@
   CHECK(Read.Description == Sent.Description);
   CHECK(Read.Applied == Sent.Applied);
   CHECK(!Read.Reachable);
+  CHECK(Read.Left);
   CHECK(Read.Refused[0].Run == Run);
   CHECK(Read.Refused[0].Reason == start_refusal::NoRoom);
   LONGS_EQUAL(41, Read.Listing->Running[0].Percent);
--- a/src/workcodec/workcodec.h
+++ b/src/workcodec/workcodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/work/types/queueforecast.h"
 #include "core/work/types/records.h"
 #include "core/work/types/worker.h"
 
@@ -24,6 +25,9 @@
 /// \throws malformed_message_error
 worker_orders decodeOrders(const proto::work::WorkerOrders &Message);
 
+proto::work::QueueForecast encodeForecast(const queue_forecast &Forecast);
+queue_forecast decodeForecast(const proto::work::QueueForecast &Message);
+
 proto::work::EntryPresent encodeEntry(const entry_present &Entry);
 entry_present decodeEntry(const proto::work::EntryPresent &Message);
 
--- a/standins/taskworkers/fieldserver.cpp
+++ b/standins/taskworkers/fieldserver.cpp
@@ -115,6 +115,10 @@
                  .Payload = Body.value("Spec", ""),
                  .Checkpoint = Body.value("LastCheckpoint", "")};
     Responder->respond(answerOf(Field.start(Life, Token, Order, Now), ClockMs));
+    const json What = json::parse(Order.Run.Payload);
+    if (What.value("leaves", false))
+      Loop.startTimer(std::chrono::milliseconds(What.value("ms", 100)),
+                      [this, &Worker] { leave(Worker); });
   } else if (Request.Path == "/api/run-stop") {
     Responder->respond(
         answerOf(Field.stop(Life, Token, runOf(Body), Now), ClockMs));
@@ -153,7 +157,29 @@
                                     {"Finished", Finished}}));
 }
 
+void field_server::leave(served_worker &Worker) {
+  if (std::exchange(Worker.Leaving, true))
+    return;
+  for (const open_listing &Each : Worker.Open)
+    Each.Responder->abort();
+  Worker.Open.clear();
+  Field.advance(Loop.now());
+  const worker_id Id(Worker.Plan.Name);
+  Http.send({.Address = Worker.Plan.Agent,
+             .Method = "POST",
+             .Target = "/api/workers/" + Worker.Plan.Name + "/deregister",
+             .Headers = {{"Content-Type", "application/json"}},
+             .Body = json{{"born", Field.born(Id)}}.dump(),
+             .Timeout = 1s},
+            [this, &Worker, Id](const http_result &) {
+              Worker.Server.reset();
+              Field.restart(Id, Loop.now()); // ends all that runs there
+            });
+}
+
 void field_server::beat(served_worker &Worker) {
+  if (Worker.Leaving)
+    return;
   const worker_id Id(Worker.Plan.Name);
   const json Body = {
       {"Service", "desk"},
--- a/standins/taskworkers/fieldserver.h
+++ b/standins/taskworkers/fieldserver.h
@@ -23,7 +23,9 @@
 
 /// Serves the workers of a field over HTTP as the platform's pages tell, and
 /// sends their heartbeats. Payloads are JSON: {"ms": N, "needs": GPUs,
-/// "gang": N, "fails": true}, where "gang" is the number of its members.
+/// "gang": N, "fails": true}, where "gang" is the number of its members. With
+/// "leaves": true the worker leaves as the task ends, and does not answer the
+/// listings that are open then.
 class field_server {
 public:
   field_server(event_loop &Loop, std::span<const field_plan> Workers);
@@ -39,6 +41,7 @@
     std::unique_ptr<http_server> Server;
     std::uint64_t Sequence = 0;
     std::vector<open_listing> Open;
+    bool Leaving = false;
   };
 
   static task_behaviour behaviour(const work::run_ref &Run,
@@ -47,6 +50,7 @@
               const responder_ptr &Responder);
   void answerListing(const served_worker &Worker, ihttp_responder &Responder);
   void beat(served_worker &Worker);
+  void leave(served_worker &Worker);
   void tick();
 
   event_loop &Loop;
