--- a/src/jobentry/internal/jobentryrole.cpp
+++ b/src/jobentry/internal/jobentryrole.cpp
@@ -210,14 +210,23 @@
 void job_entry_role::onRecorded(const keyed_record &Record) {
   onWorkRecord(Record);
   if (Work)
-    Door.learn(Work->forecast(), Environment.Loop.now());
+    learnForecast(Work->forecast());
   News.tell(otherEntries(), Record, [this](const proto::PeerResponse &Answer) {
     if (Answer.has_queue_forecast())
-      Door.learn(work::decodeForecast(Answer.queue_forecast()),
-                 Environment.Loop.now());
+      learnForecast(work::decodeForecast(Answer.queue_forecast()));
   });
 }
 
+void job_entry_role::learnForecast(const work::queue_forecast &Forecast) {
+  Door.learn(Forecast, Environment.Loop.now());
+  for (const auto &[Priority, Wait] : Forecast)
+    Environment.Metrics
+        .getGauge("geraniumpaddle_queue_wait_seconds",
+                  "Least wait of a job that comes now, by the last forecast.",
+                  {{"priority", std::to_string(Priority)}})
+        .set(std::chrono::duration<double>(Wait).count());
+}
+
 void job_entry_role::tellScheduler(const work::work_record &Record) {
   if (const auto *Submitted = std::get_if<work::job_submitted>(&Record)) {
     const work::book_entry *Entry = Book.find(Submitted->Spec.Id);
