--- a/src/jobentry/internal/jobentryrole.cpp
+++ b/src/jobentry/internal/jobentryrole.cpp
@@ -77,7 +77,7 @@
              office_limits{}, raw(Self.Incarnation), *this),
       Api(Environment.Loop, Environment.Store, Jobs, Environment.Metrics, Book,
           Queues, Door,
-          [this](const keyed_record &Record) { onRecorded(Record); }),
+          [this](const keyed_record &Record) { ownRecordStored(Record); }),
       AnnounceRetry(Environment.Loop), DrainTimer(Environment.Loop),
       TermRetry(Environment.Loop), EarlierRetry(Environment.Loop),
       Retention(Environment.Loop) {}
@@ -207,7 +207,7 @@
 }
 
 /// A record of this entry's own is in the log.
-void job_entry_role::onRecorded(const keyed_record &Record) {
+void job_entry_role::ownRecordStored(const keyed_record &Record) {
   onWorkRecord(Record);
   if (Work)
     learnForecast(Work->forecast());
@@ -309,7 +309,7 @@
   Work = std::make_unique<work_driver>(
       Environment.Loop, Environment.Store, Office, Environment.Metrics, Limits,
       NewTerm, termRecord(), Book, Queues,
-      [this](const keyed_record &Record) { onRecorded(Record); });
+      [this](const keyed_record &Record) { ownRecordStored(Record); });
   askEarlierTerm(EarlierTermTries);
   dropExpired();
 }
--- a/src/jobentry/internal/officedriver.cpp
+++ b/src/jobentry/internal/officedriver.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/// The platform deals the office anew when its holder is silent this long. It
-/// allows no less than 1 s; a call that is lost must not cost the office.
+/// The platform has another candidate stand by when this one is silent this
+/// long. It allows no less than 1 s, and one call may get lost.
 constexpr duration TimeToLive = std::chrono::milliseconds(1100);
 /// Limit of one call of the group and of one claim.
 constexpr duration CallTimeout = std::chrono::milliseconds(700);
--- a/src/jobentry/internal/officeinquiry.cpp
+++ b/src/jobentry/internal/officeinquiry.cpp
@@ -28,7 +28,7 @@
 }
 
 void office_inquiry::survey(std::span<const std::string> Addresses,
-                            std::function<void(bool)> Done) {
+                            const std::function<void(bool)> &Done) {
   if (Addresses.empty()) {
     Done(false);
     return;
--- a/src/jobentry/jobentryrole.h
+++ b/src/jobentry/jobentryrole.h
@@ -73,7 +73,7 @@
 private:
   void onOperatorRecord(const keyed_record &Record);
   void onWorkRecord(const keyed_record &Record);
-  void onRecorded(const keyed_record &Record);
+  void ownRecordStored(const keyed_record &Record);
   void learnForecast(const work::queue_forecast &Forecast);
   void tellScheduler(const work::work_record &Record);
   void catchUp(std::uint64_t Term, std::uint64_t TopicEnd);
--- a/src/jobentry/officeinquiry.h
+++ b/src/jobentry/officeinquiry.h
@@ -29,7 +29,7 @@
   /// Tells whether at least half of the entries answer.
   /// \param Addresses ip:port of their peer interfaces; none: they don't.
   void survey(std::span<const std::string> Addresses,
-              std::function<void(bool)> Done);
+              const std::function<void(bool)> &Done);
 
 private:
   struct survey_count {
--- a/src/platform/types/storecalls.h
+++ b/src/platform/types/storecalls.h
@@ -73,7 +73,7 @@
 struct join_outcome {
   bool Ok = false;
   std::uint64_t Generation = 0;
-  bool HoldsProgress = false; ///< the office of the scheduler
+  bool HoldsProgress = false; ///< it is to stand by for the office
 };
 
 /// One call to the store, before its meaning.
