--- a/src/agent/internal/agentrole.cpp
+++ b/src/agent/internal/agentrole.cpp
@@ -31,10 +31,6 @@
   return Attempts;
 }
 
-http_response textResponse(int Code, std::string Body) {
-  return {Code, {{"Content-Type", "text/plain"}}, std::move(Body)};
-}
-
 } // namespace
 
 agent_role::agent_role(const agent_environment &Environment,
@@ -130,13 +126,9 @@
 
 void agent_role::handleHttp(const http_request_view &Request,
                             const std::shared_ptr<ihttp_responder> &Responder) {
-  if (Request.Path == "/healthz")
-    return Responder->respond(textResponse(200, "ok\n"));
   if (Request.Path == "/readyz")
     return Responder->respond(ready() ? textResponse(200, "ready\n")
                                       : textResponse(503, "not ready\n"));
-  if (Request.Path == "/metrics")
-    return Responder->respond(textResponse(200, Environment.Metrics.render()));
   if (Request.Path == "/status")
     return Responder->respond(
         {200, {{"Content-Type", "application/json"}}, statusText()});
--- a/src/core/base/types/time.h
+++ b/src/core/base/types/time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace geraniumpaddle {
 
@@ -19,4 +20,13 @@
 /// Calendar time for the audit trail; never decides safety.
 using wall_time = std::chrono::sys_time<std::chrono::milliseconds>;
 
+/// Whole milliseconds, as messages and logs give them.
+constexpr std::int64_t millisecondsOf(duration Time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
+}
+/// Milliseconds since 1970.
+constexpr std::int64_t millisecondsOf(wall_time Time) {
+  return Time.time_since_epoch().count();
+}
+
 } // namespace geraniumpaddle
--- a/src/core/topics/internal/officeholder.cpp
+++ b/src/core/topics/internal/officeholder.cpp
@@ -93,8 +93,7 @@
 void office_holder::onHolderAnswered(const holder_answered &Event,
                                      const time_point &Now) {
   Asking = false;
-  if (Phase == phase::Candidate && Dealt && !Claiming &&
-      mayTakeOver(Event, Now))
+  if (Phase == phase::Candidate && Dealt && mayTakeOver(Event, Now))
     claim();
 }
 
@@ -124,7 +123,6 @@
 
 void office_holder::claim() {
   Phase = phase::Claiming;
-  Claiming = true;
   const std::uint64_t First = Generation * TermsPerGeneration + TermOffset +
                               Incarnation % TermsPerGeneration;
   Term = std::max(First, Term + 1);
@@ -132,7 +130,6 @@
 }
 
 void office_holder::onClaimed(const claim_stored &Event, const time_point &) {
-  Claiming = false;
   if (Phase != phase::Claiming || Event.Term != Term)
     return;
   Phase = phase::InOffice;
@@ -146,16 +143,13 @@
 void office_holder::onFenced(const term_fenced &Event, const time_point &Now) {
   if (Event.Term != Term)
     return;
-  if (Phase == phase::Claiming) {
-    Claiming = false;
-    // The group's generations, or the clock, have begun anew.
+  // The group's generations, or the clock, have begun anew.
+  if (Phase == phase::Claiming)
     TermOffset += TermsPerGeneration;
-  }
   loseOffice(Now);
 }
 
 void office_holder::onClaimFailed(const claim_failed &, const time_point &) {
-  Claiming = false;
   if (Phase == phase::Claiming)
     Phase = phase::Candidate;
 }
--- a/src/core/topics/officeholder.h
+++ b/src/core/topics/officeholder.h
@@ -52,7 +52,6 @@
   std::uint64_t TermOffset = 0;
   bool Dealt = false; ///< by the group's last answer
   bool Joining = false;
-  bool Claiming = false;
   bool Asking = false;
   time_point NextJoin{};
   std::optional<time_point> AloneSince; ///< while dealt the office
--- a/src/core/topics/recentagents.h
+++ b/src/core/topics/recentagents.h
@@ -12,8 +12,8 @@
 /// workers can reach it.
 class recent_agents {
 public:
-  /// An agent in touch reports at least once a second, and gives an entry that
-  /// went silent 1.5 s.
+  /// An agent reports at least once a second, and waits 1.5 s for an entry that
+  /// went silent.
   static constexpr duration Window = std::chrono::seconds(2);
 
   void heard(std::string_view Node, time_point Now);
--- a/src/core/work/door.h
+++ b/src/core/work/door.h
@@ -13,6 +13,7 @@
 public:
   /// \param Forecast of the scheduler, as of \p Now.
   void learn(const queue_forecast &Forecast, time_point Now);
+  const queue_forecast &forecast() const { return Forecast; }
   /// When the caller should come back; nothing if the job is to be taken in.
   std::optional<duration> retryAfter(const job_spec &Spec,
                                      time_point Now) const;
--- a/src/core/work/internal/liverun.cpp
+++ b/src/core/work/internal/liverun.cpp
@@ -19,17 +19,19 @@
   return std::max(Run.StartedAt + Whole, Now);
 }
 
-double unsavedWork(const live_run &Run, time_point Now) {
+double coreEquivalents(const resources &Need) {
   constexpr double AcceleratorCores = 8;
   constexpr double MilliCoresPerCore = 1000;
+  return static_cast<double>(Need.MilliCores) / MilliCoresPerCore +
+         AcceleratorCores * Need.Accelerators;
+}
+
+double unsavedWork(const live_run &Run, time_point Now) {
   // The platform saves after each second or two of work.
   constexpr double CheckpointAge = 1;
-  const double Cores =
-      static_cast<double>(Run.Need.MilliCores) / MilliCoresPerCore +
-      AcceleratorCores * Run.Need.Accelerators;
   const double Seconds =
       std::chrono::duration<double>(Now - Run.PlacedAt).count();
-  return Cores *
+  return coreEquivalents(Run.Need) *
          (Run.Checkpointing ? std::min(Seconds, CheckpointAge) : Seconds);
 }
 
--- a/src/core/work/internal/scheduledecisions.cpp
+++ b/src/core/work/internal/scheduledecisions.cpp
@@ -25,8 +25,8 @@
 constexpr std::uint32_t FirstDeferrable = 1;
 
 double coreSeconds(const placement_request &Request) {
-  live_run Run{.Need = heldBy(*Request.Step)};
-  return unsavedWork(Run, Run.PlacedAt + Request.Expected) *
+  return coreEquivalents(heldBy(*Request.Step)) *
+         std::chrono::duration<double>(Request.Expected).count() *
          static_cast<double>(Request.Tasks.size());
 }
 
@@ -217,10 +217,7 @@
     const auto &[Step, Limit] = *It;
     const live_run *Missing = nullptr;
     for (const live_run *Run : Runs.ofJob(Step.Job)) {
-      const task_position &At = Run->Run.Task.Position;
-      const bool OfStep =
-          At.Step == Step.Step && At.Occurrence == Step.Occurrence;
-      if (OfStep && !Run->Started && !Run->Stopping)
+      if (stepOf(Run->Run) == Step && !Run->Started && !Run->Stopping)
         Missing = Run;
     }
     if (Missing && Limit > Present.Now) {
@@ -331,11 +328,9 @@
                            std::span<const task_position> Tasks,
                            std::vector<const live_run *> &Siblings) const {
   Siblings.clear();
-  for (const live_run *Run : Runs.ofJob(Step.Job)) {
-    const task_position &At = Run->Run.Task.Position;
-    if (At.Step == Step.Step && At.Occurrence == Step.Occurrence)
+  for (const live_run *Run : Runs.ofJob(Step.Job))
+    if (stepOf(Run->Run) == Step)
       Siblings.push_back(Run);
-  }
   const queue_terms &Terms = termsOf(Job);
   const auto Failed = FailedOn.find(Step.Job);
   return {.Step = &Job.step(Step.Step),
@@ -368,19 +363,10 @@
     Job.setRunning(Each.Task, Number, Each.Worker);
     if (Spec.Gang)
       Job.setCheckpoint(Each.Task, GangCheckpoint);
-    const run_ref Run{{Step.Job, Each.Task}, Number};
-    note(decision_kind::RunPlaced, Run, Each.Worker);
-    addRun({.Run = Run,
-            .Worker = Each.Worker,
-            .Need = heldBy(Spec),
-            .Priority = termsOf(Job).Priority,
-            .Expected = Forecast.expected(termsOf(Job), Spec),
-            .PlacedAt = Present.Now,
-            .Checkpointing = Spec.Checkpointing,
-            .GangSize = Spec.Gang ? Spec.Count : 1,
-            .LongRunning = Spec.LongRunning,
-            .PercentAt = Present.Now});
-    WaitingRuns.emplace_back(NextBatch, Run);
+    const live_run Run = makeRun(Job, termsOf(Job), Each.Task, Present.Now);
+    note(decision_kind::RunPlaced, Run.Run, Each.Worker);
+    addRun(Run);
+    WaitingRuns.emplace_back(NextBatch, Run.Run);
   }
   if (Job.progress().State == job_state::Queued)
     Job.setState(job_state::Running);
--- a/src/core/work/internal/workscheduler.cpp
+++ b/src/core/work/internal/workscheduler.cpp
@@ -53,23 +53,32 @@
     if (Tasks[I].State != task_state::Running)
       continue;
     const task_position Position = Job.layout().position(I);
-    const step_spec &Step = Job.step(Position.Step);
     if (!Pool.find(Tasks[I].Place.Worker))
       Pool.expect(Tasks[I].Place, LeaseEnd);
-    addRun({.Run = {{Job.spec().Id, Position}, Tasks[I].Run},
-            .Worker = Tasks[I].Place,
-            .Need = heldBy(Step),
-            .Priority = Job.spec().Terms.Priority,
-            .Expected = Forecast.expected(Job.spec().Terms, Step),
-            .PlacedAt = Present.Now,
-            .Ordered = true,
-            .Checkpointing = Step.Checkpointing,
-            .GangSize = Step.Gang ? Step.Count : 1,
-            .LongRunning = Step.LongRunning,
-            .PercentAt = Present.Now});
+    live_run Run = makeRun(Job, Job.spec().Terms, Position, Present.Now);
+    Run.Ordered = true;
+    addRun(Run);
   }
 }
 
+/// The run of a task as its progress has it.
+live_run work_scheduler::makeRun(const live_job &Job, const queue_terms &Terms,
+                                 const task_position &Position,
+                                 time_point Now) const {
+  const step_spec &Step = Job.step(Position.Step);
+  const task_progress &Task = Job.task(Position);
+  return {.Run = {{Job.spec().Id, Position}, Task.Run},
+          .Worker = Task.Place,
+          .Need = heldBy(Step),
+          .Priority = Terms.Priority,
+          .Expected = Forecast.expected(Terms, Step),
+          .PlacedAt = Now,
+          .Checkpointing = Step.Checkpointing,
+          .GangSize = Step.Gang ? Step.Count : 1,
+          .LongRunning = Step.LongRunning,
+          .PercentAt = Now};
+}
+
 void work_scheduler::onEarlierEnded(const earlier_term_ended &Event,
                                     const present_time &Present) {
   for (auto &[Id, Worker] : Pool.all()) {
@@ -205,13 +214,9 @@
     stopRun(Member, Why);
     return;
   }
-  const task_position &At = Member.Task.Position;
-  for (const live_run *Run : Runs.ofJob(Member.Task.Job)) {
-    const task_position &Other = Run->Run.Task.Position;
-    if (Other.Occurrence == At.Occurrence && Other.Step == At.Step &&
-        Run->Run.Run == Member.Run)
+  for (const live_run *Run : Runs.ofJob(Member.Task.Job))
+    if (stepOf(Run->Run) == stepOf(Member) && Run->Run.Run == Member.Run)
       stopRun(Run->Run, Why);
-  }
 }
 
 // The log.
@@ -230,10 +235,8 @@
     Run->PlacedAt = Present.Now;
     if (pool_worker *Worker = Pool.find(Run->Worker))
       ordersChanged(*Worker);
-    const task_position &At = Key.Task.Position;
     if (Run->GangSize > 1)
-      StartingGangs.try_emplace({Key.Task.Job, At.Occurrence, At.Step},
-                                Present.Now + Limits.GangStart);
+      StartingGangs.try_emplace(stepOf(Key), Present.Now + Limits.GangStart);
   }
   acknowledge();
   NextExpiry = Present.Now;
--- a/src/core/work/livejobs.h
+++ b/src/core/work/livejobs.h
@@ -17,6 +17,12 @@
   friend auto operator<=>(const step_ref &, const step_ref &) = default;
 };
 
+/// The step that a run is of.
+inline step_ref stepOf(const run_ref &Run) {
+  const task_position &At = Run.Task.Position;
+  return {Run.Task.Job, At.Occurrence, At.Step};
+}
+
 /// A job that has not ended, as the scheduler changes it.
 class live_job {
 public:
--- a/src/core/work/types/liverun.h
+++ b/src/core/work/types/liverun.h
@@ -29,8 +29,10 @@
 /// from the forecast.
 time_point expectedEnd(const live_run &Run, time_point Now);
 
-/// Core-seconds of \p Run since its last checkpoint, which a stop throws away.
 /// An accelerator counts as 8 cores, as the platform does.
+double coreEquivalents(const resources &Need);
+
+/// Core-seconds of \p Run since its last checkpoint, which a stop throws away.
 double unsavedWork(const live_run &Run, time_point Now);
 
 } // namespace geraniumpaddle::work
--- a/src/core/work/workscheduler.h
+++ b/src/core/work/workscheduler.h
@@ -86,6 +86,8 @@
   void adoptRuns(const live_job &Job, const present_time &Present);
   live_job *findJob(const job_id &Job);
   const live_job *findJob(const job_id &Job) const;
+  live_run makeRun(const live_job &Job, const queue_terms &Terms,
+                   const task_position &Position, time_point Now) const;
   void addRun(const live_run &Run);
   void eraseRun(const run_ref &Run);
   void markChanged(const job_id &Job);
--- a/src/core/workhost/internal/runhost.cpp
+++ b/src/core/workhost/internal/runhost.cpp
@@ -20,9 +20,6 @@
 constexpr duration DrainListingPause = std::chrono::milliseconds(200);
 /// Unanswered listings in a row after which the worker counts as unreachable.
 constexpr int UnreachableAfter = 2;
-/// A worker that said that it leaves is gone once nobody took this many
-/// connections in a row. Alone that is no proof: a link may refuse as well.
-constexpr int GoneAfter = 2;
 
 } // namespace
 
@@ -32,7 +29,7 @@
 std::span<const host_command> run_host::handle(const host_event &Event,
                                                time_point Now) {
   Commands.clear();
-  if (Left)
+  if (left())
     return Commands;
   using table =
       member_table<&run_host::onDescribed, &run_host::onOrders,
@@ -40,7 +37,7 @@
                    &run_host::onListing, &run_host::onListingFailed,
                    &run_host::onLeaves, &run_host::onTimePassed>;
   table::dispatch(*this, Event, Now);
-  if (Left)
+  if (left())
     return Commands;
   reconcile(Now);
   askListing(Now);
@@ -65,9 +62,7 @@
     return;
   if (Event.ReportedClockMs) {
     const std::int64_t End =
-        *Event.ReportedClockMs +
-        std::chrono::duration_cast<std::chrono::milliseconds>(Limits.Lease)
-            .count();
+        *Event.ReportedClockMs + millisecondsOf(Limits.Lease);
     LeaseEndMs = std::max(LeaseEndMs.value_or(End), End);
   }
   if (Event.Orders.AcknowledgedEnds > Orders.AcknowledgedEnds)
@@ -157,8 +152,7 @@
                                const time_point &Now) {
   ListingAsked = false;
   ListenerMissing = Leaving && Event.NoListener ? ListenerMissing + 1 : 0;
-  if (ListenerMissing == GoneAfter) {
-    Left = true;
+  if (left()) {
     Commands.emplace_back(report_now{});
     return;
   }
@@ -281,7 +275,7 @@
                        .Listing = Listing,
                        .Applied = Applied,
                        .Reachable = FailedListings < UnreachableAfter,
-                       .Left = Left};
+                       .Left = left()};
   if (Report.Listing)
     for (const run_ref &Run : Started)
       Report.Listing->Running.push_back({.Run = Run});
--- a/src/core/workhost/runhost.h
+++ b/src/core/workhost/runhost.h
@@ -30,9 +30,13 @@
   const worker_description &description() const { return Description; }
   bool hasListing() const { return Listing.has_value(); }
   /// The worker is gone, and with it all that ran there.
-  bool left() const { return Left; }
+  bool left() const { return ListenerMissing >= GoneAfter; }
 
 private:
+  /// A worker that said that it leaves is gone once nobody took this many
+  /// connections in a row. Alone that is no proof: a link may refuse as well.
+  static constexpr int GoneAfter = 2;
+
   void onDescribed(const worker_described &Event, const time_point &Now);
   void onOrders(const orders_arrived &Event, const time_point &Now);
   void onStartAnswered(const start_answered &Event, const time_point &Now);
@@ -80,7 +84,6 @@
   int FailedListings = 0;
   int ListenerMissing = 0; ///< in a row, since the worker said that it leaves
   bool Leaving = false;
-  bool Left = false;
   std::vector<host_command> Commands;
 };
 
--- a/src/daemon/internal/processhost.cpp
+++ b/src/daemon/internal/processhost.cpp
@@ -56,12 +56,30 @@
                                              peer_server_settings{},
                                              std::move(Peer), Traffic);
   HttpServer = std::make_unique<http_server>(
-      Loop, Settings.HttpListen, serverLimits(Settings), std::move(Handler));
+      Loop, Settings.HttpListen, serverLimits(Settings),
+      [this, Handler = std::move(Handler)](
+          const http_request_view &Request,
+          const std::shared_ptr<ihttp_responder> &Responder) {
+        if (!servePage(Request, *Responder))
+          Handler(Request, Responder);
+      });
   std::printf("listening peer=%s http=%s\n", peerAddress().c_str(),
               httpAddress().c_str());
   std::fflush(stdout);
 }
 
+bool process_host::servePage(const http_request_view &Request,
+                             ihttp_responder &Responder) {
+  constexpr int Success = 200;
+  if (Request.Path == "/healthz")
+    Responder.respond(textResponse(Success, "ok\n"));
+  else if (Request.Path == "/metrics")
+    Responder.respond(textResponse(Success, Metrics.render()));
+  else
+    return false;
+  return true;
+}
+
 void process_host::listenAlso(const std::string &Listen, http_handler Handler) {
   MoreServers.push_back(std::make_unique<http_server>(
       Loop, Listen, serverLimits(Settings), std::move(Handler)));
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -49,20 +49,32 @@
   return Log;
 }
 
+/// What a role does with a call, as a handler of the server.
+template <typename Role> peer_handler peerCalls(Role &To) {
+  return
+      [&To](const proto::PeerRequest &Request, const peer_responder &Respond) {
+        To.handlePeer(Request, Respond);
+      };
+}
+template <auto Member, typename Role> http_handler httpCalls(Role &To) {
+  return [&To](const http_request_view &Request,
+               const std::shared_ptr<ihttp_responder> &Responder) {
+    (To.*Member)(Request, Responder);
+  };
+}
+
+void noPages(const http_request_view &,
+             const std::shared_ptr<ihttp_responder> &Responder) {
+  constexpr int NotFound = 404;
+  Responder->respond(textResponse(NotFound, "no such page\n"));
+}
+
 void runEntry(const settings &Settings) {
   process_host Host(Settings);
   http_log_service Log(Host.http(), logServiceSettings(Settings));
   entry_role Role({Host.loop(), Host.peers(), Log, Host.metrics()}, Settings,
                   Host.identity(), [&Host] { Host.stop(); });
-  Host.listen(
-      [&Role](const proto::PeerRequest &Request,
-              const peer_responder &Respond) {
-        Role.handlePeer(Request, Respond);
-      },
-      [&Role](const http_request_view &Request,
-              const std::shared_ptr<ihttp_responder> &Responder) {
-        Role.handleHttp(Request, Responder);
-      });
+  Host.listen(peerCalls(Role), httpCalls<&entry_role::handleHttp>(Role));
   Role.start(Host.peerAddress(), Host.httpAddress());
   Host.watchSettings(FLAGS_settings, [](const settings &) {});
   Host.run([&Role] { Role.drain(); });
@@ -75,15 +87,7 @@
   agent_role Role(
       {Host.loop(), Host.peers(), Host.http(), Worker, Host.metrics()},
       Settings, Host.identity(), [&Host] { Host.stop(); });
-  Host.listen(
-      [&Role](const proto::PeerRequest &Request,
-              const peer_responder &Respond) {
-        Role.handlePeer(Request, Respond);
-      },
-      [&Role](const http_request_view &Request,
-              const std::shared_ptr<ihttp_responder> &Responder) {
-        Role.handleHttp(Request, Responder);
-      });
+  Host.listen(peerCalls(Role), httpCalls<&agent_role::handleHttp>(Role));
   Role.start(Host.peerAddress());
   Host.watchSettings(FLAGS_settings, [](const settings &) {});
   Host.run([&Role] { Role.drain(); });
@@ -104,25 +108,11 @@
   job_entry_role Role(
       {Host.loop(), Host.peers(), Store, Transport, Host.metrics()}, Settings,
       Host.identity(), [&Host] { Host.stop(); });
-  Host.listen(
-      [&Role](const proto::PeerRequest &Request,
-              const peer_responder &Respond) {
-        Role.handlePeer(Request, Respond);
-      },
-      [&Role](const http_request_view &Request,
-              const std::shared_ptr<ihttp_responder> &Responder) {
-        Role.handleHttp(Request, Responder);
-      });
+  Host.listen(peerCalls(Role), noPages);
   Host.listenAlso(Settings.FrontListen,
-                  [&Role](const http_request_view &Request,
-                          const std::shared_ptr<ihttp_responder> &Responder) {
-                    Role.handleFront(Request, Responder);
-                  });
+                  httpCalls<&job_entry_role::handleFront>(Role));
   Host.listenAlso(Settings.ReadinessListen,
-                  [&Role](const http_request_view &Request,
-                          const std::shared_ptr<ihttp_responder> &Responder) {
-                    Role.handleReadiness(Request, Responder);
-                  });
+                  httpCalls<&job_entry_role::handleReadiness>(Role));
   Role.start(Host.peerAddress());
   Host.watchSettings(FLAGS_settings, [](const settings &) {});
   Host.run([&Role] { Role.drain(); });
@@ -133,9 +123,8 @@
   http_store_transport Transport(Host.http(), Settings.StoreAddress);
   store_client Store(Transport, StoreGrace);
   task_worker_client Worker(Host.http(), TaskTimeout);
-  job_agent_role Role(
-      {Host.loop(), Host.peers(), Store, Worker, Host.metrics()}, Settings,
-      Host.identity(), [&Host] { Host.stop(); });
+  job_agent_role Role({Host.loop(), Host.peers(), Store, Worker}, Settings,
+                      Host.identity(), [&Host] { Host.stop(); });
   Host.listen(
       [](const proto::PeerRequest &, const peer_responder &Respond) {
         // Agents ask; nobody asks them.
@@ -143,15 +132,9 @@
         Response.set_refusal(proto::REFUSAL_INVALID);
         Respond(std::move(Response));
       },
-      [&Role](const http_request_view &Request,
-              const std::shared_ptr<ihttp_responder> &Responder) {
-        Role.handleHttp(Request, Responder);
-      });
+      noPages);
   Host.listenAlso(Settings.ControlListen,
-                  [&Role](const http_request_view &Request,
-                          const std::shared_ptr<ihttp_responder> &Responder) {
-                    Role.handleControl(Request, Responder);
-                  });
+                  httpCalls<&job_agent_role::handleControl>(Role));
   Role.start();
   Host.watchSettings(FLAGS_settings, [&Role](const settings &Settings) {
     Role.takeSettings(Settings);
--- a/src/daemon/processhost.h
+++ b/src/daemon/processhost.h
@@ -30,7 +30,8 @@
   metric_registry &metrics() { return Metrics; }
   const peer_identity &identity() const { return Self; }
 
-  /// Binds both interfaces and prints their ports on standard output.
+  /// Binds both interfaces and prints their ports on standard output. /healthz
+  /// and /metrics are served here; \p Http has the rest.
   /// \throws bind_error
   void listen(peer_handler Peer, http_handler Http);
   /// Binds one more HTTP interface.
@@ -49,6 +50,7 @@
 private:
   void reloadSettings();
   void lookAtSettings();
+  bool servePage(const http_request_view &Request, ihttp_responder &Responder);
   void endWhenWritten(int DelaysLeft);
   void registerTraffic();
 
--- a/src/entry/internal/agentdirectory.cpp
+++ b/src/entry/internal/agentdirectory.cpp
@@ -63,10 +63,8 @@
 agent_directory::onHeartbeat(const node_id &Agent, incarnation Run,
                              const proto::Heartbeat &Heartbeat) {
   proto::HeartbeatReply Reply;
-  Reply.set_interval_ms(static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          Liveness.heartbeatInterval())
-          .count()));
+  Reply.set_interval_ms(
+      static_cast<std::uint64_t>(millisecondsOf(Liveness.heartbeatInterval())));
   const worker_entry *Worker = workerOf(Agent);
   if (Worker && Worker->AgentIncarnation > Run)
     return Reply;
--- a/src/entry/internal/entryrole.cpp
+++ b/src/entry/internal/entryrole.cpp
@@ -66,10 +66,6 @@
              : objective::CompletionTime;
 }
 
-http_response textResponse(int Code, std::string Body) {
-  return {Code, {{"Content-Type", "text/plain"}}, std::move(Body)};
-}
-
 } // namespace
 
 entry_role::entry_role(const entry_environment &Environment,
@@ -294,13 +290,9 @@
                              "this entry is starting; nothing was run"));
   if (Request.Path.starts_with("/v1/"))
     return Admin.handle(Request, Responder);
-  if (Request.Path == "/healthz")
-    return Responder->respond(textResponse(200, "ok\n"));
   if (Request.Path == "/readyz")
     return Responder->respond(ready() ? textResponse(200, "ready\n")
                                       : textResponse(503, "not ready\n"));
-  if (Request.Path == "/metrics")
-    return Responder->respond(textResponse(200, Environment.Metrics.render()));
   Responder->respond(
       errorResponse(error_kind::NotFound, "not_found", "no such page"));
 }
--- a/src/entry/internal/relayedlog.cpp
+++ b/src/entry/internal/relayedlog.cpp
@@ -13,11 +13,6 @@
 /// A relay that dies is noticed by the end of this wait at the latest.
 constexpr duration MaxRelayWait = std::chrono::seconds(2);
 
-std::uint64_t toMilliseconds(duration Value) {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(Value).count());
-}
-
 read_result resultOf(const proto::RecordBatch &Batch) {
   read_result Result;
   Result.Status = call_status::Completed;
@@ -50,7 +45,7 @@
   proto::PeerRequest Request = makeRequest(Self);
   Request.mutable_fetch_records()->set_from(raw(From));
   Request.mutable_fetch_records()->set_limit(Limit);
-  Request.mutable_fetch_records()->set_wait_ms(toMilliseconds(RelayWait));
+  Request.mutable_fetch_records()->set_wait_ms(millisecondsOf(RelayWait));
   Peers.call(*Relay, Request, RelayWait + ReplyGrace,
              [this, From, Limit, Done = std::move(Done),
               Alive = Alive](const peer_result &Result) {
--- a/src/entry/internal/requestgateway.cpp
+++ b/src/entry/internal/requestgateway.cpp
@@ -179,9 +179,8 @@
   Delivery.set_attempt(encodeAttempt(Command.Attempt));
   Delivery.set_target_incarnation(raw(Command.AgentIncarnation));
   Delivery.set_non_idempotent(!Command.Idempotent);
-  Delivery.set_deadline_ms(static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(Command.Timeout)
-          .count()));
+  Delivery.set_deadline_ms(
+      static_cast<std::uint64_t>(millisecondsOf(Command.Timeout)));
   Peers.call(Command.PeerAddress, Call, Command.Timeout,
              [this, Attempt = Command.Attempt,
               Alive = Alive](const peer_result &Result) {
--- a/src/jobagent/internal/jobagentrole.cpp
+++ b/src/jobagent/internal/jobagentrole.cpp
@@ -136,17 +136,4 @@
   Added.start();
 }
 
-void job_agent_role::handleHttp(
-    const http_request_view &Request,
-    const std::shared_ptr<ihttp_responder> &Responder) {
-  http_response Response{.Code = Success};
-  if (Request.Path == "/metrics")
-    Response.Body = Environment.Metrics.render();
-  else if (Request.Path == "/healthz")
-    Response.Body = "ok\n";
-  else
-    Response.Code = NotFound;
-  Responder->respond(std::move(Response));
-}
-
 } // namespace geraniumpaddle
--- a/src/jobagent/jobagentrole.h
+++ b/src/jobagent/jobagentrole.h
@@ -3,7 +3,6 @@
 #include "jobagent/schedulerlink.h"
 #include "jobagent/workersession.h"
 #include "logging/logging.h"
-#include "metrics/metrics.h"
 #include "platform/istore.h"
 #include "platform/itaskworker.h"
 #include "settings/types/settings.h"
@@ -23,7 +22,6 @@
   ipeer_client &Peers;
   istore &Store;
   itask_worker &Worker;
-  metric_registry &Metrics;
 };
 
 /// The agent beside the workers of one VM: takes their heartbeats and keeps
@@ -42,8 +40,6 @@
 
   void handleControl(const http_request_view &Request,
                      const std::shared_ptr<ihttp_responder> &Responder);
-  void handleHttp(const http_request_view &Request,
-                  const std::shared_ptr<ihttp_responder> &Responder);
 
 private:
   void leaves(std::string_view Worker, std::string_view Body,
--- a/src/jobentry/internal/jobapi.cpp
+++ b/src/jobentry/internal/jobapi.cpp
@@ -194,13 +194,9 @@
   Record.Spec.Terms = Admitted.Route->Terms;
   Record.Spec.SubmittedAt = Loop.wallNow();
   if (const auto RetryAfter = Door.retryAfter(Record.Spec, Loop.now())) {
-    Log.event(
-        "turned_away",
-        {{"job", Call.Job.view()},
-         {"priority", Record.Spec.Terms.Priority},
-         {"retry_after_ms",
-          std::chrono::duration_cast<std::chrono::milliseconds>(*RetryAfter)
-              .count()}});
+    Log.event("turned_away", {{"job", Call.Job.view()},
+                              {"priority", Record.Spec.Terms.Priority},
+                              {"retry_after_ms", millisecondsOf(*RetryAfter)}});
     finish(Call,
            encodeError(TooManyJobs, "queue_full",
                        "too much is ahead of it for it to be done in time",
--- a/src/jobentry/internal/officedriver.cpp
+++ b/src/jobentry/internal/officedriver.cpp
@@ -68,15 +68,12 @@
 void office_driver::carryOut(const send_claim &Command) {
   const std::uint64_t Term = Command.Term;
   const time_point Sent = Loop.now();
-  Log.event(
-      "office_claimed",
-      {{"term", Term},
-       {"holder", name(LastHolder.State)},
-       {"stored_ms_ago", std::chrono::duration_cast<std::chrono::milliseconds>(
-                             LastHolder.SinceStored)
-                             .count()},
-       {"agents", LastHolder.Agents},
-       {"agents_here", LastHolder.AgentsHere}});
+  Log.event("office_claimed",
+            {{"term", Term},
+             {"holder", name(LastHolder.State)},
+             {"stored_ms_ago", millisecondsOf(LastHolder.SinceStored)},
+             {"agents", LastHolder.Agents},
+             {"agents_here", LastHolder.AgentsHere}});
   Store.append({.Topic = store_topic::Progress,
                 .Stamp = producer_stamp{Term, 0},
                 .Timeout = CallTimeout,
--- a/src/jobentry/internal/officeinquiry.cpp
+++ b/src/jobentry/internal/officeinquiry.cpp
@@ -22,9 +22,43 @@
 
 } // namespace
 
-void office_inquiry::ask(const std::string &Address,
+void office_inquiry::question(const std::string &Address,
+                              std::function<void(const peer_result &)> Done) {
+  proto::PeerRequest Request = makeRequest(Self);
+  Request.mutable_office_asked();
+  Peers.call(Address, Request, AnswerTimeout,
+             [Life = Alive, Done = std::move(Done)](const peer_result &Result) {
+               if (*Life)
+                 Done(Result);
+             });
+}
+
+void office_inquiry::ask(const std::string &Holder,
+                         std::vector<std::string> Others,
                          std::function<void(holder_answered)> Done) {
-  tryOnce(Address, Tries, std::move(Done));
+  std::erase(Others, Holder);
+  tryOnce(Holder, std::move(Others), Tries, std::move(Done));
+}
+
+void office_inquiry::tryOnce(const std::string &Holder,
+                             std::vector<std::string> Others, int TriesLeft,
+                             std::function<void(holder_answered)> Done) {
+  question(Holder, [this, Holder, Others = std::move(Others), TriesLeft,
+                    Done = std::move(Done)](const peer_result &Result) {
+    if (Result.Status == call_status::Completed) {
+      Done(decode(Result.Response.office_state()));
+      return;
+    }
+    // The connection may be silent although the entry lives.
+    Peers.reconnect(Holder);
+    if (TriesLeft > 1)
+      tryOnce(Holder, Others, TriesLeft - 1, Done);
+    else
+      survey(Others, [Done](bool Answer) {
+        Done({.State = holder_answered::holder_state::Silent,
+              .OthersAnswer = Answer});
+      });
+  });
 }
 
 void office_inquiry::survey(std::span<const std::string> Addresses,
@@ -33,18 +67,13 @@
     Done(false);
     return;
   }
-  proto::PeerRequest Request = makeRequest(Self);
-  Request.mutable_office_asked();
   auto Count = std::make_shared<survey_count>();
   Count->Open = Addresses.size();
   Count->Wanted = (Addresses.size() + 1) / 2;
   for (const std::string &Address : Addresses)
-    Peers.call(Address, Request, AnswerTimeout,
-               [Life = Alive, Count, Done](const peer_result &Result) {
-                 if (*Life)
-                   counted(*Count, Result.Status == call_status::Completed,
-                           Done);
-               });
+    question(Address, [Count, Done](const peer_result &Result) {
+      counted(*Count, Result.Status == call_status::Completed, Done);
+    });
 }
 
 void office_inquiry::counted(survey_count &Count, bool Answered,
@@ -58,26 +87,4 @@
   Done(Enough);
 }
 
-void office_inquiry::tryOnce(const std::string &Address, int TriesLeft,
-                             std::function<void(holder_answered)> Done) {
-  proto::PeerRequest Request = makeRequest(Self);
-  Request.mutable_office_asked();
-  Peers.call(Address, Request, AnswerTimeout,
-             [this, Life = Alive, Address, TriesLeft,
-              Done = std::move(Done)](const peer_result &Result) {
-               if (!*Life)
-                 return;
-               if (Result.Status == call_status::Completed) {
-                 Done(decode(Result.Response.office_state()));
-                 return;
-               }
-               // The connection may be silent although the entry lives.
-               Peers.reconnect(Address);
-               if (TriesLeft > 1)
-                 tryOnce(Address, TriesLeft - 1, Done);
-               else
-                 Done({.State = holder_answered::holder_state::Silent});
-             });
-}
-
 } // namespace geraniumpaddle
--- a/src/jobentry/internal/relayingtransport.cpp
+++ b/src/jobentry/internal/relayingtransport.cpp
@@ -99,9 +99,7 @@
   Call.set_target(Request.Target);
   Call.set_body(Request.Body);
   Call.set_content_type(Request.ContentType);
-  Call.set_timeout_ms(static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(Request.Timeout)
-          .count()));
+  Call.set_timeout_ms(millisecondsOf(Request.Timeout));
   const std::string &Address = Others[Route.relay(Others.size())];
   Peers.call(Address, Message, Request.Timeout + RelayGrace,
              [this, Life = Alive, Address,
--- a/src/jobentry/internal/workdriver.cpp
+++ b/src/jobentry/internal/workdriver.cpp
@@ -42,7 +42,6 @@
                             {"jobs", Scheduler.openJobs()},
                             {"runs", Scheduler.runningRuns()}});
   feed(work::time_passed{});
-  updateGauges();
   repeatTermRecord();
 }
 
@@ -52,20 +51,8 @@
     append({.Records = {TermRecord}, .Since = Loop.now()});
 }
 
-void work_driver::updateGauges() {
-  Metrics.getGauge("geraniumpaddle_term", "Term in office; 0: none.")
-      .set(*Alive ? static_cast<double>(Scheduler.term()) : 0);
-  Metrics.getGauge("geraniumpaddle_open_jobs", "Jobs that have not ended.")
-      .set(static_cast<double>(Scheduler.openJobs()));
-  Metrics.getGauge("geraniumpaddle_live_runs", "Runs that hold capacity.")
-      .set(static_cast<double>(Scheduler.runningRuns()));
-  Metrics.getGauge("geraniumpaddle_workers", "Workers that are known.")
-      .set(static_cast<double>(Scheduler.workers().all().size()));
-}
-
 work_driver::~work_driver() {
   *Alive = false;
-  updateGauges();
   // The agents ask elsewhere at once.
   for (auto &[Worker, Waiting] : Pending) {
     proto::PeerResponse Response;
@@ -156,7 +143,6 @@
            .Offset = Outcome.Offset + End});
   if (Stored.Batch)
     feed(work::progress_stored{*Stored.Batch});
-  updateGauges();
 }
 
 void work_driver::carryOut(const work::wake_at &Command) {
--- a/src/jobentry/jobentryrole.h
+++ b/src/jobentry/jobentryrole.h
@@ -60,8 +60,6 @@
                    const std::shared_ptr<ihttp_responder> &Responder);
   void handleReadiness(const http_request_view &Request,
                        const std::shared_ptr<ihttp_responder> &Responder);
-  void handleHttp(const http_request_view &Request,
-                  const std::shared_ptr<ihttp_responder> &Responder);
 
   void onRecord(store_topic Topic, const keyed_record &Record) override;
   void onLoaded(store_topic Topic) override;
@@ -71,10 +69,14 @@
   std::size_t agentsHeard() override;
 
 private:
+  /// Limit of one append of the role's own, and the pause before the next try.
+  static constexpr duration AnnounceTimeout = std::chrono::seconds(1);
+  static constexpr duration AnnounceRetryDelay = std::chrono::milliseconds(300);
+
+  // Records and interfaces: jobentryrole.cpp; the office: jobentryoffice.cpp.
   void onOperatorRecord(const keyed_record &Record);
   void onWorkRecord(const keyed_record &Record);
   void ownRecordStored(const keyed_record &Record);
-  void learnForecast(const work::queue_forecast &Forecast);
   void tellScheduler(const work::work_record &Record);
   void catchUp(std::uint64_t Term, std::uint64_t TopicEnd);
   void recordTerm(std::uint64_t Term);
@@ -84,8 +86,6 @@
   void askEarlierTerm(int TriesLeft);
   void takeEarlierTerm(const proto::work::TermEnded &Ended);
   work::entry_present lastHolder() const;
-  void surveyOthers(const std::string &Holder, const holder_answered &Answer,
-                    std::function<void(holder_answered)> Done);
   void answerOfficeAsked(const peer_responder &Respond);
   void answerTermBegun(std::uint64_t NewTerm, const peer_responder &Respond);
   void announce();
--- a/src/jobentry/officeinquiry.h
+++ b/src/jobentry/officeinquiry.h
@@ -8,11 +8,13 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <vector>
 
 namespace geraniumpaddle {
 
 /// Asks another entry whether it is in office, over a new connection if the
-/// first question stays without an answer.
+/// first question stays without an answer; if it is silent, whether the other
+/// entries answer.
 class office_inquiry {
 public:
   office_inquiry(ipeer_client &Peers, const peer_identity &Self)
@@ -21,16 +23,13 @@
   office_inquiry(const office_inquiry &) = delete;
   office_inquiry &operator=(const office_inquiry &) = delete;
 
-  /// \param Address ip:port of the peer interface.
-  /// \param Done gets the state and figures of the other entry only.
-  void ask(const std::string &Address,
+  /// \param Holder ip:port of the peer interface.
+  /// \param Others those of the other entries.
+  /// \param Done gets what the entries answered; AgentsHere is left to the
+  ///        caller.
+  void ask(const std::string &Holder, std::vector<std::string> Others,
            std::function<void(holder_answered)> Done);
 
-  /// Tells whether at least half of the entries answer.
-  /// \param Addresses ip:port of their peer interfaces; none: they don't.
-  void survey(std::span<const std::string> Addresses,
-              const std::function<void(bool)> &Done);
-
 private:
   struct survey_count {
     std::size_t Answered = 0;
@@ -38,10 +37,15 @@
     std::size_t Wanted = 0;
     bool Told = false;
   };
+  void question(const std::string &Address,
+                std::function<void(const peer_result &)> Done);
+  void tryOnce(const std::string &Holder, std::vector<std::string> Others,
+               int TriesLeft, std::function<void(holder_answered)> Done);
+  /// Tells whether at least half of the entries answer.
+  void survey(std::span<const std::string> Addresses,
+              const std::function<void(bool)> &Done);
   static void counted(survey_count &Count, bool Answered,
                       const std::function<void(bool)> &Done);
-  void tryOnce(const std::string &Address, int TriesLeft,
-               std::function<void(holder_answered)> Done);
 
   ipeer_client &Peers;
   const peer_identity Self;
--- a/src/jobentry/workdriver.h
+++ b/src/jobentry/workdriver.h
@@ -75,7 +75,6 @@
   void stored(const append_outcome &Outcome);
   void repeatTermRecord();
   void answer(const worker_id &Worker);
-  void updateGauges();
   work::present_time present() const;
 
   ievent_loop &Loop;
--- a/src/peercodec/internal/gangcodec.cpp
+++ b/src/peercodec/internal/gangcodec.cpp
@@ -18,11 +18,6 @@
   return std::chrono::milliseconds(Milliseconds);
 }
 
-std::uint64_t toMilliseconds(duration Value) {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(Value).count());
-}
-
 template <typename Messages>
 std::vector<gang_task> tasksOf(const Messages &In) {
   if (In.size() > MaxGangTasks)
@@ -98,11 +93,11 @@
   }
   void operator()(const start_tasks &Message) const {
     Request.mutable_start_tasks()->set_token(raw(Message.Token));
-    Request.mutable_start_tasks()->set_lease_ms(toMilliseconds(Message.Lease));
+    Request.mutable_start_tasks()->set_lease_ms(millisecondsOf(Message.Lease));
   }
   void operator()(const renew_tasks &Message) const {
     Request.mutable_renew_tasks()->set_token(raw(Message.Token));
-    Request.mutable_renew_tasks()->set_lease_ms(toMilliseconds(Message.Lease));
+    Request.mutable_renew_tasks()->set_lease_ms(millisecondsOf(Message.Lease));
   }
   void operator()(const stop_tasks &Message) const {
     proto::StopTasks &Out = *Request.mutable_stop_tasks();
--- a/src/platform/internal/httplogservice.cpp
+++ b/src/platform/internal/httplogservice.cpp
@@ -110,8 +110,7 @@
 
 void http_log_service::read(log_offset From, std::uint32_t Limit, duration Wait,
                             std::function<void(const read_result &)> Done) {
-  const auto WaitMs =
-      std::chrono::duration_cast<std::chrono::milliseconds>(Wait).count();
+  const auto WaitMs = millisecondsOf(Wait);
   http_call Call;
   Call.Address = Settings.Address;
   Call.Method = "GET";
--- a/src/platform/internal/httpworker.cpp
+++ b/src/platform/internal/httpworker.cpp
@@ -16,10 +16,6 @@
 constexpr int TooManyRequests = 429;
 constexpr int ServiceUnavailable = 503;
 
-std::uint64_t toMilliseconds(duration Time) {
-  return static_cast<std::uint64_t>(duration_cast<milliseconds>(Time).count());
-}
-
 worker_task_state fromProto(proto::WorkerTaskState State) {
   switch (State) {
   case proto::WORKER_TASK_STATE_FINISHED:
@@ -140,7 +136,7 @@
   Message.set_milli_cores(Start.Need.MilliCores);
   Message.set_memory_mb(Start.Need.MemoryMb);
   Message.set_command(Start.Command);
-  Message.set_lease_ms(toMilliseconds(Start.Lease));
+  Message.set_lease_ms(millisecondsOf(Start.Lease));
   post("/start", printJson(Message), std::move(Done));
 }
 
@@ -149,7 +145,7 @@
   proto::WorkerRenew Message;
   for (const std::string &Task : Tasks)
     Message.add_tasks(Task);
-  Message.set_lease_ms(toMilliseconds(Lease));
+  Message.set_lease_ms(millisecondsOf(Lease));
   post("/renew", printJson(Message), std::move(Done));
 }
 
--- a/src/platform/internal/platformdecode.cpp
+++ b/src/platform/internal/platformdecode.cpp
@@ -238,12 +238,10 @@
   http_response Response =
       jsonAnswer(Code, {{"Error", Reason}, {"Message", Message}});
   if (RetryAfter > duration{}) {
-    const auto Milliseconds =
-        std::chrono::duration_cast<std::chrono::milliseconds>(RetryAfter)
-            .count();
     // The header counts whole seconds, rounded up.
     const auto Seconds =
-        (Milliseconds + MillisecondsPerSecond - 1) / MillisecondsPerSecond;
+        (millisecondsOf(RetryAfter) + MillisecondsPerSecond - 1) /
+        MillisecondsPerSecond;
     Response.Headers.push_back({"Retry-After", std::to_string(Seconds)});
   }
   return Response;
--- a/src/platform/internal/storeclient.cpp
+++ b/src/platform/internal/storeclient.cpp
@@ -4,6 +4,7 @@
 #include "platform/internal/storeframes.h"
 
 #include <array>
+#include <utility>
 
 namespace geraniumpaddle {
 
@@ -31,10 +32,6 @@
       .append(Partition);
 }
 
-std::int64_t milliseconds(duration Time) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
-}
-
 /// Refusals and 503 say that nothing was done.
 bool nothingDone(const store_reply &Reply) {
   constexpr int FirstClientError = 400;
@@ -121,6 +118,17 @@
   return Outcome;
 }
 
+/// The platform's group names the entry that calls: no other may call for it.
+store_request groupRequest(std::string Target, const json &Body,
+                           duration Timeout) {
+  return {.Method = "POST",
+          .Target = std::move(Target),
+          .Body = Body.dump(),
+          .ContentType = "application/json",
+          .Timeout = Timeout,
+          .Relayable = false};
+}
+
 } // namespace
 
 void store_client::append(const append_call &Call,
@@ -153,7 +161,8 @@
                         .Target = topicQuery("/api/log-read", Topic),
                         .Timeout = Wait + ReadGrace};
   Request.Target.append("&From=").append(std::to_string(From));
-  Request.Target.append("&WaitMs=").append(std::to_string(milliseconds(Wait)));
+  Request.Target.append("&WaitMs=")
+      .append(std::to_string(millisecondsOf(Wait)));
   Transport.call(std::move(Request),
                  [From, Done = std::move(Done)](const store_reply &Reply) {
                    read_outcome Outcome;
@@ -186,14 +195,9 @@
   const json Body = {{"group", GroupName},
                      {"Member", Call.Member},
                      {"Topics", {nameOf(store_topic::Progress)}},
-                     {"TtlMs", milliseconds(Call.TimeToLive)},
+                     {"TtlMs", millisecondsOf(Call.TimeToLive)},
                      {"Generation", Call.Generation}};
-  Transport.call({.Method = "POST",
-                  .Target = "/api/log-join",
-                  .Body = Body.dump(),
-                  .ContentType = "application/json",
-                  .Timeout = Call.Timeout,
-                  .Relayable = false},
+  Transport.call(groupRequest("/api/log-join", Body, Call.Timeout),
                  [Done = std::move(Done)](const store_reply &Reply) {
                    Done(toJoin(Reply));
                  });
@@ -209,12 +213,7 @@
 void store_client::leave(std::string_view Member) {
   constexpr duration Timeout = std::chrono::seconds(1);
   const json Body = {{"group", GroupName}, {"Member", Member}};
-  Transport.call({.Method = "POST",
-                  .Target = "/api/log-leave",
-                  .Body = Body.dump(),
-                  .ContentType = "application/json",
-                  .Timeout = Timeout,
-                  .Relayable = false},
+  Transport.call(groupRequest("/api/log-leave", Body, Timeout),
                  [this](const store_reply &Reply) {
                    if (Reply.Code != Ok)
                      Log.event("leave_not_answered", {{"code", Reply.Code}});
--- a/src/platform/internal/taskworkerclient.cpp
+++ b/src/platform/internal/taskworkerclient.cpp
@@ -191,8 +191,7 @@
 void task_worker_client::list(
     const worker_target &Target, const work::list_runs &Order,
     std::function<void(const listing_outcome &)> Done) {
-  const auto WaitMs =
-      std::chrono::duration_cast<std::chrono::milliseconds>(Order.Wait).count();
+  const auto WaitMs = millisecondsOf(Order.Wait);
   json Body = {{"FencingToken", Target.FencingToken},
                {"AckCursor", Order.AcknowledgedEnds}};
   if (Order.LeaseEndMs)
--- a/src/transport/ihttpserver.h
+++ b/src/transport/ihttpserver.h
@@ -8,6 +8,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace geraniumpaddle {
 
@@ -27,6 +28,10 @@
   std::string Body = {};
 };
 
+inline http_response textResponse(int Code, std::string Body) {
+  return {Code, {{"Content-Type", "text/plain"}}, std::move(Body)};
+}
+
 /// Answers one request, at once or later. Destroying it unanswered sends 500.
 class ihttp_responder {
 public:
--- a/src/workcodec/internal/convert.h
+++ b/src/workcodec/internal/convert.h
@@ -10,16 +10,9 @@
 
 namespace geraniumpaddle::work {
 
-inline std::uint64_t millisecondsOf(duration Time) {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(Time).count());
-}
 inline duration fromMilliseconds(std::uint64_t Count) {
   return std::chrono::milliseconds(Count);
 }
-inline std::uint64_t millisecondsOf(wall_time Time) {
-  return static_cast<std::uint64_t>(Time.time_since_epoch().count());
-}
 inline wall_time wallTime(std::uint64_t Count) {
   return wall_time(std::chrono::milliseconds(Count));
 }
--- a/src/workcodec/internal/recordconvert.cpp
+++ b/src/workcodec/internal/recordconvert.cpp
@@ -10,8 +10,7 @@
   for (const auto &[Priority, Wait] : Forecast) {
     proto::work::QueueForecast::Wait &Each = *Message.add_waits();
     Each.set_priority(Priority);
-    Each.set_wait_ms(static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(Wait).count()));
+    Each.set_wait_ms(millisecondsOf(Wait));
   }
   return Message;
 }
@@ -19,7 +18,7 @@
 queue_forecast decodeForecast(const proto::work::QueueForecast &Message) {
   queue_forecast Forecast;
   for (const proto::work::QueueForecast::Wait &Each : Message.waits())
-    Forecast[Each.priority()] = std::chrono::milliseconds(Each.wait_ms());
+    Forecast[Each.priority()] = fromMilliseconds(Each.wait_ms());
   return Forecast;
 }
 
--- a/standins/endpoint/main.cpp
+++ b/standins/endpoint/main.cpp
@@ -3,13 +3,12 @@
 #include "core/base/error.h"
 #include "standins/endpoint/endpointserver.h"
 #include "standins/portfile.h"
+#include "standins/standinmain.h"
 
 #include <event2/event.h>
 #include <gflags/gflags.h>
 
 #include <csignal>
-#include <cstdio>
-#include <exception>
 #include <memory>
 
 DEFINE_string(listen, "127.0.0.1:0",
@@ -44,12 +43,7 @@
 } // namespace geraniumpaddle::standins
 
 int main(int ArgumentCount, char **Arguments) {
-  gflags::ParseCommandLineFlags(&ArgumentCount, &Arguments, true);
-  try {
-    geraniumpaddle::standins::run();
-  } catch (const std::exception &Failure) {
-    std::fprintf(stderr, "gp_standin_endpoint: %s\n", Failure.what());
-    return 1;
-  }
-  return 0;
+  return geraniumpaddle::standins::runStandin(ArgumentCount, Arguments,
+                                              "gp_standin_endpoint",
+                                              &geraniumpaddle::standins::run);
 }
--- a/standins/logservice/main.cpp
+++ b/standins/logservice/main.cpp
@@ -4,13 +4,12 @@
 #include "logging/logging.h"
 #include "standins/logservice/logserver.h"
 #include "standins/portfile.h"
+#include "standins/standinmain.h"
 #include "transport/eventloop.h"
 
 #include <gflags/gflags.h>
 
 #include <csignal>
-#include <cstdio>
-#include <exception>
 
 DEFINE_string(listen, "127.0.0.1:0",
               "ip:port to serve on; port 0 takes a free one");
@@ -39,12 +38,7 @@
 } // namespace geraniumpaddle::standins
 
 int main(int ArgumentCount, char **Arguments) {
-  gflags::ParseCommandLineFlags(&ArgumentCount, &Arguments, true);
-  try {
-    geraniumpaddle::standins::run();
-  } catch (const std::exception &Failure) {
-    std::fprintf(stderr, "gp_standin_log: %s\n", Failure.what());
-    return 1;
-  }
-  return 0;
+  return geraniumpaddle::standins::runStandin(ArgumentCount, Arguments,
+                                              "gp_standin_log",
+                                              &geraniumpaddle::standins::run);
 }
--- /dev/null
+++ b/standins/standinmain.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <gflags/gflags.h>
+
+#include <cstdio>
+#include <exception>
+
+namespace geraniumpaddle::standins {
+
+/// What main() of a stand-in does: reads the flags, serves, and tells on
+/// standard error why it could not.
+/// \returns the exit code.
+inline int runStandin(int ArgumentCount, char **Arguments, const char *Name,
+                      void (*Serve)()) {
+  gflags::ParseCommandLineFlags(&ArgumentCount, &Arguments, true);
+  try {
+    Serve();
+  } catch (const std::exception &Failure) {
+    std::fprintf(stderr, "%s: %s\n", Name, Failure.what());
+    return 1;
+  }
+  return 0;
+}
+
+} // namespace geraniumpaddle::standins
--- a/standins/store/main.cpp
+++ b/standins/store/main.cpp
@@ -2,13 +2,12 @@
 
 #include "core/base/error.h"
 #include "standins/portfile.h"
+#include "standins/standinmain.h"
 #include "standins/store/storeserver.h"
 
 #include <gflags/gflags.h>
 
 #include <csignal>
-#include <cstdio>
-#include <exception>
 
 DEFINE_string(listen, "127.0.0.1:0",
               "ip:port to serve on; port 0 takes a free one");
@@ -29,12 +28,7 @@
 } // namespace geraniumpaddle::standins
 
 int main(int ArgumentCount, char **Arguments) {
-  gflags::ParseCommandLineFlags(&ArgumentCount, &Arguments, true);
-  try {
-    geraniumpaddle::standins::run();
-  } catch (const std::exception &Failure) {
-    std::fprintf(stderr, "gp_standin_store: %s\n", Failure.what());
-    return 1;
-  }
-  return 0;
+  return geraniumpaddle::standins::runStandin(ArgumentCount, Arguments,
+                                              "gp_standin_store",
+                                              &geraniumpaddle::standins::run);
 }
--- a/standins/taskworkers/main.cpp
+++ b/standins/taskworkers/main.cpp
@@ -1,13 +1,13 @@
 // Workers of the platform for tests and the demo, all in one process.
 
 #include "core/base/error.h"
+#include "standins/standinmain.h"
 #include "standins/taskworkers/fieldserver.h"
 
 #include <gflags/gflags.h>
 
 #include <csignal>
 #include <cstdio>
-#include <exception>
 #include <sstream>
 
 DEFINE_string(workers, "",
@@ -47,12 +47,7 @@
 } // namespace geraniumpaddle::standins
 
 int main(int ArgumentCount, char **Arguments) {
-  gflags::ParseCommandLineFlags(&ArgumentCount, &Arguments, true);
-  try {
-    geraniumpaddle::standins::run();
-  } catch (const std::exception &Failure) {
-    std::fprintf(stderr, "gp_standin_taskworkers: %s\n", Failure.what());
-    return 1;
-  }
-  return 0;
+  return geraniumpaddle::standins::runStandin(ArgumentCount, Arguments,
+                                              "gp_standin_taskworkers",
+                                              &geraniumpaddle::standins::run);
 }
--- a/standins/taskworkers/workerfield.cpp
+++ b/standins/taskworkers/workerfield.cpp
@@ -8,10 +8,6 @@
 
 namespace {
 
-std::int64_t milliseconds(duration Time) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
-}
-
 std::string describe(const work::run_ref &Run) {
   const auto &At = Run.Task.Position;
   return Run.Task.Job.str() + "." + std::to_string(At.Occurrence) + "." +
@@ -43,7 +39,7 @@
 }
 
 std::int64_t worker_field::clockMs(const worker_id &Id, time_point Now) const {
-  return milliseconds(Now - Workers.at(Id).ClockZero);
+  return millisecondsOf(Now - Workers.at(Id).ClockZero);
 }
 
 worker_field::field_worker *worker_field::check(const work::worker_life &Life,
@@ -161,7 +157,7 @@
   char Text[24];
   std::snprintf(Text, sizeof Text, "%016llx",
                 static_cast<unsigned long long>(
-                    milliseconds(Limits.CheckpointEvery * Saved)));
+                    millisecondsOf(Limits.CheckpointEvery * Saved)));
   return Text;
 }
 
--- a/standins/worker/main.cpp
+++ b/standins/worker/main.cpp
@@ -2,14 +2,13 @@
 
 #include "core/base/error.h"
 #include "standins/portfile.h"
+#include "standins/standinmain.h"
 #include "standins/worker/workerserver.h"
 
 #include <event2/event.h>
 #include <gflags/gflags.h>
 
 #include <csignal>
-#include <cstdio>
-#include <exception>
 #include <memory>
 
 DEFINE_string(listen, "127.0.0.1:0",
@@ -63,12 +62,7 @@
 } // namespace geraniumpaddle::standins
 
 int main(int ArgumentCount, char **Arguments) {
-  gflags::ParseCommandLineFlags(&ArgumentCount, &Arguments, true);
-  try {
-    geraniumpaddle::standins::run();
-  } catch (const std::exception &Error) {
-    std::fprintf(stderr, "gp_standin_worker: %s\n", Error.what());
-    return 1;
-  }
-  return 0;
+  return geraniumpaddle::standins::runStandin(ArgumentCount, Arguments,
+                                              "gp_standin_worker",
+                                              &geraniumpaddle::standins::run);
 }
