A leaving worker that does not tell its life is taken at its name

Cause: decodeBorn promised nothing for a missing field and gave 0, which is the life of no worker, so its last ends were not asked for. The platform always sends the field; found by reading. The new test fails before and passes after.

--- a/src/platform/internal/platformdecode.cpp
+++ b/src/platform/internal/platformdecode.cpp
@@ -199,7 +199,8 @@
 
 std::optional<std::uint64_t> decodeBorn(std::string_view Body) {
   const auto Row = parseObject(Body);
-  const auto Born = Row ? integerField(*Row, "born") : std::nullopt;
+  const json *Value = Row ? member(*Row, "born") : nullptr;
+  const auto Born = Value ? asInteger(*Value) : std::nullopt;
   if (!Born || *Born < 0)
     return std::nullopt;
   return static_cast<std::uint64_t>(*Born);
--- a/src/platform/tests/platformdecodetest.cpp
+++ b/src/platform/tests/platformdecodetest.cpp
@@ -135,6 +135,14 @@
         worker_message::Other);
 }
 
+TEST(PlatformDecode, TheLifeOfAWorkerThatLeavesMayBeLeftOut) {
+  CHECK(decodeBorn(R"({"born":1772000000123})") == 1772000000123U);
+  CHECK(!decodeBorn("{}"));
+  CHECK(!decodeBorn(R"({"born":-1})"));
+  CHECK(!decodeBorn(R"({"born":"soon"})"));
+  CHECK(!decodeBorn("not JSON"));
+}
+
 TEST(PlatformDecode, RoundsRetryAfterUp) {
   const http_response Response =
       encodeError(503, "busy", "later", std::chrono::milliseconds(1200));
