Rounds of placement cost less, and a busy leader is not replaced

Change: workers in order of their racks, victims planned once a worker, six plans a round, a pause after a round in proportion to the workers examined. A candidate that reads records of the leader leaves it in office. Records that cannot be read are passed over. Tests: TopicFollower and LeaderElection, named for these; placement tests unchanged.

--- a/src/core/topics/internal/leaderelection.cpp
+++ b/src/core/topics/internal/leaderelection.cpp
@@ -78,6 +78,7 @@
 void leader_election::onLeaderActive(const leader_active &,
                                      const time_point &Now) {
   LeaderActiveAt = Now;
+  RecordReadAt = Now;
 }
 
 void leader_election::onJoined(const join_succeeded &Event,
@@ -140,6 +141,9 @@
   case NotLeading:
     return true;
   case NoAnswer:
+    // A busy leader answers late.
+    if (RecordReadAt && Now - *RecordReadAt < Limits.ActiveTime)
+      return false;
     // This candidate may be the one that is cut off from the network.
     return Leader.CandidateAgents > 0 || Leader.OthersReachable;
   case Leading:
--- a/src/core/topics/internal/topicfollower.cpp
+++ b/src/core/topics/internal/topicfollower.cpp
@@ -102,6 +102,7 @@
     deliver(Record);
     Next = Record.Offset + 1;
   }
+  Next = std::max(Next, Event.Next);
   requestNext();
 }
 
--- a/src/core/topics/leaderelection.h
+++ b/src/core/topics/leaderelection.h
@@ -61,7 +61,8 @@
   std::uint64_t TermOffset = 0;
   bool Assigned = false; ///< candidacy, by the group's last answer
   bool Weak = false;     ///< many other entries are stronger
-  std::optional<time_point> LeaderActiveAt;
+  std::optional<time_point> LeaderActiveAt; ///< or start of this candidate
+  std::optional<time_point> RecordReadAt;   ///< last record of a leader
   bool JoinPending = false;
   bool QueryPending = false;
   time_point NextJoinAt{};
--- a/src/core/topics/tests/leaderelectiontest.cpp
+++ b/src/core/topics/tests/leaderelectiontest.cpp
@@ -242,3 +242,15 @@
   Weaker.SinceElected = 3s;
   CHECK(claimAgainst(Election, 4, Weaker).has_value());
 }
+
+// A leader under load may answer later than a query waits. Taking over then
+// only adds the work of a new term.
+TEST(LeaderElection, DoesNotReplaceABusyLeaderWhoseRecordsArrive) {
+  Election.handle(leader_active{}, Now);
+  const leader_status NoAnswer{.State = leader_status::leader_state::NoAnswer,
+                               .OthersReachable = true};
+  Now += 800ms;
+  CHECK(!claimAgainst(Election, 4, NoAnswer));
+  Now += 200ms;
+  CHECK(claimAgainst(Election, 4, NoAnswer).has_value());
+}
--- a/src/core/topics/tests/topicfollowertest.cpp
+++ b/src/core/topics/tests/topicfollowertest.cpp
@@ -50,6 +50,28 @@
   LONGS_EQUAL(7, *ReadFrom);
 }
 
+// A new scheduler that starts before the last page is there takes tasks that
+// are done for waiting ones.
+TEST(TopicFollower, AnOffsetIsReachedOnlyAfterTheLastPageOfAReload) {
+  feed(topic_timer_expired{});
+  feed(newest_page{.Records = {record("a", 3)}, .End = 5});
+  CHECK(Follower.reached(5));
+  feed(history_truncated{});
+  CHECK(!Follower.reached(5));
+  feed(newest_page{.Records = {record("a", 3)}, .HasMore = true, .End = 9});
+  CHECK(!Follower.reached(9));
+  CHECK(Follower.loaded());
+  feed(newest_page{.Records = {record("b", 8)}, .End = 9});
+  CHECK(Follower.reached(9));
+}
+
+TEST(TopicFollower, ReadsOnPastUnreadableRecords) {
+  feed(topic_timer_expired{});
+  feed(newest_page{.End = 5});
+  feed(topic_batch{.From = 5, .End = 7, .Next = 7});
+  LONGS_EQUAL(7, *ReadFrom);
+}
+
 TEST(TopicFollower, TruncatedHistoryReloadsTheTopicAndDeletesMissingKeys) {
   feed(topic_timer_expired{});
   feed(newest_page{.Records = {record("a", 0), record("b", 1)}, .End = 2});
--- a/src/core/topics/topicfollower.h
+++ b/src/core/topics/topicfollower.h
@@ -18,7 +18,12 @@
 
   /// Offset after the last record that was delivered.
   std::uint64_t next() const { return Next; }
+  /// True once the topic was loaded, also while it is loaded again.
   bool loaded() const { return Loaded; }
+  /// True if all records before offset \p End were delivered.
+  bool reached(std::uint64_t End) const {
+    return Phase == phase::Tail && Next >= End;
+  }
   /// Time of the last successful read.
   time_point lastAnswer() const { return LastAnswer; }
 
--- a/src/core/topics/types/topicevents.h
+++ b/src/core/topics/types/topicevents.h
@@ -32,6 +32,9 @@
 struct topic_batch {
   std::uint64_t From = 0;
   std::uint64_t End = 0;
+  /// Offset after the last record that was read. Unreadable records are left
+  /// out of \c Records.
+  std::uint64_t Next = 0;
   std::vector<keyed_record> Records;
 };
 /// The records at the requested offset are no longer retained.
--- a/src/core/work/internal/job.cpp
+++ b/src/core/work/internal/job.cpp
@@ -11,6 +11,14 @@
   return Need;
 }
 
+bool hasMoreTasksThan(const job_spec &Spec, std::uint64_t Max) {
+  std::uint64_t Count = 0;
+  for (const step_spec &Step : Spec.Steps)
+    Count += Step.Count;
+  // The product could overflow.
+  return Count > Max / std::max(Spec.Occurrences, 1U);
+}
+
 task_layout::task_layout(const job_spec &Spec) {
   std::uint32_t Start = 0;
   for (const step_spec &Step : Spec.Steps) {
--- a/src/core/work/internal/placementround.cpp
+++ b/src/core/work/internal/placementround.cpp
@@ -32,11 +32,31 @@
     Target.FreeAfterStops += Worker.Freeing;
     Hosts.push_back(Target);
   }
+  std::stable_sort(Hosts.begin(), Hosts.end(),
+                   [](const host_capacity &A, const host_capacity &B) {
+                     return A.Rack < B.Rack;
+                   });
+  for (std::size_t I = 0; I < Hosts.size(); ++I) {
+    if (Hosts[I].Rack == RackBegins.size())
+      RackBegins.push_back(I);
+    HostOf.emplace(Hosts[I].Worker->Description.Instance.Worker, I);
+  }
+  RackBegins.push_back(Hosts.size());
+}
+
+std::span<placement_round::host_capacity>
+placement_round::hostsOf(std::size_t Rack) {
+  std::span<host_capacity> Selected(Hosts);
+  if (Rack != AnyRack)
+    Selected = Selected.subspan(RackBegins[Rack],
+                                RackBegins[Rack + 1] - RackBegins[Rack]);
+  Examined += Selected.size();
+  return Selected;
 }
 
 void placement_round::prepare(const placement_request &Request) {
   const step_spec &Step = *Request.Step;
-  for (host_capacity &Target : Hosts) {
+  for (host_capacity &Target : hostsOf(AnyRack)) {
     const worker_description &Worker = Target.Worker->Description;
     const bool Avoided =
         Request.Avoid && Request.Avoid->contains(Worker.Instance.Worker);
@@ -50,8 +70,18 @@
         !Avoided && Trusted && Worker.Service == Request.Service &&
         (Step.RequiredLabel.empty() || Worker.hasLabel(Step.RequiredLabel));
     Target.Placed = 0;
-    for (const live_run *Sibling : Request.Siblings)
-      Target.Placed += Sibling->Worker == Worker.Instance ? 1 : 0;
+  }
+  countSiblings(Request);
+}
+
+void placement_round::countSiblings(const placement_request &Request) {
+  for (const live_run *Sibling : Request.Siblings) {
+    const auto Found = HostOf.find(Sibling->Worker.Worker);
+    if (Found == HostOf.end())
+      continue;
+    host_capacity &Target = Hosts[Found->second];
+    Target.Placed +=
+        Target.Worker->Description.Instance == Sibling->Worker ? 1 : 0;
   }
 }
 
@@ -74,8 +104,8 @@
   host_capacity *Best = nullptr;
   // Prefers the rack of the data, then the worker with the least free capacity.
   std::tuple<bool, std::int32_t, std::int64_t> BestKey;
-  for (host_capacity &Target : Hosts) {
-    if (!Target.Eligible || (Rack != AnyRack && Target.Rack != Rack))
+  for (host_capacity &Target : hostsOf(Rack)) {
+    if (!Target.Eligible)
       continue;
     if (Step.MaxPerWorker > 0 && Target.Placed >= Step.MaxPerWorker)
       continue;
@@ -169,10 +199,10 @@
   return Order;
 }
 
-bool placement_round::fitsInOneRack(const placement_request &Request) const {
+bool placement_round::fitsInOneRack(const placement_request &Request) {
   const resources Need = reservedResources(*Request.Step);
   std::vector<std::size_t> Fitting(Racks.size());
-  for (const host_capacity &Target : Hosts) {
+  for (const host_capacity &Target : hostsOf(AnyRack)) {
     if (!Target.Eligible)
       continue;
     resources Capacity = Target.Worker->Description.Capacity;
@@ -237,7 +267,7 @@
 
 bool placement_round::fitsEmptyWorkers(const placement_request &Request) {
   prepare(Request);
-  for (host_capacity &Target : Hosts)
+  for (host_capacity &Target : hostsOf(AnyRack))
     Target.Projected = Target.Worker->Description.Capacity;
   return fitsIn(Request, &host_capacity::Projected);
 }
@@ -253,13 +283,14 @@
       if (!Run->Stopping && !Run->LongRunning)
         Ends.emplace_back(expectedEnd(*Run, Now), &Target, Run);
   }
+  Examined += Ends.size();
   std::sort(Ends.begin(), Ends.end(), [](const auto &A, const auto &B) {
     return std::get<time_point>(A) < std::get<time_point>(B);
   });
   // Free capacity only grows with time, so a binary search finds the first end
   // after which all tasks fit.
   auto FitsAfter = [&](std::size_t Count) {
-    for (host_capacity &Target : Hosts)
+    for (host_capacity &Target : hostsOf(AnyRack))
       Target.Projected = Target.FreeAfterStops;
     for (std::size_t I = 0; I < Count; ++I)
       std::get<host_capacity *>(Ends[I])->Projected +=
@@ -306,7 +337,8 @@
 std::optional<preemption>
 placement_round::victimsOn(const host_capacity &Target, const resources &Need,
                            std::uint32_t Priority,
-                           std::span<const run_ref> Chosen) const {
+                           std::span<const run_ref> Chosen) {
+  Examined += Target.Worker->Runs.size();
   std::vector<std::pair<double, const live_run *>> Candidates;
   for (const live_run *Run : Target.Worker->Runs) {
     const bool AlreadyChosen =
@@ -342,43 +374,50 @@
   return Plan;
 }
 
+/// Victims on \p Target for one more task, if it may take one.
+/// \param Planned tasks that the plan has put there.
+std::optional<preemption> placement_round::victimsFor(
+    const host_capacity &Target, const placement_request &Request,
+    std::uint32_t Planned, std::span<const run_ref> Chosen) {
+  const step_spec &Step = *Request.Step;
+  const bool Full =
+      Step.MaxPerWorker > 0 && Target.Placed + Planned >= Step.MaxPerWorker;
+  if (!Target.Eligible || Full)
+    return std::nullopt;
+  return victimsOn(Target, reservedResources(Step), Request.Priority, Chosen);
+}
+
 std::optional<preemption>
 placement_round::planPreemptionIn(const placement_request &Request,
                                   std::size_t Rack) {
   const resources Need = reservedResources(*Request.Step);
-  const std::uint32_t MaxPerWorker = Request.Step->MaxPerWorker;
-  for (host_capacity &Target : Hosts)
+  const std::span<host_capacity> Targets = hostsOf(Rack);
+  std::vector<std::uint32_t> Planned(Targets.size());
+  std::vector<std::optional<preemption>> Plans;
+  for (host_capacity &Target : Targets) {
     Target.Projected = Target.FreeAfterStops;
-  std::vector<std::uint32_t> Placed(Hosts.size());
+    Plans.push_back(victimsFor(Target, Request, 0, {}));
+  }
   preemption Plan;
   for (std::size_t Count = 0; Count < Request.Tasks.size(); ++Count) {
-    std::optional<preemption> Best;
-    std::size_t BestHost = 0;
-    for (std::size_t I = 0; I < Hosts.size(); ++I) {
-      const host_capacity &Target = Hosts[I];
-      const bool Full =
-          MaxPerWorker > 0 && Target.Placed + Placed[I] >= MaxPerWorker;
-      if (!Target.Eligible || Full || (Rack != AnyRack && Target.Rack != Rack))
-        continue;
-      auto TargetPlan = victimsOn(Target, Need, Request.Priority, Plan.Victims);
-      if (TargetPlan &&
-          (!Best || TargetPlan->LostCoreSeconds < Best->LostCoreSeconds)) {
-        Best = std::move(TargetPlan);
-        BestHost = I;
-      }
-    }
+    std::optional<std::size_t> Best;
+    for (std::size_t I = 0; I < Plans.size(); ++I)
+      if (Plans[I] &&
+          (!Best || Plans[I]->LostCoreSeconds < Plans[*Best]->LostCoreSeconds))
+        Best = I;
     if (!Best)
       return std::nullopt;
-    host_capacity &Target = Hosts[BestHost];
+    host_capacity &Target = Targets[*Best];
+    const preemption Chosen = std::move(*Plans[*Best]);
     for (const live_run *Run : Target.Worker->Runs)
-      if (std::find(Best->Victims.begin(), Best->Victims.end(), Run->Run) !=
-          Best->Victims.end())
+      if (std::find(Chosen.Victims.begin(), Chosen.Victims.end(), Run->Run) !=
+          Chosen.Victims.end())
         Target.Projected += Run->Need;
     Target.Projected -= Need;
-    ++Placed[BestHost];
-    Plan.LostCoreSeconds += Best->LostCoreSeconds;
-    Plan.Victims.insert(Plan.Victims.end(), Best->Victims.begin(),
-                        Best->Victims.end());
+    Plan.LostCoreSeconds += Chosen.LostCoreSeconds;
+    Plan.Victims.insert(Plan.Victims.end(), Chosen.Victims.begin(),
+                        Chosen.Victims.end());
+    Plans[*Best] = victimsFor(Target, Request, ++Planned[*Best], Plan.Victims);
   }
   return Plan;
 }
--- a/src/core/work/internal/scheduledecisions.cpp
+++ b/src/core/work/internal/scheduledecisions.cpp
@@ -14,6 +14,14 @@
 /// Steps for which one round reserves capacity, besides those that may preempt.
 /// More would leave capacity idle for work that starts much later.
 constexpr int MaxReservations = 2;
+/// Urgent steps without enough free capacity for which one round plans
+/// reservations or preemption, the most urgent first. Plans are the most
+/// expensive part of a round.
+constexpr int MaxPlans = 6;
+/// Pause after a round for each worker that it examined, so that rounds leave
+/// most of the processor to reports and callers.
+constexpr duration PauseFactor = std::chrono::microseconds(1);
+constexpr std::size_t ExaminedPerPause = 4;
 /// Work that preemption may discard for a step, as a multiple of the step's
 /// own.
 constexpr double PreemptionFactor = 2;
@@ -46,8 +54,9 @@
   }
   if (RoundNeeded && Present.Now >= NextRound) {
     RoundNeeded = false;
-    NextRound = Present.Now + Limits.RoundInterval;
-    placeAll(Present);
+    const std::size_t Examined = placeAll(Present);
+    NextRound = Present.Now + Limits.RoundInterval +
+                PauseFactor * (Examined / ExaminedPerPause);
   }
   if (RoundNeeded)
     requestTimer(NextRound);
@@ -55,12 +64,14 @@
     requestTimer(NextExpiry);
 }
 
-void work_scheduler::placeAll(const present_time &Present) {
+/// \returns the workers examined.
+std::size_t work_scheduler::placeAll(const present_time &Present) {
   const std::vector<candidate> Ready = readySteps(Present);
   if (Ready.empty())
-    return;
+    return 0;
   placement_round Round(Pool, Present.Now);
   int Reservations = 0;
+  int Plans = 0;
   bool UrgentReserved = false;
   std::vector<const live_run *> Siblings;
   for (const candidate &Each : Ready) {
@@ -71,6 +82,10 @@
       UrgentReserved = true;
       reserveForUrgent(Round, Present);
     }
+    // Capacity that urgent steps without a plan wait for stays free.
+    if (Plans > MaxPlans && Each.Priority >= FirstDeferrablePriority &&
+        !CheapToStop)
+      continue;
     const std::vector<task_position> Tasks = Job.waiting(Each.Step);
     placement_request Request = requestFor(Job, Each.Step, Tasks, Siblings);
     if ((Request.Avoid || Request.ReliableOnly) &&
@@ -85,14 +100,16 @@
     const std::vector<task_position> Remaining = Job.waiting(Each.Step);
     Request.Tasks = Remaining;
     const bool Urgent = Each.Guaranteed || Each.Priority == 0;
-    if (Urgent && !Each.PastDeadline)
-      reserveOrPreempt(Round, Each, Request, Present);
-    else if (Job.step(Each.Step.Step).Gang && !Each.PastDeadline &&
-             Reservations++ < MaxReservations) {
+    if (Urgent && !Each.PastDeadline) {
+      if (++Plans <= MaxPlans)
+        reserveOrPreempt(Round, Each, Request, Present);
+    } else if (Job.step(Each.Step.Step).Gang && !Each.PastDeadline &&
+               Reservations++ < MaxReservations) {
       if (const auto At = Round.earliestFit(Request))
         Round.reserveAt(Request, *At);
     }
   }
+  return Round.examined();
 }
 
 void work_scheduler::reserveForUrgent(placement_round &Round,
--- a/src/core/work/placementround.h
+++ b/src/core/work/placementround.h
@@ -7,6 +7,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace geraniumpaddle::work {
@@ -67,6 +68,10 @@
   /// True if the tasks would fit if all workers were empty.
   bool fitsEmptyWorkers(const placement_request &Request);
 
+  /// Workers examined so far, each once for every question about it: a measure
+  /// of the processor time that the round has taken.
+  std::size_t examined() const { return Examined; }
+
 private:
   struct host_capacity {
     const pool_worker *Worker;
@@ -90,6 +95,9 @@
   };
 
   void prepare(const placement_request &Request);
+  void countSiblings(const placement_request &Request);
+  /// The workers of \p Rack, or all; counted as examined.
+  std::span<host_capacity> hostsOf(std::size_t Rack);
   resources available(const host_capacity &Target, capacity_view View,
                       const placement_request &Request) const;
   host_capacity *bestFit(const placement_request &Request, capacity_view View,
@@ -102,18 +110,25 @@
   std::vector<placed_task> tryPlace(const placement_request &Request,
                                     capacity_view View);
   std::vector<std::size_t> rackOrder(const placement_request &Request) const;
-  bool fitsInOneRack(const placement_request &Request) const;
+  bool fitsInOneRack(const placement_request &Request);
   bool fitsIn(const placement_request &Request, capacity_view View);
   std::optional<preemption> planPreemptionIn(const placement_request &Request,
                                              std::size_t Rack);
   std::optional<preemption> victimsOn(const host_capacity &Target,
                                       const resources &Need,
                                       std::uint32_t Priority,
-                                      std::span<const run_ref> Chosen) const;
+                                      std::span<const run_ref> Chosen);
+  std::optional<preemption> victimsFor(const host_capacity &Target,
+                                       const placement_request &Request,
+                                       std::uint32_t Planned,
+                                       std::span<const run_ref> Chosen);
 
   time_point Now;
-  std::vector<host_capacity> Hosts;
+  std::vector<host_capacity> Hosts; ///< in order of their racks
   std::vector<std::string> Racks;
+  std::vector<std::size_t> RackBegins; ///< in Hosts; one more than racks
+  std::unordered_map<worker_id, std::size_t> HostOf;
+  std::size_t Examined = 0;
 };
 
 } // namespace geraniumpaddle::work
--- a/src/core/work/workscheduler.h
+++ b/src/core/work/workscheduler.h
@@ -137,7 +137,7 @@
 
   // Placement rounds: scheduledecisions.cpp.
   void decide(const present_time &Present);
-  void placeAll(const present_time &Present);
+  std::size_t placeAll(const present_time &Present);
   void expireWorkers(const present_time &Present);
   void expireGangs(const present_time &Present);
   void evacuateDraining(const pool_worker &Worker, const present_time &Present);
--- a/src/jobagent/tests/jobagenttest.cpp
+++ b/src/jobagent/tests/jobagenttest.cpp
@@ -107,9 +107,10 @@
   LONGS_EQUAL(400, send("w1", Deep));
   LONGS_EQUAL(400, send("w1", heartbeat("127.0.0.1:80", 1,
                                         std::string(",\"X\":").append(Deep))));
-  for (const char *Field : {R"(,"DrainRemainingMs":9223372036854775807)",
-                            R"(,"DrainRemainingMs":1e300)",
-                            R"(,"Seq":18446744073709551616)", R"(,"Seq":-1)"})
+  for (const char *Field :
+       {R"(,"DrainRemainingMs":9223372036854775807)",
+        R"(,"DrainRemainingMs":1e300)", R"(,"Seq":18446744073709551616)",
+        R"(,"Seq":-1)", R"(,"Capacity":{"Cpu":9223372036854775807})"})
     LONGS_EQUAL(400, send("w1", heartbeat("127.0.0.1:80", 1, Field)));
   CHECK(Worker.Listed.empty());
 }
--- a/src/jobentry/internal/topicreader.cpp
+++ b/src/jobentry/internal/topicreader.cpp
@@ -85,7 +85,7 @@
   std::list<waiter> Completed;
   for (auto It = Waiters.begin(); It != Waiters.end();) {
     const auto Next = std::next(It);
-    const bool Reached = loaded() && Follower.next() >= It->End;
+    const bool Reached = Follower.reached(It->End);
     if (Reached || It->Deadline <= Loop.now())
       Completed.splice(Completed.end(), Waiters, It);
     It = Next;
@@ -97,7 +97,7 @@
     WaiterTimer.startAt(Earliest->Deadline, [this] { completeWaiters(); });
   }
   for (const waiter &Each : Completed)
-    Each.Done(loaded() && Follower.next() >= Each.End);
+    Each.Done(Follower.reached(Each.End));
 }
 
 } // namespace geraniumpaddle
--- a/src/platform/internal/platformdecode.cpp
+++ b/src/platform/internal/platformdecode.cpp
@@ -73,8 +73,9 @@
 
 resources readResources(const json &Object) {
   return {.Accelerators = readNumber<std::int32_t>(Object, "Gpu"),
-          .MilliCores = readNumber<std::int64_t>(Object, "Cpu"),
-          .MemoryMb = readNumber<std::int64_t>(Object, "MemMb")};
+          // Sums over all workers must not overflow.
+          .MilliCores = readNumber<std::int32_t>(Object, "Cpu"),
+          .MemoryMb = readNumber<std::int32_t>(Object, "MemMb")};
 }
 
 work::queue_route decodeRoute(const json &Object) {
--- a/src/platform/internal/storeframes.cpp
+++ b/src/platform/internal/storeframes.cpp
@@ -74,6 +74,7 @@
     Bytes.remove_prefix(Size);
     ++Offset;
   }
+  Batch.Next = Offset;
   return Batch;
 }
 
--- a/src/settings/tests/settingstest.cpp
+++ b/src/settings/tests/settingstest.cpp
@@ -83,7 +83,7 @@
 
 TEST(Settings, ReadsAShareOfACore) {
   const std::string Yaml =
-      replaced(ValidYaml, "log:", "vm:\n  cpu_share: 0.12\nlog:");
+      replaced(std::string(ValidYaml), "log:", "vm:\n  cpu_share: 0.12\nlog:");
   DOUBLES_EQUAL(0.12, readSettings(Yaml, "entry.yaml").CpuShare, 1e-9);
 }
 
