Progress is read every 200 ms by each entry, not once for every record

Change: a pause of 200 ms after a read that brought progress, ended when somebody waits for an offset; ends of jobs reach the entries by notification as before. A job with 2^32 tasks times occurrences passed the limit of tasks by an overflow; the limit is checked without the product now.

--- a/src/core/topics/internal/topicfollower.cpp
+++ b/src/core/topics/internal/topicfollower.cpp
@@ -20,7 +20,7 @@
   using table =
       member_table<&topic_follower::onNewest, &topic_follower::onBatch,
                    &topic_follower::onHistoryTruncated,
-                   &topic_follower::onReadFailed,
+                   &topic_follower::onReadFailed, &topic_follower::onReadNeeded,
                    &topic_follower::onTimerExpired>;
   table::dispatch(*this, Event, Now);
   return Commands;
@@ -103,7 +103,18 @@
     Next = Record.Offset + 1;
   }
   Next = std::max(Next, Event.Next);
-  requestNext();
+  if (Event.Records.empty() || ReadPause == duration{}) {
+    requestNext();
+    return;
+  }
+  RetryAt = Now + ReadPause;
+  Commands.emplace_back(set_topic_timer{RetryAt});
+}
+
+void topic_follower::onReadNeeded(const topic_read_needed &,
+                                  const time_point &) {
+  if (Phase == phase::Tail && !ReadPending && Failures == 0)
+    requestNext();
 }
 
 void topic_follower::onHistoryTruncated(const history_truncated &,
--- a/src/core/topics/topicfollower.h
+++ b/src/core/topics/topicfollower.h
@@ -12,6 +12,10 @@
 /// retained, it loads again and delivers keys that have disappeared as deleted.
 class topic_follower {
 public:
+  /// \param ReadPause pause after a read that brought records, so that several
+  ///        are read at once.
+  explicit topic_follower(duration ReadPause = {}) : ReadPause(ReadPause) {}
+
   /// \returns commands that are valid until the next call.
   std::span<const topic_command> handle(const topic_event &Event,
                                         time_point Now);
@@ -35,11 +39,13 @@
   void onHistoryTruncated(const history_truncated &Event,
                           const time_point &Now);
   void onReadFailed(const topic_read_failed &Event, const time_point &Now);
+  void onReadNeeded(const topic_read_needed &Event, const time_point &Now);
   void onTimerExpired(const topic_timer_expired &Event, const time_point &Now);
   void deliver(const keyed_record &Record);
   void deleteMissing();
   void requestNext();
 
+  const duration ReadPause;
   phase Phase = phase::Start;
   std::uint64_t Next = 0;
   std::string PageEnd;
--- a/src/core/topics/types/electionevents.h
+++ b/src/core/topics/types/electionevents.h
@@ -96,8 +96,8 @@
   /// outage the store may be reachable for the candidate first.
   duration RecoveryGrace = std::chrono::milliseconds(700);
   /// A leader that does not answer is at work if its last record is younger.
-  /// A leader stores one at least every 750 ms.
-  duration ActiveTime = std::chrono::milliseconds(900);
+  /// A leader stores one at least every 750 ms, and it is read within 200 ms.
+  duration ActiveTime = std::chrono::milliseconds(1000);
   /// Time in which the agents find a new leader.
   duration DiscoveryTime = std::chrono::seconds(2);
   /// A candidate that no agent has reached for this long leaves the group, so
--- a/src/core/topics/types/topicevents.h
+++ b/src/core/topics/types/topicevents.h
@@ -40,10 +40,13 @@
 /// The records at the requested offset are no longer retained.
 struct history_truncated {};
 struct topic_read_failed {};
+/// Somebody waits for the newest records; ends the pause between reads.
+struct topic_read_needed {};
 struct topic_timer_expired {};
 
-using topic_event = std::variant<newest_page, topic_batch, history_truncated,
-                                 topic_read_failed, topic_timer_expired>;
+using topic_event =
+    std::variant<newest_page, topic_batch, history_truncated, topic_read_failed,
+                 topic_read_needed, topic_timer_expired>;
 
 // Commands.
 
--- a/src/core/work/tests/placementtest.cpp
+++ b/src/core/work/tests/placementtest.cpp
@@ -252,3 +252,52 @@
   step().Estimate = std::chrono::seconds(3);
   LONGS_EQUAL(1, Round.place(request()).size());
 }
+
+// Every worker has a short run of a less urgent job, and a wide urgent gang
+// arrives: the cost of a plan must not grow with workers times tasks.
+TEST(Placement, APlanExaminesEachWorkerAFewTimesOnly) {
+  constexpr std::size_t MaxPerWorker = 8;
+  for (const int Workers : {60, 240, 850}) {
+    for (int I = 0; I < Workers; ++I) {
+      const std::string Id = "w" + std::to_string(Workers * 1000 + I);
+      addWorker(Id, "r" + std::to_string(I / 20));
+      occupy(Id, 4);
+    }
+    step().Count = 25;
+    step().Gang = true;
+    Spec.Policy.Priority = 0;
+    auto Round = round();
+    const auto Plan = Round.planPreemption(request());
+    CHECK(Plan.has_value());
+    LONGS_EQUAL(25, Plan->Victims.size());
+    CHECK(Round.examined() <= MaxPerWorker * Pool.all().size());
+  }
+}
+
+TEST(Placement, ARackIsSearchedWithoutTheOtherRacks) {
+  for (int I = 0; I < 240; ++I)
+    addWorker("w" + std::to_string(I), "r" + std::to_string(I / 20));
+  step().Count = 25;
+  step().Need.Accelerators = 2;
+  step().SameRack = true;
+  step().Gang = true;
+  auto Round = round();
+  LONGS_EQUAL(25, Round.place(request()).size());
+  // Once for all workers, then 20 workers for each of the 25 tasks.
+  LONGS_EQUAL(240 + 25 * 20, Round.examined());
+}
+
+// The product of tasks and occurrences would overflow to zero.
+TEST(Placement, TheTaskLimitHoldsForHugeCounts) {
+  Spec.Steps.assign(4, Spec.Steps.front());
+  for (step_spec &Each : Spec.Steps)
+    Each.Count = std::uint32_t{1} << 31;
+  Spec.Occurrences = std::uint32_t{1} << 31;
+  CHECK(hasMoreTasksThan(Spec, 4096));
+  Spec.Steps.resize(1);
+  Spec.Steps[0].Count = 2048;
+  Spec.Occurrences = 2;
+  CHECK(!hasMoreTasksThan(Spec, 4096));
+  Spec.Occurrences = 3;
+  CHECK(hasMoreTasksThan(Spec, 4096));
+}
--- a/src/core/work/types/job.h
+++ b/src/core/work/types/job.h
@@ -63,6 +63,9 @@
   friend bool operator==(const job_spec &, const job_spec &) = default;
 };
 
+/// True if the job has more than \p Max tasks over all its occurrences.
+bool hasMoreTasksThan(const job_spec &Spec, std::uint64_t Max);
+
 struct task_position {
   std::uint32_t Occurrence = 0;
   std::uint32_t Step = 0;
--- a/src/jobentry/internal/jobapi.cpp
+++ b/src/jobentry/internal/jobapi.cpp
@@ -64,13 +64,6 @@
   return Lower;
 }
 
-std::uint64_t taskCount(const work::job_spec &Spec) {
-  std::uint64_t Count = 0;
-  for (const work::step_spec &Step : Spec.Steps)
-    Count += Step.Count;
-  return Count * Spec.Occurrences;
-}
-
 http_response refusalFor(work::call_verdict Verdict) {
   switch (Verdict) {
   case work::call_verdict::NoConfiguration:
@@ -188,7 +181,7 @@
             Problem.what());
     return;
   }
-  if (taskCount(Record.Spec) > MaxTasks) {
+  if (work::hasMoreTasksThan(Record.Spec, MaxTasks)) {
     respond(
         Call,
         encodeError(BadRequest, "too_large", "a job has at most 4096 tasks"),
--- a/src/jobentry/internal/jobentryrole.cpp
+++ b/src/jobentry/internal/jobentryrole.cpp
@@ -16,6 +16,9 @@
 /// How long a read waits for a record. A broken connection is detected shortly
 /// after this time.
 constexpr duration RecordReadWait = std::chrono::seconds(1);
+/// The leader stores progress many times a second, and every entry reads it.
+/// Callers see an end at once, since entries are notified of it.
+constexpr duration ProgressReadPause = std::chrono::milliseconds(200);
 /// Longer, since entries rarely change.
 constexpr duration EntriesReadWait = std::chrono::seconds(5);
 /// The load balancer checks readiness once a second and removes the entry after
@@ -59,13 +62,13 @@
     : Environment(Environment), Settings(Settings), Self(Self),
       Limits(limitsFrom(Settings)), OnDrained(std::move(OnDrained)),
       Operator(Environment.Loop, Environment.Store, store_topic::Operator,
-               RecordReadWait, *this),
+               RecordReadWait, duration{}, *this),
       Jobs(Environment.Loop, Environment.Store, store_topic::Jobs,
-           RecordReadWait, *this),
+           RecordReadWait, duration{}, *this),
       Progress(Environment.Loop, Environment.Store, store_topic::Progress,
-               RecordReadWait, *this),
+               RecordReadWait, ProgressReadPause, *this),
       Entries(Environment.Loop, Environment.Store, store_topic::Entries,
-              EntriesReadWait, *this),
+              EntriesReadWait, duration{}, *this),
       LeaderProbe(Environment.Peers, Self),
       Notifier(Environment.Peers, Environment.Metrics, Self),
       Election(Environment.Loop, Environment.Store, Self.Node.str(),
--- a/src/jobentry/internal/topicreader.cpp
+++ b/src/jobentry/internal/topicreader.cpp
@@ -5,9 +5,11 @@
 namespace geraniumpaddle {
 
 topic_reader::topic_reader(ievent_loop &Loop, istore &Store, store_topic Topic,
-                           duration ReadWait, itopic_delegate &Delegate)
+                           duration ReadWait, duration ReadPause,
+                           itopic_delegate &Delegate)
     : Loop(Loop), Store(Store), Topic(Topic), ReadWait(ReadWait),
-      Delegate(Delegate), TopicTimer(Loop), WaiterTimer(Loop) {}
+      Delegate(Delegate), Follower(ReadPause), TopicTimer(Loop),
+      WaiterTimer(Loop) {}
 
 void topic_reader::start() { feed(topic_timer_expired{}); }
 
@@ -78,7 +80,10 @@
 void topic_reader::waitForOffset(std::uint64_t End, duration Timeout,
                                  std::function<void(bool)> Done) {
   Waiters.push_back({End, Loop.now() + Timeout, std::move(Done)});
-  completeWaiters();
+  if (Follower.reached(End))
+    completeWaiters();
+  else
+    feed(topic_read_needed{});
 }
 
 void topic_reader::completeWaiters() {
--- a/src/jobentry/topicreader.h
+++ b/src/jobentry/topicreader.h
@@ -28,8 +28,10 @@
 class topic_reader {
 public:
   /// \param ReadWait how long a read may wait for a record.
+  /// \param ReadPause pause after a read that brought records.
   topic_reader(ievent_loop &Loop, istore &Store, store_topic Topic,
-               duration ReadWait, itopic_delegate &Delegate);
+               duration ReadWait, duration ReadPause,
+               itopic_delegate &Delegate);
   ~topic_reader() { *Alive = false; }
   topic_reader(const topic_reader &) = delete;
   topic_reader &operator=(const topic_reader &) = delete;
