Urgent steps that wait for stopped runs leave the plans of a round to others

Cause: a round plans for six urgent steps; each round the same six, whose victims were still stopping, used them up, so a burst got six preemptions per stop time. Change: capacity that is being freed is reserved before a plan is counted. Test: SchedulerRound.ABurstOfUrgentJobsPreemptsForAllOfThem (6 of 20 before).

--- a/src/core/work/internal/scheduledecisions.cpp
+++ b/src/core/work/internal/scheduledecisions.cpp
@@ -101,7 +101,8 @@
     Request.Tasks = Remaining;
     const bool Urgent = Each.Guaranteed || Each.Priority == 0;
     if (Urgent && !Each.PastDeadline) {
-      if (++Plans <= MaxPlans)
+      // Runs that were stopped for it may free the capacity soon.
+      if (!Round.reserveFreed(Request) && ++Plans <= MaxPlans)
         reserveOrPreempt(Round, Each, Request, Present);
     } else if (Job.step(Each.Step.Step).Gang && !Each.PastDeadline &&
                Reservations++ < MaxReservations) {
@@ -131,8 +132,6 @@
                                       const candidate &Step,
                                       const placement_request &Request,
                                       const present_time &Present) {
-  if (Round.reserveFreed(Request))
-    return;
   const auto FitAt = Round.earliestFit(Request);
   time_point StartBy = Step.LatestStart;
   if (Step.Guaranteed)
--- /dev/null
+++ b/src/core/work/tests/schedulerroundtest.cpp
@@ -0,0 +1,75 @@
+#include "core/work/tests/workbuilders.h"
+#include "core/work/workscheduler.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <string>
+
+using namespace geraniumpaddle;
+using namespace geraniumpaddle::work;
+using namespace std::chrono_literals;
+
+TEST_GROUP(SchedulerRound) {
+  present_time Present{.Now = time_point(1h), .Wall = wall_time(1h)};
+  job_registry Registry;
+  queue_directory Queues;
+  std::unique_ptr<work_scheduler> Scheduler;
+  int Stopped = 0;
+  int Placed = 0;
+
+  void setup() override {
+    Queues.replace(testing::makeConfiguration());
+    Scheduler = std::make_unique<work_scheduler>(1, scheduler_limits{},
+                                                 Registry, Queues, Present);
+  }
+
+  /// Feeds \p Event and stores what the scheduler appends.
+  void feed(const scheduler_event &Event) {
+    std::vector<std::uint64_t> Batches;
+    for (const scheduler_command &Each : Scheduler->handle(Event, Present)) {
+      if (const auto *Append = std::get_if<append_progress>(&Each))
+        Batches.push_back(Append->Batch);
+      const auto *Decision = std::get_if<logged_decision>(&Each);
+      Stopped += Decision && Decision->Kind == decision_kind::RunStopped;
+      Placed += Decision && Decision->Kind == decision_kind::RunPlaced;
+    }
+    for (const std::uint64_t Batch : Batches)
+      feed(progress_stored{Batch});
+  }
+
+  void runRounds(int Rounds) {
+    for (int I = 0; I < Rounds; ++I) {
+      Present.Now += 50ms;
+      feed(scheduler_timer_expired{});
+    }
+  }
+
+  void submit(int Jobs, std::uint32_t Priority, duration Estimate) {
+    for (int I = 0; I < Jobs; ++I) {
+      job_spec Spec = testing::makeJob(
+          std::to_string(Priority) + "-" + std::to_string(I), 1, 8);
+      Spec.Policy.Queue = Priority == 0 ? "urgent" : "batch";
+      Spec.Policy.Priority = Priority;
+      Spec.Steps[0].Estimate = Estimate;
+      Spec.SubmittedAt = Present.Wall;
+      feed(job_arrived{std::make_shared<const job_spec>(Spec)});
+    }
+  }
+};
+
+// A round plans preemption for a few steps only. Those that wait for runs that
+// are being stopped already must not keep later ones from their plan.
+TEST(SchedulerRound, ABurstOfUrgentJobsPreemptsForAllOfThem) {
+  constexpr int Count = 20;
+  for (int I = 0; I < Count; ++I)
+    feed(worker_reported{
+        {.Description = testing::makeWorker("w" + std::to_string(I)),
+         .Listing = worker_listing{.StartTimeMs = 1}}});
+  submit(Count, 1, 60s);
+  runRounds(5);
+  LONGS_EQUAL(Count, Placed);
+  submit(Count, 0, 4s);
+  runRounds(10);
+  LONGS_EQUAL(Count, Stopped);
+}
