One path for heartbeats that cannot be used, one number parser, one pause constant

Found on reading the change: the check of a heartbeat's address repeated the log line and the answer of the malformed one beside it; parseDecimal was parseInteger with another type; the pause after a round was split into two constants; an entry built its whole record to read its share of a core.

--- a/src/core/work/internal/scheduledecisions.cpp
+++ b/src/core/work/internal/scheduledecisions.cpp
@@ -20,8 +20,7 @@
 constexpr int MaxPlans = 6;
 /// Pause after a round for each worker that it examined, so that rounds leave
 /// most of the processor to reports and callers.
-constexpr duration PauseFactor = std::chrono::microseconds(1);
-constexpr std::size_t ExaminedPerPause = 4;
+constexpr std::chrono::nanoseconds PausePerWorker{250};
 /// Work that preemption may discard for a step, as a multiple of the step's
 /// own.
 constexpr double PreemptionFactor = 2;
@@ -56,7 +55,7 @@
     RoundNeeded = false;
     const std::size_t Examined = placeAll(Present);
     NextRound = Present.Now + Limits.RoundInterval +
-                PauseFactor * (Examined / ExaminedPerPause);
+                std::chrono::duration_cast<duration>(PausePerWorker * Examined);
   }
   if (RoundNeeded)
     requestTimer(NextRound);
--- a/src/jobagent/internal/jobagentrole.cpp
+++ b/src/jobagent/internal/jobagentrole.cpp
@@ -27,9 +27,12 @@
   return Limits;
 }
 
-bool isCallable(std::string_view Text) {
+/// An empty address stands for the one of the settings.
+/// \throws malformed_message_error if \p Text cannot be called.
+void checkWorkerAddress(std::string_view Text) {
   const auto Address = findAddress(Text);
-  return Address && Address->Port != 0;
+  if (!Text.empty() && (!Address || Address->Port == 0))
+    throw malformed_message_error("Address cannot be called");
 }
 
 } // namespace
@@ -107,20 +110,14 @@
   worker_heartbeat Heartbeat;
   try {
     Heartbeat = decodeHeartbeat(Worker, Request.Body);
+    checkWorkerAddress(Heartbeat.Address);
   } catch (const malformed_message_error &Problem) {
-    Log.warningEvent("heartbeat_unreadable",
-                     {{"worker", Worker}, {"problem", Problem.what()}});
+    Log.warningEvent("heartbeat_unreadable", {{"worker", Worker},
+                                              {"problem", Problem.what()},
+                                              {"address", Heartbeat.Address}});
     Responder.respond(encodeError(BadRequest, "malformed", Problem.what()));
     return;
   }
-  const std::string &Address = Heartbeat.Address;
-  if (!Address.empty() && !isCallable(Address)) {
-    Log.warningEvent("heartbeat_unreadable",
-                     {{"worker", Worker}, {"address", Address}});
-    Responder.respond(
-        encodeError(BadRequest, "malformed", "Address cannot be called"));
-    return;
-  }
   const work::worker_instance &Instance = Heartbeat.Description.Instance;
   const auto Found = Sessions.find(Instance.Worker);
   if (Found == Sessions.end() ||
--- a/src/jobagent/tests/jobagenttest.cpp
+++ b/src/jobagent/tests/jobagenttest.cpp
@@ -1,4 +1,3 @@
-#include "core/base/error.h"
 #include "jobagent/jobagentrole.h"
 #include "testkit/fakeeventloop.h"
 #include "testkit/fakehttp.h"
@@ -28,7 +27,7 @@
   void leave(std::string_view) override {}
 };
 
-/// Workers that run nothing. The lists that agents ask for are counted.
+/// Workers that run nothing. Keeps the target of each listing asked for.
 class fake_task_worker final : public itask_worker {
 public:
   void start(const worker_target &, const work::start_run &,
--- a/src/jobentry/internal/jobentryleadership.cpp
+++ b/src/jobentry/internal/jobentryleadership.cpp
@@ -112,10 +112,9 @@
 
 void job_entry_role::compareStrength() {
   const auto &Known = Registry.entries();
-  const std::uint32_t Own = ownEntry().CpuMilliCores;
   const auto Stronger =
-      std::count_if(Known.begin(), Known.end(), [Own](const auto &Each) {
-        return Each.second.CpuMilliCores > Own;
+      std::count_if(Known.begin(), Known.end(), [this](const auto &Each) {
+        return Each.second.CpuMilliCores > CpuMilliCores;
       });
   Election.feed(strength_compared{static_cast<std::size_t>(Stronger)});
 }
@@ -129,8 +128,7 @@
   LeaderProbe.run(Leader.PeerAddress, otherEntries(),
                   [this, Leader, Done = std::move(Done)](leader_status Answer) {
                     Answer.CandidateAgents = recentAgentCount();
-                    Answer.Weaker =
-                        Leader.CpuMilliCores < ownEntry().CpuMilliCores;
+                    Answer.Weaker = Leader.CpuMilliCores < CpuMilliCores;
                     Done(Answer);
                   });
 }
--- a/src/jobentry/internal/jobentryrole.cpp
+++ b/src/jobentry/internal/jobentryrole.cpp
@@ -60,7 +60,9 @@
                                const peer_identity &Self,
                                std::function<void()> OnDrained)
     : Environment(Environment), Settings(Settings), Self(Self),
-      Limits(limitsFrom(Settings)), OnDrained(std::move(OnDrained)),
+      Limits(limitsFrom(Settings)),
+      CpuMilliCores(milliCoresOf(Settings.CpuShare)),
+      OnDrained(std::move(OnDrained)),
       Operator(Environment.Loop, Environment.Store, store_topic::Operator,
                RecordReadWait, duration{}, *this),
       Jobs(Environment.Loop, Environment.Store, store_topic::Jobs,
@@ -99,7 +101,7 @@
           .PeerAddress = PeerAddress,
           .StartedMs = raw(Self.Incarnation),
           .Term = Term,
-          .CpuMilliCores = milliCoresOf(Settings.CpuShare)};
+          .CpuMilliCores = CpuMilliCores};
 }
 
 void job_entry_role::announce() {
--- a/src/jobentry/jobentryrole.h
+++ b/src/jobentry/jobentryrole.h
@@ -104,6 +104,7 @@
   const settings Settings;
   const peer_identity Self;
   const work::scheduler_limits Limits;
+  const std::uint32_t CpuMilliCores; ///< of this VM
   std::function<void()> OnDrained;
   std::string PeerAddress;
   bool Draining = false;
--- a/src/settings/internal/settingsreader.cpp
+++ b/src/settings/internal/settingsreader.cpp
@@ -63,8 +63,9 @@
   return Text;
 }
 
-std::optional<std::int64_t> parseInteger(std::string_view Text) {
-  std::int64_t Value = 0;
+template <typename Number>
+std::optional<Number> parseNumber(std::string_view Text) {
+  Number Value = 0;
   auto [End, Error] =
       std::from_chars(Text.data(), Text.data() + Text.size(), Value);
   if (Error != std::errc() || End != Text.data() + Text.size())
@@ -72,20 +73,11 @@
   return Value;
 }
 
-std::optional<double> parseDecimal(std::string_view Text) {
-  double Value = 0;
-  const auto [End, Error] =
-      std::from_chars(Text.data(), Text.data() + Text.size(), Value);
-  if (Error != std::errc() || End != Text.data() + Text.size())
-    return std::nullopt;
-  return Value;
-}
-
 bool isIpv4(std::string_view Host) {
   int Parts = 0;
   while (true) {
     auto Dot = Host.find('.');
-    auto Part = parseInteger(Host.substr(0, Dot));
+    auto Part = parseNumber<std::int64_t>(Host.substr(0, Dot));
     if (!Part || *Part < 0 || *Part > 255)
       return false;
     ++Parts;
@@ -99,7 +91,7 @@
   auto Colon = Text.rfind(':');
   if (Colon == std::string_view::npos)
     return false;
-  auto Port = parseInteger(Text.substr(Colon + 1));
+  auto Port = parseNumber<std::int64_t>(Text.substr(Colon + 1));
   return Port && *Port >= 0 && *Port <= 65535 && isIpv4(Text.substr(0, Colon));
 }
 
@@ -232,7 +224,7 @@
   std::int64_t checkedNumber(const setting_field &Field,
                              const YAML::Node &Node) const {
     std::string Text = scalar(Field, Node);
-    auto Value = parseInteger(Text);
+    auto Value = parseNumber<std::int64_t>(Text);
     if (!Value)
       fail(Node, Field.Key, "'" + Text + "' is not a whole number");
     if (*Value < Field.Min || *Value > Field.Max)
@@ -245,7 +237,7 @@
   double checkedDecimal(const setting_field &Field,
                         const YAML::Node &Node) const {
     const std::string Text = scalar(Field, Node);
-    const auto Value = parseDecimal(Text);
+    const auto Value = parseNumber<double>(Text);
     if (!Value)
       fail(Node, Field.Key, "'" + Text + "' is not a number");
     if (*Value <= static_cast<double>(Field.Min) ||
