--- a/review/run-scenario.sh
+++ b/review/run-scenario.sh
@@ -2,11 +2,11 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
 root=$(cd ../.. && pwd)
 daemon=$root/target/src/daemon/geraniumpaddled
-store=$(find "$root/build-review" -type f -name gp_standin_store 2>/dev/null | head -n 1)
+store=$root/build-review/project/standins/store/gp_standin_store
 scenario=$root/build-review/scenario$(basename "$PWD")
 for program in "$daemon" "$store" "$scenario"; do
   if [ ! -x "$program" ]; then
-    echo "not built: ${program:-gp_standin_store}" >&2
+    echo "not built: $program" >&2
     exit 2
   fi
 done
