Review: a restarted worker of the scripts begins its heartbeats anew

Cause: the heartbeats of a restarted worker kept the rhythm of the instance before, which left little time between the end of the cut and the first one.

--- a/review/common/harness.cc
+++ b/review/common/harness.cc
@@ -97,7 +97,7 @@
       static_cast<std::uint64_t>(Loop.wallNow().time_since_epoch().count());
   ClockStart = Loop.now();
   advance();
-  sendHeartbeat();
+  sendHeartbeats(StartTimeMs);
 }
 
 std::int64_t worker::clockMs() const {
@@ -138,6 +138,7 @@
   Record.write("worker " + Shape.Id + " born " + std::to_string(Before) +
                " crashes and starts again, born " +
                std::to_string(StartTimeMs));
+  sendHeartbeats(StartTimeMs);
 }
 
 void worker::leave() {
@@ -356,11 +357,11 @@
   return Body;
 }
 
-void worker::sendHeartbeat() {
-  if (!Server)
+void worker::sendHeartbeats(std::uint64_t OfInstance) {
+  if (!Server || StartTimeMs != OfInstance)
     return;
   Loop.startTimer(std::chrono::milliseconds(HeartbeatMs),
-                  [this] { sendHeartbeat(); });
+                  [this, OfInstance] { sendHeartbeats(OfInstance); });
   if (!IsCut)
     beat([](bool) {});
 }
--- a/review/common/harness.hh
+++ b/review/common/harness.hh
@@ -125,7 +125,8 @@
   void extend(const json &Body);
   void advance();
   void end(const std::string &Task, const std::string &How);
-  void sendHeartbeat();
+  /// Sends heartbeats until the instance has ended.
+  void sendHeartbeats(std::uint64_t OfInstance);
   void beat(const std::function<void(bool Confirmed)> &Done);
   void deregister();
   void finish();
