Review: free ports are probed on the deployment's loopback addresses

Cause: the probe bound the wildcard address for a moment. Done: it binds only the loopback addresses that the scripts use.

--- a/review/common/harness.cc
+++ b/review/common/harness.cc
@@ -33,20 +33,32 @@
 std::string ip(int Last) { return "127.0.0." + std::to_string(Last); }
 std::string entryIp(int Entry) { return ip(11 + Entry); }
 
-/// A port that is free on all addresses of the deployment.
-int freePort(std::set<int> &Taken) {
+/// Binds \p Port, or any port if it is 0. \returns the port; 0 if it is taken.
+int tryPort(const std::string &Ip, int Port) {
+  const int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(static_cast<std::uint16_t>(Port));
+  ::inet_pton(AF_INET, Ip.c_str(), &Address.sin_addr);
+  socklen_t Size = sizeof Address;
+  auto *Raw = reinterpret_cast<sockaddr *>(&Address);
+  const bool Bound =
+      ::bind(Socket, Raw, Size) == 0 && ::getsockname(Socket, Raw, &Size) == 0;
+  ::close(Socket);
+  return Bound ? ntohs(Address.sin_port) : 0;
+}
+
+/// A port that is free on all of \p Ips, which are loopback addresses.
+int freePort(const std::vector<std::string> &Ips, std::set<int> &Taken) {
   for (int Attempt = 0; Attempt < 50; ++Attempt) {
-    const int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in Address{};
-    Address.sin_family = AF_INET;
-    Address.sin_addr.s_addr = htonl(INADDR_ANY);
-    socklen_t Size = sizeof Address;
-    auto *Raw = reinterpret_cast<sockaddr *>(&Address);
-    const bool Bound = ::bind(Socket, Raw, Size) == 0 &&
-                       ::getsockname(Socket, Raw, &Size) == 0;
-    ::close(Socket);
-    if (Bound && Taken.insert(ntohs(Address.sin_port)).second)
-      return ntohs(Address.sin_port);
+    const int Port = tryPort(Ips.front(), 0);
+    const bool Free =
+        Port != 0 &&
+        std::all_of(Ips.begin(), Ips.end(), [Port](const auto &Ip) {
+          return tryPort(Ip, Port) == Port;
+        });
+    if (Free && Taken.insert(Port).second)
+      return Port;
   }
   throw std::runtime_error("no free port");
 }
@@ -457,12 +469,17 @@
 
 bool deployment::start() {
   std::set<int> Taken;
-  const int PeerPort = freePort(Taken);
-  const int HttpPort = freePort(Taken);
-  const int FrontPort = freePort(Taken);
-  const int ReadinessPort = freePort(Taken);
-  const int ControlPort = freePort(Taken);
-  StoreAddress = at("127.0.0.1", freePort(Taken));
+  std::vector<std::string> Ips = {"127.0.0.1"};
+  for (int I = 0; I < EntryCount; ++I)
+    Ips.push_back(entryIp(I));
+  for (int I = 0; I < AgentCount; ++I)
+    Ips.push_back(agentIp(I));
+  const int PeerPort = freePort(Ips, Taken);
+  const int HttpPort = freePort(Ips, Taken);
+  const int FrontPort = freePort(Ips, Taken);
+  const int ReadinessPort = freePort(Ips, Taken);
+  const int ControlPort = freePort(Ips, Taken);
+  StoreAddress = at("127.0.0.1", freePort(Ips, Taken));
   spawn("store", {Paths.Store, "--listen=" + StoreAddress});
   if (!waitFor([&] { return putConfiguration(); }, 10s))
     return false;
