--- a/src/core/work/internal/workerpool.cpp
+++ b/src/core/work/internal/workerpool.cpp
@@ -28,6 +28,20 @@
   return Worker;
 }
 
+void worker_pool::replaceInstance(pool_worker &Worker,
+                                  const worker_instance &Next) {
+  pool_worker Replacement{.Used = Worker.Used,
+                          .Freeing = Worker.Freeing,
+                          .Runs = std::move(Worker.Runs),
+                          .OrdersNumber = Worker.OrdersNumber};
+  Replacement.Description.Instance = Next;
+  for (live_run *Run : Replacement.Runs) {
+    Run->Worker = Next;
+    Run->Listed = false;
+  }
+  Worker = std::move(Replacement);
+}
+
 pool_worker &worker_pool::applyReport(const worker_report &Report,
                                       time_point Now) {
   pool_worker &Worker = Workers[Report.Description.Instance.Worker];
--- a/src/core/work/internal/workerreports.cpp
+++ b/src/core/work/internal/workerreports.cpp
@@ -29,9 +29,11 @@
     return; // a late report of an earlier instance
   if (Existing &&
       Existing->Description.Instance.StartTimeMs < Instance.StartTimeMs) {
-    loseWorkerRuns(*Existing, "new_life", Present);
-    Pool.erase(Instance.Worker);
-    Existing = nullptr;
+    // Until its runs are known, the task of a start that reached the new
+    // instance cannot be told from a lost one.
+    if (!Report.Listing && !Report.Left)
+      return;
+    replaceInstance(*Existing, Report, Present);
   }
   if (Report.Left) {
     if (Existing)
@@ -51,6 +53,26 @@
   }
 }
 
+/// Loses the runs of an earlier instance, except those that the new one lists:
+/// a start that was sent to the earlier instance may reach the new one. Such a
+/// run is stopped, since it was placed for another instance, and its task waits
+/// for its end.
+void work_scheduler::replaceInstance(pool_worker &Worker,
+                                     const worker_report &Report,
+                                     const present_time &Present) {
+  std::set<run_ref> Listed;
+  if (Report.Listing) {
+    for (const running_run &Row : Report.Listing->Running)
+      Listed.insert(Row.Run);
+    for (const finished_run &Row : Report.Listing->Finished)
+      Listed.insert(Row.Run);
+  }
+  loseWorkerRuns(Worker, "new_life", Present, Listed);
+  Pool.replaceInstance(Worker, Report.Description.Instance);
+  for (const live_run *Run : Worker.Runs)
+    stopRun(Run->Run, "new_life");
+}
+
 /// Processes the last ends that the worker lists; its other runs are lost.
 void work_scheduler::workerLeft(pool_worker &Worker,
                                 const worker_report &Report,
@@ -278,12 +300,14 @@
 
 void work_scheduler::loseWorkerRuns(pool_worker &Worker,
                                     std::string_view Reason,
-                                    const present_time &Present) {
+                                    const present_time &Present,
+                                    const std::set<run_ref> &Except) {
   logDecision(decision_kind::WorkerGone, {}, Worker.Description.Instance,
               Reason);
   std::vector<run_ref> Lost;
   for (const live_run *Run : Worker.Runs)
-    Lost.push_back(Run->Run);
+    if (!Except.contains(Run->Run))
+      Lost.push_back(Run->Run);
   for (const run_ref &Run : Lost)
     if (Runs.find(Run))
       runLost(Run, decision_kind::RunLost, Reason, Present);
--- a/src/core/work/internal/workscheduler.cpp
+++ b/src/core/work/internal/workscheduler.cpp
@@ -280,12 +280,18 @@
 
 std::optional<worker_orders>
 work_scheduler::orders(const worker_instance &Instance) const {
-  const pool_worker *Worker = Pool.find(Instance);
-  if (!Worker)
+  const auto Found = Pool.all().find(Instance.Worker);
+  if (Found == Pool.all().end())
+    return std::nullopt;
+  const pool_worker *Worker = &Found->second;
+  const worker_instance &Known = Worker->Description.Instance;
+  if (Instance.StartTimeMs < Known.StartTimeMs)
     return std::nullopt;
   worker_orders Orders{.Version = {Term, Worker->OrdersNumber},
-                       .Instance = Instance,
-                       .AcknowledgedEnds = Worker->AcknowledgedEnd};
+                       .Instance = Instance};
+  if (Instance != Known)
+    return Orders; // it has not been listed yet
+  Orders.AcknowledgedEnds = Worker->AcknowledgedEnd;
   for (const live_run *Run : Worker->Runs) {
     if (Run->Stopping || !Run->Ordered)
       continue;
--- a/src/core/work/tests/schedulerroundtest.cpp
+++ b/src/core/work/tests/schedulerroundtest.cpp
@@ -73,3 +73,38 @@
   runRounds(10);
   LONGS_EQUAL(Count, Stopped);
 }
+
+// The new instance runs a start that was sent to the earlier one. Its task must
+// not run elsewhere before that run has ended.
+TEST(SchedulerRound, ARunThatTheNextInstanceListsHoldsItsTask) {
+  const auto Report = [this](std::uint64_t StartTimeMs,
+                             std::optional<worker_listing> Listing) {
+    feed(worker_reported{
+        {.Description = testing::makeWorker("w1", "r1", StartTimeMs),
+         .Listing = std::move(Listing)}});
+  };
+  Report(1, worker_listing{.StartTimeMs = 1});
+  submit(1, 1, 4s);
+  runRounds(2);
+  LONGS_EQUAL(1, Placed);
+  feed(worker_reported{{.Description = testing::makeWorker("w2"),
+                        .Listing = worker_listing{.StartTimeMs = 1}}});
+  const run_ref Run{{job_id("1-0"), {}}, 1};
+  Report(2, std::nullopt); // its runs are not known yet
+  runRounds(2);
+  LONGS_EQUAL(1, Placed);
+  const worker_instance Next{worker_id("w1"), 2};
+  CHECK(Scheduler->orders(Next) && Scheduler->orders(Next)->Runs.empty());
+  Report(2, worker_listing{.StartTimeMs = 2, .Running = {{.Run = Run}}});
+  runRounds(2);
+  LONGS_EQUAL(1, Placed);
+  LONGS_EQUAL(1, Stopped);
+  Report(2,
+         worker_listing{.StartTimeMs = 2,
+                        .ClockMs = 1,
+                        .Finished = {{.Number = 1,
+                                      .Run = Run,
+                                      .EndReason = run_end_reason::Stopped}}});
+  runRounds(2);
+  LONGS_EQUAL(2, Placed);
+}
--- a/src/core/work/workerpool.h
+++ b/src/core/work/workerpool.h
@@ -54,6 +54,9 @@
   /// Adds an instance that is known only from the log and may hold leases
   /// until \p LeaseEnd.
   pool_worker &addFromLog(const worker_instance &Instance, time_point LeaseEnd);
+  /// Continues the entry with a later instance of its worker. Its runs, which
+  /// the later instance has to have, move to that instance.
+  void replaceInstance(pool_worker &Worker, const worker_instance &Next);
   /// Updates a worker from its report and extends its lease.
   pool_worker &applyReport(const worker_report &Report, time_point Now);
   void erase(const worker_id &Worker) { Workers.erase(Worker); }
--- a/src/core/workhost/internal/runreconciler.cpp
+++ b/src/core/workhost/internal/runreconciler.cpp
@@ -94,6 +94,7 @@
     Started.insert(Event.Run);
     break;
   case worker_call_result::Unknown:
+    InstanceAnswers = false;
     UnconfirmedStarts.insert(Event.Run);
     RetryAt[Event.Run] = Now + RetryDelay;
     break;
@@ -128,6 +129,7 @@
 
 void run_reconciler::onListing(const listing_received &Event,
                                const time_point &Now) {
+  InstanceAnswers = true;
   ListingPending = false;
   LastReceived = RequestedListings;
   FailedListings = 0;
@@ -156,6 +158,7 @@
 
 void run_reconciler::onListingFailed(const listing_failed &Event,
                                      const time_point &Now) {
+  InstanceAnswers = false;
   ListingPending = false;
   RefusedConnections =
       ShutdownAnnounced && Event.ConnectionRefused ? RefusedConnections + 1 : 0;
@@ -221,6 +224,8 @@
       sendStop(Run);
     return;
   }
+  if (!InstanceAnswers)
+    return; // continues with the next listing
   const auto Retry = RetryAt.find(Run);
   if (Retry != RetryAt.end() && Retry->second > Now) {
     Commands.emplace_back(set_reconciler_timer{Retry->second});
@@ -276,11 +281,11 @@
   ++RequestedListings;
   if (ordersApplied())
     PendingVersion = Orders.Version;
-  Commands.emplace_back(list_runs{.AcknowledgedEnds = Orders.AcknowledgedEnds,
-                                  .LeaseEndMs = LeaseEndMs,
-                                  .Wait = Listing && !Description.Draining
-                                              ? Limits.ListingWait
-                                              : duration{}});
+  const bool MayWait = InstanceAnswers && !Description.Draining;
+  Commands.emplace_back(
+      list_runs{.AcknowledgedEnds = Orders.AcknowledgedEnds,
+                .LeaseEndMs = LeaseEndMs,
+                .Wait = MayWait ? Limits.ListingWait : duration{}});
 }
 
 worker_report run_reconciler::report() const {
--- a/src/core/workhost/runreconciler.h
+++ b/src/core/workhost/runreconciler.h
@@ -16,6 +16,9 @@
 /// while the orders contain the run. Once they don't, a stop makes the worker
 /// refuse a start that is still in flight; only then is the run reported as
 /// absent.
+///
+/// The worker may restart under its id, and calls name nothing but the id. So a
+/// run is started only while the last call was answered by this instance.
 class run_reconciler {
 public:
   run_reconciler(const reconciler_limits &Limits,
@@ -85,6 +88,9 @@
   std::optional<std::int64_t> LeaseEndMs;
   orders_version Applied;        ///< reflected by Listing
   orders_version PendingVersion; ///< reflected by the pending listing
+  /// This instance has answered a listing since the last call without an
+  /// answer.
+  bool InstanceAnswers = false;
   bool ListingPending = false;
   std::uint64_t RequestedListings = 0;
   std::uint64_t LastReceived = 0; ///< number of the last listing
--- a/src/core/workhost/tests/clustersimulation.cpp
+++ b/src/core/workhost/tests/clustersimulation.cpp
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr duration Tick = 10ms;
+constexpr duration HeartbeatInterval = 1s;
+/// Timeout of a call to a worker.
+constexpr duration CallTimeout = 600ms;
 constexpr int FullPercent = 100;
 
 /// The payload gives the run time of the task in milliseconds, followed by 'f'
@@ -130,14 +133,15 @@
 
 // Agents
 
-void cluster_simulation::restartAgent(int Worker) {
+void cluster_simulation::restartAgent(int Worker) { beginSession(Worker); }
+
+void cluster_simulation::beginSession(int Worker) {
   agent &Agent = Agents[static_cast<std::size_t>(Worker)];
-  const std::uint64_t Incarnation = Agent.Incarnation + 1;
-  const time_point DisconnectedUntil = Agent.DisconnectedUntil;
-  Agent = {};
-  Agent.DisconnectedUntil = DisconnectedUntil;
-  Agent.Incarnation = Incarnation;
-  Agent.Token = Incarnation;
+  agent Next;
+  Next.DisconnectedUntil = Agent.DisconnectedUntil;
+  Next.CutUntil = Agent.CutUntil;
+  Next.Session = Agent.Session + 1;
+  Agent = std::move(Next);
   worker_description Description =
       makeWorker(workerId(Worker).view(), Worker % 2 ? "r1" : "r2");
   Description.Instance.StartTimeMs =
@@ -149,7 +153,45 @@
 
 void cluster_simulation::restartWorker(int Worker) {
   SimulatedWorkers.restart(workerId(Worker), Now);
-  restartAgent(Worker); // its heartbeat begins a new session
+  schedule(1ms * (Random() % millisecondsOf(HeartbeatInterval)),
+           [this, Worker] { sendHeartbeat(Worker); });
+}
+
+void cluster_simulation::sendHeartbeat(int Worker) {
+  const agent &Agent = Agents[static_cast<std::size_t>(Worker)];
+  if (Agent.CutUntil > Now) {
+    schedule(HeartbeatInterval, [this, Worker] { sendHeartbeat(Worker); });
+    return;
+  }
+  const std::uint64_t Known =
+      Agent.Reconciler->description().Instance.StartTimeMs;
+  if (Known < SimulatedWorkers.startTimeMs(workerId(Worker)))
+    beginSession(Worker);
+}
+
+void cluster_simulation::cutWorker(int Worker, duration For) {
+  Agents[static_cast<std::size_t>(Worker)].CutUntil = Now + For;
+}
+
+std::optional<duration> cluster_simulation::timeToWorker(int Worker) {
+  if (ExitedWorkers.contains(Worker))
+    return std::nullopt;
+  const time_point CutUntil = Agents[static_cast<std::size_t>(Worker)].CutUntil;
+  const duration Time = std::max(CutUntil - Now, duration{}) + delay();
+  return Time < CallTimeout ? std::optional(Time) : std::nullopt;
+}
+
+bool cluster_simulation::inSession(int Worker) const {
+  return Agents[static_cast<std::size_t>(Worker)]
+             .Reconciler->description()
+             .Instance.StartTimeMs ==
+         SimulatedWorkers.startTimeMs(workerId(Worker));
+}
+
+void cluster_simulation::answer(int Worker, std::uint64_t Session,
+                                const reconciler_event &Event) {
+  if (Agents[static_cast<std::size_t>(Worker)].Session == Session)
+    feedAgent(Worker, Event);
 }
 
 void cluster_simulation::shutDownWorker(int Worker) {
@@ -197,68 +239,107 @@
     Agent.ReportWanted = true;
   if (const auto *Timer = std::get_if<set_reconciler_timer>(&Command))
     Agent.TimerAt = std::min(Agent.TimerAt, Timer->At);
-  if (const auto *Stop = std::get_if<stop_run>(&Command)) {
-    const run_ref Run = Stop->Run;
-    const bool Lost = chance(Faults.LostOrders);
-    const auto Incarnation = Agent.Incarnation;
-    const worker_instance Instance = Agent.Reconciler->description().Instance;
-    const std::uint64_t Token = Agent.Token;
-    schedule(delay(), [=, this] {
-      const auto Answer = SimulatedWorkers.stop(Instance, Token, Run, Now);
-      agent &Current = Agents[static_cast<std::size_t>(Worker)];
-      if (Current.Incarnation != Incarnation)
-        return;
-      const bool Done = Answer == standins::order_result::Done && !Lost;
-      feedAgent(Worker, stop_answered{Run, Done ? worker_call_result::Done
-                                                : worker_call_result::Unknown});
+  if (const auto *Stop = std::get_if<stop_run>(&Command))
+    stop(Worker, *Stop);
+}
+
+void cluster_simulation::stop(int Worker, const stop_run &Command) {
+  const std::uint64_t Session =
+      Agents[static_cast<std::size_t>(Worker)].Session;
+  const run_ref Run = Command.Run;
+  const auto Time = timeToWorker(Worker);
+  if (!Time) {
+    schedule(CallTimeout, [=, this] {
+      answer(Worker, Session, stop_answered{Run, worker_call_result::Unknown});
     });
+    return;
   }
+  const bool Lost = chance(Faults.LostOrders);
+  schedule(*Time, [=, this] {
+    const auto Result =
+        SimulatedWorkers.stop(workerId(Worker), Session, Run, Now);
+    const bool Done = Result == standins::order_result::Done && !Lost;
+    answer(Worker, Session,
+           stop_answered{Run, Done ? worker_call_result::Done
+                                   : worker_call_result::Unknown});
+  });
 }
 
 void cluster_simulation::start(int Worker, const start_run &Command) {
-  agent &Agent = Agents[static_cast<std::size_t>(Worker)];
-  const auto Incarnation = Agent.Incarnation;
-  const worker_instance Instance = Agent.Reconciler->description().Instance;
-  const std::uint64_t Token = Agent.Token;
-  auto Answered = [=, this](worker_call_result Result, start_refusal Reason) {
-    if (Agents[static_cast<std::size_t>(Worker)].Incarnation == Incarnation)
-      feedAgent(Worker, start_answered{Command.Run.Run, Result, Reason});
+  const std::uint64_t Session =
+      Agents[static_cast<std::size_t>(Worker)].Session;
+  const worker_id Id = workerId(Worker);
+  const auto Answered = [=, this](worker_call_result Result,
+                                  start_refusal Reason = {}) {
+    answer(Worker, Session, start_answered{Command.Run.Run, Result, Reason});
   };
-  if (chance(Faults.LateOrders)) {
-    schedule(2s + 1ms * (Random() % 10000), [=, this] {
-      SimulatedWorkers.start(Instance, Token, Command, Now);
-    });
-    schedule(500ms, [=] { Answered(worker_call_result::Unknown, {}); });
+  const auto Time = timeToWorker(Worker);
+  const bool Late = chance(Faults.LateOrders);
+  if (!Time || Late)
+    schedule(CallTimeout, [=] { Answered(worker_call_result::Unknown); });
+  if (!Time)
     return;
-  }
   const bool Lost = chance(Faults.LostOrders);
-  schedule(delay(), [=, this] {
-    const auto Answer = SimulatedWorkers.start(Instance, Token, Command, Now);
-    if (Lost || Answer == standins::order_result::OtherInstance)
-      Answered(worker_call_result::Unknown, {});
-    else if (Answer == standins::order_result::Done)
-      Answered(worker_call_result::Done, {});
+  const std::uint64_t Wanted = Agents[static_cast<std::size_t>(Worker)]
+                                   .Reconciler->description()
+                                   .Instance.StartTimeMs;
+  schedule(*Time, [=, this] {
+    if (!Faults.UnboundStarts && SimulatedWorkers.startTimeMs(Id) != Wanted) {
+      Answered(worker_call_result::Refused, start_refusal::Stale);
+      return;
+    }
+    if (Late) {
+      // The instance that got the start carries it out, or nobody does.
+      const std::uint64_t StartTimeMs = SimulatedWorkers.startTimeMs(Id);
+      schedule(2s + 1ms * (Random() % 10000), [=, this] {
+        if (SimulatedWorkers.startTimeMs(Id) == StartTimeMs)
+          SimulatedWorkers.start(Id, Session, Command, Now);
+      });
+      return;
+    }
+    const auto Result = SimulatedWorkers.start(Id, Session, Command, Now);
+    if (Lost)
+      Answered(worker_call_result::Unknown);
+    else if (Result == standins::order_result::Done)
+      Answered(worker_call_result::Done);
     else
       Answered(worker_call_result::Refused,
-               Answer == standins::order_result::Stale ? start_refusal::Stale
+               Result == standins::order_result::Stale ? start_refusal::Stale
                                                        : start_refusal::Late);
   });
 }
 
 void cluster_simulation::list(int Worker, const list_runs &Command) {
   agent &Agent = Agents[static_cast<std::size_t>(Worker)];
-  const worker_instance Instance = Agent.Reconciler->description().Instance;
-  if (SimulatedWorkers.acceptListOrder(Instance, Agent.Token, Command, Now) !=
-      standins::order_result::Done) {
-    const auto Incarnation = Agent.Incarnation;
-    schedule(delay(), [=, this] {
-      if (Agents[static_cast<std::size_t>(Worker)].Incarnation == Incarnation)
-        feedAgent(Worker, listing_failed{ExitedWorkers.contains(Worker)});
+  const std::uint64_t Session = Agent.Session;
+  const auto Fail = [&](duration After, bool Refused) {
+    schedule(After, [=, this] {
+      answer(Worker, Session, listing_failed{.ConnectionRefused = Refused});
     });
+  };
+  const auto Time = timeToWorker(Worker);
+  if (!Time) {
+    const bool Refused = ExitedWorkers.contains(Worker);
+    Fail(Refused ? delay() : CallTimeout, Refused);
+    return;
+  }
+  if (!inSession(Worker) ||
+      SimulatedWorkers.acceptListOrder(workerId(Worker), Session, Command,
+                                       Now) != standins::order_result::Done) {
+    Fail(*Time, false);
     return;
   }
-  Agent.ListAt = Now + std::max(Command.Wait, duration(delay()));
-  Agent.ListingAcknowledged = Command.AcknowledgedEnds;
+  Agent.ListAt = Now + std::max(Command.Wait, *Time);
+}
+
+void cluster_simulation::answerListing(int Worker) {
+  agent &Agent = Agents[static_cast<std::size_t>(Worker)];
+  Agent.ListAt.reset();
+  if (Agent.CutUntil > Now || !inSession(Worker))
+    feedAgent(Worker, listing_failed{});
+  else
+    feedAgent(Worker, listing_received{
+                          SimulatedWorkers.listing(workerId(Worker), Now)});
 }
 
 void cluster_simulation::sendReport(int Worker) {
@@ -270,7 +351,7 @@
   const worker_report Report = Agent.Reconciler->report();
   const auto Clock =
       Report.Listing ? std::optional(Report.Listing->ClockMs) : std::nullopt;
-  const auto Incarnation = Agent.Incarnation;
+  const std::uint64_t Session = Agent.Session;
   schedule(delay(), [=, this] {
     feedScheduler(worker_reported{Report});
     const auto Orders = Scheduler->orders(Report.Description.Instance);
@@ -278,8 +359,7 @@
       return;
     schedule(delay(), [=, this] {
       agent &Current = Agents[static_cast<std::size_t>(Worker)];
-      if (Current.Incarnation == Incarnation &&
-          Current.DisconnectedUntil <= Now)
+      if (Current.Session == Session && Current.DisconnectedUntil <= Now)
         feedAgent(Worker, orders_received{*Orders, Clock});
     });
   });
@@ -307,11 +387,8 @@
         Agent.ListAt &&
         SimulatedWorkers.hasUnacknowledgedEnds(workerId(Worker)) &&
         Random() % 3 == 0;
-    if (Agent.ListAt && (*Agent.ListAt <= Now || Ends)) {
-      Agent.ListAt.reset();
-      feedAgent(Worker, listing_received{
-                            SimulatedWorkers.listing(workerId(Worker), Now)});
-    }
+    if (Agent.ListAt && (*Agent.ListAt <= Now || Ends))
+      answerListing(Worker);
     if (Agent.TimerAt <= Now)
       feedAgent(Worker, reconciler_timer_expired{});
     // Frequent reports stand for a report that the scheduler keeps open until
--- a/src/core/workhost/tests/clustersimulation.h
+++ b/src/core/workhost/tests/clustersimulation.h
@@ -23,6 +23,9 @@
   int LostOrders = 0;  ///< starts and stops executed, but not answered
   int LateOrders = 0;  ///< starts executed seconds later
   int SlowAppends = 0; ///< appends that take up to 2 s
+  /// Starts reach whichever instance runs under the worker's id, as if they
+  /// were not bound to the connection of an instance.
+  bool UnboundStarts = false;
 };
 
 /// Simulation of scheduler, agents, workers and log without sockets: the core
@@ -40,7 +43,11 @@
   void handOver();
   /// Restarts the agent process while its worker keeps running.
   void restartAgent(int Worker);
+  /// The worker crashes and starts again under its id. Its agent hears of it
+  /// with the next heartbeat.
   void restartWorker(int Worker);
+  /// The worker neither receives nor sends anything for a time.
+  void cutWorker(int Worker, duration For);
   /// The worker announces its shutdown, is listed once more, and exits.
   void shutDownWorker(int Worker);
   void drainWorker(int Worker, duration Remaining);
@@ -64,15 +71,15 @@
 private:
   struct agent {
     std::unique_ptr<run_reconciler> Reconciler;
-    std::uint64_t Token = 0;
-    std::uint64_t Incarnation = 0;
+    /// Number of the agent's session, which is also its fencing token.
+    std::uint64_t Session = 0;
     orders_version Known;
     time_point DisconnectedUntil{};
     time_point TimerAt = time_point::max();
     bool ReportWanted = false;
     time_point LastReport{};
     std::optional<time_point> ListAt; ///< answer time of the open listing
-    std::uint64_t ListingAcknowledged = 0;
+    time_point CutUntil{};            ///< the worker is unreachable until then
   };
   struct delayed {
     time_point At;
@@ -86,10 +93,22 @@
   worker_id workerId(int Worker) const;
   void feedScheduler(const scheduler_event &Event);
   void append(append_progress Command, std::uint64_t Term);
+  /// Begins a session of the agent with the present instance of its worker.
+  void beginSession(int Worker);
+  void sendHeartbeat(int Worker);
+  /// Feeds the answer to a call unless its session has ended.
+  void answer(int Worker, std::uint64_t Session, const reconciler_event &Event);
+  /// Time until a call that is sent now reaches the worker; nothing if it times
+  /// out before.
+  std::optional<duration> timeToWorker(int Worker);
+  /// Whether the agent's session is with the worker's present instance.
+  bool inSession(int Worker) const;
   void feedAgent(int Worker, const reconciler_event &Event);
   void execute(int Worker, const reconciler_command &Command);
   void start(int Worker, const start_run &Command);
+  void stop(int Worker, const stop_run &Command);
   void list(int Worker, const list_runs &Command);
+  void answerListing(int Worker);
   void sendReport(int Worker);
   void answerReport(int Worker, std::optional<std::int64_t> Clock);
   void tick();
--- a/src/core/workhost/tests/clustersimulationtest.cpp
+++ b/src/core/workhost/tests/clustersimulationtest.cpp
@@ -194,6 +194,23 @@
     LONGS_EQUAL(1, Task.Run);
 }
 
+// A worker is cut off, crashes and starts again under its id. A start that was
+// sent during the cut must not reach the new instance while the task runs
+// elsewhere.
+TEST(ClusterSimulation, AStartForACutOffWorkerIsNotRepeatedAtItsNextInstance) {
+  for (int Cut = 0; Cut < Workers; ++Cut) {
+    cluster_simulation Each{1, Workers, {.UnboundStarts = true}};
+    Each.runFor(1s);
+    Each.cutWorker(Cut, 4700ms);
+    Each.submit(jobOf("j1", Workers - 1, "8000", 8));
+    Each.runFor(3s);
+    Each.restartWorker(Cut);
+    CHECK(Each.runUntil([&] { return Each.state(Job) == job_state::Completed; },
+                        20s));
+    checkNoViolation(Each);
+  }
+}
+
 TEST(ClusterSimulation, AGuaranteedJobPreemptsOthers) {
   Simulation.submit(jobOf("filler", 32, "60000"));
   Simulation.runFor(1s);
@@ -272,11 +289,12 @@
   void apply(const simulation_step &Step) {
     using action = void (random_scenario::*)(const simulation_step &);
     static constexpr action Actions[] = {
-        &random_scenario::submit,       &random_scenario::submit,
-        &random_scenario::submitGang,   &random_scenario::urgent,
-        &random_scenario::cancel,       &random_scenario::takeOver,
-        &random_scenario::restartAgent, &random_scenario::restartWorker,
-        &random_scenario::disconnect};
+        &random_scenario::submit,          &random_scenario::submit,
+        &random_scenario::submitGang,      &random_scenario::urgent,
+        &random_scenario::cancel,          &random_scenario::takeOver,
+        &random_scenario::restartAgent,    &random_scenario::restartWorker,
+        &random_scenario::disconnect,      &random_scenario::cutWorker,
+        &random_scenario::restartCutWorker};
     (this->*Actions[Step.Kind])(Step);
     Simulation.runFor(1ms * Step.WaitMs);
   }
@@ -326,6 +344,15 @@
     Simulation.disconnectAgent(Step.Target, 1s * Step.Amount);
   }
 
+  void cutWorker(const simulation_step &Step) {
+    Simulation.cutWorker(Step.Target, 1s * Step.Amount);
+  }
+  void restartCutWorker(const simulation_step &Step) {
+    cutWorker(Step);
+    Simulation.runFor(250ms * Step.Amount);
+    Simulation.restartWorker(Step.Target);
+  }
+
   int Jobs = 0;
 };
 
@@ -362,6 +389,10 @@
   CHECK(invariantsHold({.LostOrders = 20, .LateOrders = 10}));
 }
 
+TEST(ClusterSimulationProperties, HoldWithStartsThatReachTheNextInstance) {
+  CHECK(invariantsHold({.LostOrders = 20, .UnboundStarts = true}));
+}
+
 TEST(ClusterSimulationProperties, HoldWithASlowLog) {
   CHECK(invariantsHold({.LostReports = 5, .LostOrders = 5, .SlowAppends = 50}));
 }
--- a/src/core/workhost/tests/runreconcilertest.cpp
+++ b/src/core/workhost/tests/runreconcilertest.cpp
@@ -79,12 +79,28 @@
   CHECK(!Start);
 }
 
-TEST(RunReconciler, RepeatsAStartOfUnknownOutcome) {
+// The worker may have restarted under its id since the last listing.
+TEST(RunReconciler, RepeatsAStartOfUnknownOutcomeOnlyAfterAnotherListing) {
   begin();
   feed(start_answered{Run, worker_call_result::Unknown});
   CHECK(!Start);
   Now += 200ms;
   feed(reconciler_timer_expired{});
+  CHECK(!Start);
+  listing();
+  CHECK(Start.has_value());
+}
+
+TEST(RunReconciler, StartsNothingAfterAListingThatFailed) {
+  feed(reconciler_timer_expired{});
+  listing();
+  feed(listing_failed{});
+  orders(1, true);
+  CHECK(!Start);
+  Now += 200ms;
+  feed(reconciler_timer_expired{});
+  CHECK(List && List->Wait == duration{});
+  listing();
   CHECK(Start.has_value());
 }
 
@@ -109,7 +125,7 @@
   begin();
   feed(start_answered{Run, worker_call_result::Unknown});
   Now += 200ms;
-  feed(reconciler_timer_expired{});
+  listing();
   feed(start_answered{Run, worker_call_result::Refused, start_refusal::Stale});
   CHECK(Stop == Run);
   feed(stop_answered{Run, worker_call_result::Done});
--- a/src/jobagent/internal/jobagentrole.cpp
+++ b/src/jobagent/internal/jobagentrole.cpp
@@ -141,6 +141,7 @@
     return Each.second->address() == WorkerAddress ||
            Each.first == Description.Instance.Worker;
   });
+  Fencing.advance();
   auto Session = std::make_unique<worker_session>(
       Environment.Loop, Environment.Worker, Scheduler, Fencing,
       limitsFrom(Settings), WorkerAddress, Description);
--- a/src/jobagent/internal/workersession.cpp
+++ b/src/jobagent/internal/workersession.cpp
@@ -25,7 +25,7 @@
                                std::string Address,
                                work::worker_description Description)
     : Loop(Loop), Worker(Worker), Scheduler(Scheduler),
-      Fencing(Fencing), Target{std::move(Address), Description.Instance.Worker,
+      Fencing(Fencing), Target{std::move(Address), Description.Instance,
                                Fencing.token()},
       Reconciler(Limits, std::move(Description)), LastHeartbeat(Loop.now()),
       ReconcilerTimer(Loop), ReportTimer(Loop) {}
--- a/src/jobagent/tests/jobagenttest.cpp
+++ b/src/jobagent/tests/jobagenttest.cpp
@@ -90,6 +90,16 @@
   STRCMP_EQUAL("127.0.0.1:80", Worker.Listed.front().Address.c_str());
 }
 
+// A call of an earlier session that is still on its way must not have an effect
+// on the new instance.
+TEST(JobAgent, ASessionWithANewInstanceHasAHigherFencingToken) {
+  send("w1", heartbeat("127.0.0.1:80", 1));
+  send("w1", heartbeat("127.0.0.1:80", 2));
+  LONGS_EQUAL(2, Worker.Listed.size());
+  CHECK(Worker.Listed[0].FencingToken < Worker.Listed[1].FencingToken);
+  LONGS_EQUAL(2, Worker.Listed[1].Instance.StartTimeMs);
+}
+
 // Heartbeats may come from another program. One that can't be used must not
 // replace the worker that is known, even if its start time is later.
 TEST(JobAgent, AnUnusableHeartbeatDoesNotReplaceAKnownWorker) {
--- a/src/jobagent/workersession.h
+++ b/src/jobagent/workersession.h
@@ -12,12 +12,15 @@
 
 namespace geraniumpaddle {
 
-/// Source of the fencing token, by which workers refuse calls of earlier runs
-/// of this agent.
+/// Source of the fencing token, by which workers refuse calls of earlier
+/// sessions and of earlier runs of this agent.
 class fencing_source {
 public:
   explicit fencing_source(std::uint64_t First) : Token(First) {}
   std::uint64_t token() const { return Token; }
+  /// Called when a session begins: once its first call has arrived, the worker
+  /// refuses calls of earlier sessions.
+  void advance() { ++Token; }
   /// Called after a worker refused the token, since it had seen a higher one.
   void raise() { Token += Step; }
 
--- a/src/platform/internal/taskworkerclient.cpp
+++ b/src/platform/internal/taskworkerclient.cpp
@@ -139,21 +139,89 @@
 
 } // namespace
 
-void task_worker_client::post(const worker_target &Target,
-                              std::string_view Path, std::string Body,
-                              duration Limit,
-                              std::function<void(const http_result &)> Done) {
-  Http.send({.Address = Target.Address,
-             .Method = "POST",
-             .Target = std::string(Path),
-             .Headers = {{"Content-Type", "application/json"},
-                         {"X-Expected-Instance", Target.Worker.str()}},
-             .Body = std::move(Body),
-             .Timeout = Limit,
-             // Idempotent: each call names its run.
-             .Reuse = connection_reuse::Always,
-             .Cause = "worker"},
-            std::move(Done));
+http_call task_worker_client::makeCall(const worker_target &Target,
+                                       std::string_view Path, std::string Body,
+                                       duration Limit) const {
+  return {.Address = Target.Address,
+          .Method = "POST",
+          .Target = std::string(Path),
+          .Headers = {{"Content-Type", "application/json"},
+                      {"X-Expected-Instance", Target.Instance.Worker.str()}},
+          .Body = std::move(Body),
+          .Timeout = Limit,
+          // Idempotent: each call names its run.
+          .Reuse = connection_reuse::Always,
+          .Cause = "worker"};
+}
+
+std::optional<http_connection_id>
+task_worker_client::takeConnection(const worker_target &Target) {
+  const auto Found = Connections.find(Target.Address);
+  if (Found == Connections.end() || Found->second.Instance != Target.Instance ||
+      Found->second.Idle.empty())
+    return std::nullopt;
+  const http_connection_id Taken = Found->second.Idle.back();
+  Found->second.Idle.pop_back();
+  return Taken;
+}
+
+void task_worker_client::keepConnection(const worker_target &Target,
+                                        const http_result &Result) {
+  instance_connections &Kept = Connections[Target.Address];
+  if (Kept.Instance.StartTimeMs > Target.Instance.StartTimeMs)
+    return; // answers of an earlier instance
+  if (Kept.Instance != Target.Instance)
+    Kept = {.Instance = Target.Instance};
+  if (Result.Connection)
+    Kept.Idle.push_back(*Result.Connection);
+}
+
+void task_worker_client::sendToInstance(
+    const worker_target &Target, http_call Call, result_function Done,
+    std::function<void()> WithoutConnection) {
+  Call.Connection = takeConnection(Target);
+  if (!Call.Connection) {
+    WithoutConnection();
+    return;
+  }
+  http_call Copy = Call;
+  Http.send(std::move(Call),
+            [this, Target, Copy = std::move(Copy), Done = std::move(Done),
+             WithoutConnection =
+                 std::move(WithoutConnection)](const http_result &Result) {
+              if (Result.Status == call_status::NotSent) {
+                // The connection was closed while it was idle.
+                sendToInstance(Target, Copy, Done, WithoutConnection);
+                return;
+              }
+              keepConnection(Target, Result);
+              Done(Result);
+            });
+}
+
+void task_worker_client::identify(const worker_target &Target,
+                                  result_function Done) {
+  const json Body = {{"FencingToken", Target.FencingToken}};
+  http_call Call = makeCall(Target, "/api/hold", Body.dump(), Timeout);
+  Call.Reuse = connection_reuse::Never;
+  Http.send(std::move(Call), [this, Target, Done = std::move(Done)](
+                                 const http_result &Result) {
+    if (!Result.ok()) {
+      Done(Result);
+      return;
+    }
+    const auto Listing = toListingOutcome(Result).Listing;
+    if (Listing && Listing->StartTimeMs == Target.Instance.StartTimeMs) {
+      Done(Result);
+      return;
+    }
+    Log.event("other_instance_answers",
+              {{"worker", Target.Instance.Worker.view()},
+               {"born", Target.Instance.StartTimeMs},
+               {"answers", Listing ? Listing->StartTimeMs : 0},
+               {"answer", Listing ? "" : Result.Body}});
+    Done({.Status = call_status::Completed, .Code = MisdirectedRequest});
+  });
 }
 
 void task_worker_client::start(
@@ -164,31 +232,48 @@
   Body["DeadlineMs"] = Order.LeaseEndMs;
   if (!Order.Run.Checkpoint.empty())
     Body["LastCheckpoint"] = Order.Run.Checkpoint;
-  post(Target, "/api/run-start", Body.dump(), Timeout,
-       [this, Name = taskName(Order.Run.Run.Task),
-        Done = std::move(Done)](const http_result &Result) {
-         if (!Result.ok())
-           Log.event("run_start_failed", {{"task", Name},
-                                          {"code", Result.Code},
-                                          {"answer", Result.Body}});
-         Done(toStartOutcome(Result));
-       });
+  http_call Call = makeCall(Target, "/api/run-start", Body.dump(), Timeout);
+  const result_function Finish =
+      [this, Name = taskName(Order.Run.Run.Task),
+       Born = Target.Instance.StartTimeMs,
+       Done = std::move(Done)](const http_result &Result) {
+        if (!Result.ok())
+          Log.event("run_start_failed", {{"task", Name},
+                                         {"born", Born},
+                                         {"code", Result.Code},
+                                         {"answer", Result.Body}});
+        Done(toStartOutcome(Result));
+      };
+  sendToInstance(Target, Call, Finish, [this, Target, Call, Finish] {
+    identify(Target, [this, Target, Call, Finish](const http_result &Result) {
+      if (!Result.ok()) {
+        Finish(Result);
+        return;
+      }
+      keepConnection(Target, Result);
+      if (Result.Connection)
+        sendToInstance(Target, Call, Finish, [Finish] { Finish({}); });
+      else // the worker closes each connection
+        Http.send(Call, Finish);
+    });
+  });
 }
 
 void task_worker_client::stop(
     const worker_target &Target, const work::run_ref &Run,
     std::function<void(work::worker_call_result)> Done) {
-  post(Target, "/api/run-stop", makeRunBody(Target, Run).dump(), Timeout,
-       [this, Name = taskName(Run.Task),
-        Done = std::move(Done)](const http_result &Result) {
-         if (!Result.ok())
-           Log.event("run_stop_failed", {{"task", Name},
-                                         {"code", Result.Code},
-                                         {"answer", Result.Body}});
-         Done(Result.ok() || Result.Code == MisdirectedRequest
-                  ? work::worker_call_result::Done
-                  : work::worker_call_result::Unknown);
-       });
+  Http.send(makeCall(Target, "/api/run-stop", makeRunBody(Target, Run).dump(),
+                     Timeout),
+            [this, Name = taskName(Run.Task),
+             Done = std::move(Done)](const http_result &Result) {
+              if (!Result.ok())
+                Log.event("run_stop_failed", {{"task", Name},
+                                              {"code", Result.Code},
+                                              {"answer", Result.Body}});
+              Done(Result.ok() || Result.Code == MisdirectedRequest
+                       ? work::worker_call_result::Done
+                       : work::worker_call_result::Unknown);
+            });
 }
 
 void task_worker_client::list(
@@ -201,14 +286,26 @@
     Body["DeadlineMs"] = *Order.LeaseEndMs;
   if (WaitMs > 0)
     Body["WaitMs"] = WaitMs;
-  post(Target, "/api/hold", Body.dump(), Timeout + Order.Wait,
-       [this, Done = std::move(Done)](const http_result &Result) {
-         const listing_outcome Outcome = toListingOutcome(Result);
-         if (!Outcome.Listing)
-           Log.event("listing_failed",
-                     {{"code", Result.Code}, {"answer", Result.Body}});
-         Done(Outcome);
-       });
+  const result_function Finish =
+      [this, Done = std::move(Done)](const http_result &Result) {
+        const listing_outcome Outcome = toListingOutcome(Result);
+        if (!Outcome.Listing)
+          Log.event("listing_failed",
+                    {{"code", Result.Code}, {"answer", Result.Body}});
+        Done(Outcome);
+      };
+  const http_call Call =
+      makeCall(Target, "/api/hold", Body.dump(), Timeout + Order.Wait);
+  sendToInstance(Target, Call, Finish, [this, Target, Call, Finish] {
+    identify(Target, [this, Target, Call, Finish](const http_result &Result) {
+      if (Result.ok() && !Result.Connection) {
+        Http.send(Call, Finish); // the worker closes each connection
+        return;
+      }
+      keepConnection(Target, Result);
+      Finish(Result);
+    });
+  });
 }
 
 } // namespace geraniumpaddle
--- a/src/platform/itaskworker.h
+++ b/src/platform/itaskworker.h
@@ -6,7 +6,8 @@
 
 namespace geraniumpaddle {
 
-/// Interface of a worker of the platform to its agent.
+/// Interface of a worker of the platform to its agent. Starts and listings
+/// reach the instance of their target or none.
 class itask_worker {
 public:
   virtual ~itask_worker() = default;
--- a/src/platform/tests/taskworkerclienttest.cpp
+++ b/src/platform/tests/taskworkerclienttest.cpp
@@ -23,23 +23,38 @@
 TEST_GROUP(TaskWorkerClient) {
   testing::fake_http_client Http;
   task_worker_client Worker{Http, 600ms};
-  worker_target Target{"10.0.0.1:80", worker_id("i-1"), 9};
+  worker_target Target{"10.0.0.1:80", {worker_id("i-1"), 77}, 9};
   work::run_ref Run{{job_id("00000000000000aa"), {0, 1, 17}}, 2};
 
   nlohmann::json body() {
     return nlohmann::json::parse(Http.Calls.front().first.Body);
   }
+  /// Answers as the instance of the target, on a connection that is kept.
+  void identify() {
+    Http.answer({.Status = call_status::Completed,
+                 .Code = 200,
+                 .Body = R"({"ClockMs":1,"born":77})",
+                 .Connection = http_connection_id{1}});
+  }
+  /// Makes a connection to the instance known.
+  void connect() {
+    Worker.list(Target, {}, [](const listing_outcome &) {});
+    identify();
+  }
   listing_outcome list(const char *Answer, int Code = 200) {
     listing_outcome Outcome;
     Worker.list(Target, {.AcknowledgedEnds = 5},
                 [&](const listing_outcome &Each) { Outcome = Each; });
-    Http.answer(
-        {.Status = call_status::Completed, .Code = Code, .Body = Answer});
+    Http.answer({.Status = call_status::Completed,
+                 .Code = Code,
+                 .Body = Answer,
+                 .Connection = http_connection_id{1}});
     return Outcome;
   }
 };
 
 TEST(TaskWorkerClient, EncodesAStart) {
+  connect();
   Worker.start(Target,
                {.Run = {.Run = Run, .Payload = "p", .Checkpoint = "c"},
                 .LeaseEndMs = 486000},
@@ -55,6 +70,7 @@
 }
 
 TEST(TaskWorkerClient, OmitsAnEmptyCheckpoint) {
+  connect();
   Worker.start(Target, {.Run = {.Run = Run}}, [](const start_outcome &) {});
   CHECK(!body().contains("LastCheckpoint"));
 }
@@ -106,16 +122,101 @@
        start_refusal::Unhealthy},
   };
   for (const start_case &Each : Cases) {
+    connect();
     start_outcome Outcome;
     Worker.start(Target, {.Run = {.Run = Run}},
                  [&](const start_outcome &Answer) { Outcome = Answer; });
     Http.answer(Each.Result);
+    if (Each.Result.Status == call_status::NotSent)
+      Http.answer(Each.Result); // on a new connection
     CHECK_TEXT(Outcome.Result == Each.Expected, Each.Name);
     if (Outcome.Result == work::worker_call_result::Refused)
       CHECK_TEXT(Outcome.Reason == Each.Reason, Each.Name);
   }
 }
 
+// The worker restarts under its id before a start reaches it. The new instance
+// must not get the start, since its task may be running elsewhere.
+TEST(TaskWorkerClient, AStartIsNotSentToTheNextInstanceOfItsWorker) {
+  start_outcome Outcome;
+  Worker.start(Target, {.Run = {.Run = Run}},
+               [&](const start_outcome &Answer) { Outcome = Answer; });
+  STRCMP_EQUAL("/api/hold", Http.Calls.front().first.Target.c_str());
+  CHECK(Http.Calls.front().first.Reuse == connection_reuse::Never);
+  Http.answer({.Status = call_status::Completed,
+               .Code = 200,
+               .Body = R"({"ClockMs":1,"born":78})",
+               .Connection = http_connection_id{1}});
+  CHECK(Http.Calls.empty());
+  CHECK(Outcome.Result == work::worker_call_result::Refused);
+}
+
+TEST(TaskWorkerClient, AStartIsSentOnAConnectionOfItsInstance) {
+  start_outcome Outcome;
+  Worker.start(Target, {.Run = {.Run = Run}},
+               [&](const start_outcome &Answer) { Outcome = Answer; });
+  identify();
+  STRCMP_EQUAL("/api/run-start", Http.Calls.front().first.Target.c_str());
+  CHECK(Http.Calls.front().first.Connection == http_connection_id{1});
+  Http.answer({.Status = call_status::Completed,
+               .Code = 200,
+               .Connection = http_connection_id{1}});
+  CHECK(Outcome.Result == work::worker_call_result::Done);
+}
+
+TEST(TaskWorkerClient, AConnectionOfAnEarlierInstanceIsNotUsed) {
+  connect();
+  Target.Instance.StartTimeMs = 78;
+  Worker.start(Target, {.Run = {.Run = Run}}, [](const start_outcome &) {});
+  STRCMP_EQUAL("/api/hold", Http.Calls.front().first.Target.c_str());
+  CHECK(!Http.Calls.front().first.Connection);
+}
+
+// Another instance would take the numbers of ends and the lease for its own: it
+// would forget ends that nobody has seen.
+TEST(TaskWorkerClient, AListingOnANewConnectionHasNoEffects) {
+  Worker.list(Target, {.AcknowledgedEnds = 5, .LeaseEndMs = 900, .Wait = 1s},
+              [](const listing_outcome &) {});
+  const auto First = body();
+  CHECK(!First.contains("AckCursor"));
+  CHECK(!First.contains("DeadlineMs"));
+  CHECK(!First.contains("WaitMs"));
+  identify();
+  Worker.list(Target, {.AcknowledgedEnds = 5, .LeaseEndMs = 900, .Wait = 1s},
+              [](const listing_outcome &) {});
+  CHECK(Http.Calls.front().first.Connection == http_connection_id{1});
+  LONGS_EQUAL(5, body()["AckCursor"].get<int>());
+  LONGS_EQUAL(900, body()["DeadlineMs"].get<int>());
+}
+
+TEST(TaskWorkerClient,
+     ACallOnAConnectionThatWasClosedIdentifiesTheWorkerAgain) {
+  connect();
+  Worker.start(Target, {.Run = {.Run = Run}}, [](const start_outcome &) {});
+  Http.answer({.Status = call_status::NotSent});
+  STRCMP_EQUAL("/api/hold", Http.Calls.front().first.Target.c_str());
+}
+
+TEST(TaskWorkerClient, AWorkerThatClosesItsConnectionsGetsItsLease) {
+  Worker.list(Target, {.LeaseEndMs = 900}, [](const listing_outcome &) {});
+  Http.answer({.Status = call_status::Completed,
+               .Code = 200,
+               .Body = R"({"ClockMs":1,"born":77})"});
+  LONGS_EQUAL(900, body()["DeadlineMs"].get<int>());
+}
+
+TEST(TaskWorkerClient, AWorkerThatClosesItsConnectionsGetsItsStarts) {
+  start_outcome Outcome;
+  Worker.start(Target, {.Run = {.Run = Run}},
+               [&](const start_outcome &Answer) { Outcome = Answer; });
+  Http.answer({.Status = call_status::Completed,
+               .Code = 200,
+               .Body = R"({"ClockMs":1,"born":77})"});
+  STRCMP_EQUAL("/api/run-start", Http.Calls.front().first.Target.c_str());
+  Http.answer({.Status = call_status::Completed, .Code = 200});
+  CHECK(Outcome.Result == work::worker_call_result::Done);
+}
+
 TEST(TaskWorkerClient, DecodesAListing) {
   const auto Outcome = list(
       R"({"ClockMs":482113,"born":77,)"
--- a/src/platform/types/taskcalls.h
+++ b/src/platform/types/taskcalls.h
@@ -7,10 +7,10 @@
 
 namespace geraniumpaddle {
 
-/// The worker that a call is for, and the fencing token of the caller.
+/// The worker instance that a call is for, and the fencing token of the caller.
 struct worker_target {
   std::string Address; ///< ip:port
-  worker_id Worker;
+  work::worker_instance Instance;
   std::uint64_t FencingToken = 0;
 };
 
--- a/src/transport/ihttpclient.h
+++ b/src/transport/ihttpclient.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,6 +36,10 @@
   Never,
 };
 
+/// A connection of the client. A server process that has accepted a connection
+/// takes it along when it ends, so calls on one connection reach one process.
+enum class http_connection_id : std::uint64_t {};
+
 struct http_call {
   std::string Address; ///< ip:port
   std::string Method;  ///< GET, POST, PUT, DELETE, ...
@@ -44,6 +49,8 @@
   duration Timeout{};
   connection_reuse Reuse = connection_reuse::ByMethod;
   std::string Cause = "http"; ///< for the traffic_counter
+  /// Send on this connection only; the call is NotSent unless it is idle.
+  std::optional<http_connection_id> Connection = {};
 };
 
 struct http_result {
@@ -51,6 +58,8 @@
   int Code = 0; ///< HTTP status; only if Completed
   std::vector<http_header> Headers = {};
   std::string Body = {};
+  /// The connection of a completed call, if it was kept.
+  std::optional<http_connection_id> Connection = {};
 
   bool ok() const {
     return Status == call_status::Completed && Code >= 200 && Code < 300;
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -33,8 +33,10 @@
 };
 
 struct pooled_connection {
-  explicit pooled_connection(event_loop &Loop) : IdleTimer(Loop) {}
+  pooled_connection(event_loop &Loop, http_connection_id Id)
+      : Id(Id), IdleTimer(Loop) {}
 
+  http_connection_id Id;
   std::unique_ptr<http_connection> Connection;
   open_call *Call = nullptr; ///< null while idle
   timer IdleTimer;
@@ -79,6 +81,7 @@
   pool &poolFor(const socket_address &Address);
   void dispatch(pool &Pool);
   pooled_connection *acquireConnection(pool &Pool, bool Reuse);
+  pooled_connection *acquireConnection(pool &Pool, http_connection_id Id);
   pooled_connection *openConnection(pool &Pool);
   void startCall(pooled_connection &Connection, open_call &Call);
   void timeOut(open_call &Call);
@@ -89,12 +92,14 @@
   void changed(pool &Pool, const http_connection &Connection);
   void processChanged();
   void process(pool &Pool, pooled_connection &Connection);
-  void returnToPool(pool &Pool, pooled_connection &Connection);
+  /// \returns false if the connection cannot be used again.
+  bool returnToPool(pool &Pool, pooled_connection &Connection);
 
   event_loop &Loop;
   http_client_limits Limits;
   traffic_counter &Traffic;
   std::uint64_t LastCall = 0;
+  std::uint64_t LastConnection = 0;
   std::map<std::string, pool> Pools;
   std::unordered_map<http_call_id, std::unique_ptr<open_call>> Calls;
   std::deque<changed_connection> Changed;
@@ -141,6 +146,17 @@
     return Id;
   }
   Open.Pool = &poolFor(*Address);
+  if (Open.Call.Connection) {
+    auto *Connection = acquireConnection(*Open.Pool, *Open.Call.Connection);
+    if (Connection == nullptr) {
+      finishUnsent(Open);
+      return Id;
+    }
+    Open.TimeoutTimer.start(Open.Call.Timeout,
+                            [this, &Open] { timeOut(Open); });
+    startCall(*Connection, Open);
+    return Id;
+  }
   if (Open.Pool->Queue.size() >= Limits.MaxQueuedPerAddress) {
     finishUnsent(Open);
     return Id;
@@ -199,8 +215,22 @@
   return nullptr;
 }
 
+pooled_connection *http_client::impl::acquireConnection(pool &Pool,
+                                                        http_connection_id Id) {
+  closeUnusable(Pool);
+  const auto Found =
+      std::find_if(Pool.Connections.begin(), Pool.Connections.end(),
+                   [Id](const auto &Each) { return Each->Id == Id; });
+  if (Found == Pool.Connections.end() || (*Found)->Call != nullptr) {
+    return nullptr;
+  }
+  (*Found)->IdleTimer.cancel();
+  return Found->get();
+}
+
 pooled_connection *http_client::impl::openConnection(pool &Pool) {
-  auto Owned = std::make_unique<pooled_connection>(Loop);
+  auto Owned = std::make_unique<pooled_connection>(
+      Loop, http_connection_id{++LastConnection});
   Owned->Connection = std::make_unique<http_connection>(
       Loop, Pool.Address, Limits,
       [this, &Pool](const http_connection &Each) { changed(Pool, Each); });
@@ -291,25 +321,29 @@
     closeConnection(Pool, *Connection.Connection);
     return;
   }
-  const auto Result = std::move(Connection.Connection->result());
+  auto Result = std::move(Connection.Connection->result());
   Traffic.add(Call->Call.Address, Call->Call.Cause,
               Connection.Connection->bytesIn(),
               Connection.Connection->bytesOut());
   Call->Connection = nullptr;
-  returnToPool(Pool, Connection);
+  const http_connection_id Id = Connection.Id;
+  if (returnToPool(Pool, Connection)) {
+    Result.Connection = Id;
+  }
   finish(*Call, Result);
   dispatch(Pool);
 }
 
-void http_client::impl::returnToPool(pool &Pool,
+bool http_client::impl::returnToPool(pool &Pool,
                                      pooled_connection &Connection) {
   const http_connection &Raw = *Connection.Connection;
   if (!Raw.usable()) {
     closeConnection(Pool, Raw);
-    return;
+    return false;
   }
   Connection.IdleTimer.start(
       Limits.IdleTimeout, [this, &Pool, &Raw] { closeConnection(Pool, Raw); });
+  return true;
 }
 
 http_client::http_client(event_loop &Loop, const http_client_limits &Limits,
--- a/src/transport/tests/httptest.cpp
+++ b/src/transport/tests/httptest.cpp
@@ -101,6 +101,46 @@
   }
 };
 
+TEST(Http, ACallOnAGivenConnectionIsSentOnlyWhileItIsIdle) {
+  http_pair Pair(Test.Loop);
+  Pair.send(Pair.call("POST"));
+  CHECK(waitForResults(Pair));
+  CHECK(Pair.Results[0].Connection.has_value());
+  http_call Call = Pair.call("POST");
+  Call.Connection = Pair.Results[0].Connection;
+  Pair.send(Call);
+  Pair.send(Call); // the connection is busy
+  CHECK(waitForResults(Pair, 3));
+  LONGS_EQUAL(2, Pair.Handled);
+  CHECK(Pair.Results[1].Status == call_status::NotSent ||
+        Pair.Results[2].Status == call_status::NotSent);
+  Call.Connection = http_connection_id{99};
+  Pair.send(Call);
+  CHECK(waitForResults(Pair, 4));
+  CHECK(Pair.Results[3].Status == call_status::NotSent);
+}
+
+// A server process that restarts at its address does not get calls that are
+// bound to a connection of the earlier one.
+TEST(Http, ACallOnAGivenConnectionDoesNotReachARestartedServer) {
+  http_pair Pair(Test.Loop);
+  Pair.send(Pair.call("POST"));
+  CHECK(waitForResults(Pair));
+  http_call Call = Pair.call("POST");
+  Call.Connection = Pair.Results[0].Connection;
+  const std::uint16_t Port = Pair.Server->port();
+  Pair.Server.reset();
+  http_server Restarted(Test.Loop, loopback(Port), {},
+                        [&](const http_request_view &, const auto &Responder) {
+                          ++Pair.Handled;
+                          Responder->respond({.Code = 200});
+                        });
+  Pair.send(Call);
+  CHECK(waitForResults(Pair, 2));
+  CHECK(!Pair.Results[1].ok());
+  LONGS_EQUAL(1, Pair.Handled);
+}
+
 TEST(Http, AllMethodsReachTheHandler) {
   http_pair Pair(Test.Loop);
   for (const char *Method :
--- a/standins/taskworkers/workersimulation.cpp
+++ b/standins/taskworkers/workersimulation.cpp
@@ -49,12 +49,11 @@
 }
 
 worker_simulation::simulated_worker *
-worker_simulation::check(const work::worker_instance &Instance,
-                         std::uint64_t Token, order_result &Answer) {
-  const auto Found = Workers.find(Instance.Worker);
-  if (Found == Workers.end() ||
-      Found->second.StartTimeMs != Instance.StartTimeMs) {
-    Answer = order_result::OtherInstance;
+worker_simulation::check(const worker_id &Id, std::uint64_t Token,
+                         order_result &Answer) {
+  const auto Found = Workers.find(Id);
+  if (Found == Workers.end()) {
+    Answer = order_result::OtherWorker;
     return nullptr;
   }
   if (Token < Found->second.Token) {
@@ -75,12 +74,11 @@
       std::max(Worker.LeaseEnd, std::min(Wanted, Now + Limits.LongestLease));
 }
 
-order_result worker_simulation::start(const work::worker_instance &Instance,
-                                      std::uint64_t Token,
+order_result worker_simulation::start(const worker_id &Id, std::uint64_t Token,
                                       const work::start_run &Order,
                                       time_point Now) {
   order_result Answer{};
-  simulated_worker *Worker = check(Instance, Token, Answer);
+  simulated_worker *Worker = check(Id, Token, Answer);
   if (!Worker)
     return Answer;
   const work::run_ref &Key = Order.Run.Run;
@@ -121,11 +119,10 @@
     Violations.push_back("worker capacity exceeded: " + describe(Run.Run));
 }
 
-order_result worker_simulation::stop(const work::worker_instance &Instance,
-                                     std::uint64_t Token,
+order_result worker_simulation::stop(const worker_id &Id, std::uint64_t Token,
                                      const work::run_ref &Run, time_point Now) {
   order_result Answer{};
-  simulated_worker *Worker = check(Instance, Token, Answer);
+  simulated_worker *Worker = check(Id, Token, Answer);
   if (!Worker)
     return Answer;
   const auto Found = Worker->Runs.find(Run);
@@ -136,11 +133,12 @@
   return Answer;
 }
 
-order_result worker_simulation::acceptListOrder(
-    const work::worker_instance &Instance, std::uint64_t Token,
-    const work::list_runs &Order, time_point Now) {
+order_result worker_simulation::acceptListOrder(const worker_id &Id,
+                                                std::uint64_t Token,
+                                                const work::list_runs &Order,
+                                                time_point Now) {
   order_result Answer{};
-  simulated_worker *Worker = check(Instance, Token, Answer);
+  simulated_worker *Worker = check(Id, Token, Answer);
   if (!Worker)
     return Answer;
   if (Order.LeaseEndMs)
--- a/standins/taskworkers/workersimulation.h
+++ b/standins/taskworkers/workersimulation.h
@@ -36,7 +36,7 @@
   Fenced,         ///< the fencing token is lower than an earlier one
   Stale,          ///< this run or a later one of the task has ended
   DeadlinePassed, ///< the lease end of the start is in the past
-  OtherInstance,  ///< addressed to another instance of the worker
+  OtherWorker,    ///< no worker has this id
 };
 
 /// Simulates workers of the platform after its published protocol: runs under
@@ -61,14 +61,15 @@
   /// The worker's own clock in milliseconds since its start.
   std::int64_t clockMs(const worker_id &Id, time_point Now) const;
 
-  order_result start(const work::worker_instance &Instance, std::uint64_t Token,
+  /// Calls name a worker by its id, so that they reach whichever instance runs
+  /// under it.
+  order_result start(const worker_id &Id, std::uint64_t Token,
                      const work::start_run &Order, time_point Now);
-  order_result stop(const work::worker_instance &Instance, std::uint64_t Token,
+  order_result stop(const worker_id &Id, std::uint64_t Token,
                     const work::run_ref &Run, time_point Now);
   /// Extends the lease, if the order has one, and drops acknowledged run ends.
   /// If the result is Done, listing() has the answer.
-  order_result acceptListOrder(const work::worker_instance &Instance,
-                               std::uint64_t Token,
+  order_result acceptListOrder(const worker_id &Id, std::uint64_t Token,
                                const work::list_runs &Order, time_point Now);
   work::worker_listing listing(const worker_id &Id, time_point Now) const;
   /// True if the listing has run ends that are not acknowledged yet.
@@ -105,8 +106,8 @@
         HighestRun; ///< run that ended or is barred
   };
 
-  simulated_worker *check(const work::worker_instance &Instance,
-                          std::uint64_t Token, order_result &Answer);
+  simulated_worker *check(const worker_id &Id, std::uint64_t Token,
+                          order_result &Answer);
   void extendLease(simulated_worker &Worker, std::int64_t LeaseEndMs,
                    time_point Now) const;
   void end(simulated_worker &Worker, const work::run_ref &Run,
--- a/standins/taskworkers/workersimulationserver.cpp
+++ b/standins/taskworkers/workersimulationserver.cpp
@@ -57,7 +57,7 @@
     return jsonAnswer(Conflict, {{"ClockMs", ClockMs}, {"Reason", "old"}});
   case order_result::DeadlinePassed:
     return jsonAnswer(Conflict, {{"ClockMs", ClockMs}, {"Reason", "late"}});
-  case order_result::OtherInstance:
+  case order_result::OtherWorker:
     break;
   }
   return {.Code = MisdirectedRequest};
@@ -109,29 +109,28 @@
   SimulatedWorkers.advance(Now);
   const json Body = json::parse(Request.Body);
   const std::uint64_t Token = Body.value("FencingToken", std::uint64_t{0});
-  const work::worker_instance Instance{Id, SimulatedWorkers.startTimeMs(Id)};
   const std::int64_t ClockMs = SimulatedWorkers.clockMs(Id, Now);
   if (Request.Path == "/api/run-start") {
     work::start_run Order{.LeaseEndMs = Body.at("DeadlineMs")};
     Order.Run = {.Run = parseRun(Body),
                  .Payload = Body.value("Spec", ""),
                  .Checkpoint = Body.value("LastCheckpoint", "")};
-    Responder->respond(toResponse(
-        SimulatedWorkers.start(Instance, Token, Order, Now), ClockMs));
+    Responder->respond(
+        toResponse(SimulatedWorkers.start(Id, Token, Order, Now), ClockMs));
     const json Fields = json::parse(Order.Run.Payload);
     if (Fields.value("leaves", false))
       Loop.startTimer(std::chrono::milliseconds(Fields.value("ms", 100)),
                       [this, &Worker] { deregister(Worker); });
   } else if (Request.Path == "/api/run-stop") {
     Responder->respond(toResponse(
-        SimulatedWorkers.stop(Instance, Token, parseRun(Body), Now), ClockMs));
+        SimulatedWorkers.stop(Id, Token, parseRun(Body), Now), ClockMs));
   } else if (Request.Path == "/api/hold") {
     work::list_runs Order{.AcknowledgedEnds =
                               Body.value("AckCursor", std::uint64_t{0})};
     if (Body.contains("DeadlineMs"))
       Order.LeaseEndMs = Body.at("DeadlineMs").get<std::int64_t>();
     const order_result Answer =
-        SimulatedWorkers.acceptListOrder(Instance, Token, Order, Now);
+        SimulatedWorkers.acceptListOrder(Id, Token, Order, Now);
     if (Answer != order_result::Done)
       Responder->respond(toResponse(Answer, ClockMs));
     else
