Extend a worker's lease only by its own listings

Tasks of a worker that was lost for good stayed placed on it for 21 s to 26 s.

Cause: the scheduler extended the lease with each report of the agent, also if the agent repeated its last listing or said that the worker doesn't answer. The agent survives its worker and reports until the heartbeats have been missing for 15 s.

Change: a lease is extended by a report with a newer listing, by the worker's own clock. An older listing changes no belief about the runs. An agent that can't reach its worker sends no listing.

Why it is not too early: the agent grants the worker the listing's clock plus the lease time, and only on the answer to the report with that listing, whose arrival the scheduler counts from. A repetition moves neither.

--- a/src/core/work/internal/workerpool.cpp
+++ b/src/core/work/internal/workerpool.cpp
@@ -56,7 +56,12 @@
   Worker.Description = Report.Description;
   Worker.HasReported = true;
   Worker.Reachable = Report.Reachable;
-  Worker.LeaseEnd = leaseEnd(Now);
+  const bool Answered =
+      Report.Listing && Report.Listing->ClockMs > Worker.ListedClockMs;
+  if (Answered)
+    Worker.ListedClockMs = Report.Listing->ClockMs;
+  if (Answered || !Existing)
+    Worker.LeaseEnd = leaseEnd(Now);
   // A repeated report has the remaining time as of an earlier heartbeat.
   Worker.DrainDeadline = Report.Description.Draining
                              ? std::min(Worker.DrainDeadline,
--- a/src/core/work/internal/workerreports.cpp
+++ b/src/core/work/internal/workerreports.cpp
@@ -45,7 +45,7 @@
                 Report.Description.Rack);
   const bool UsableBefore = Existing && Existing->usable(Present.Now);
   pool_worker &Worker = Pool.applyReport(Report, Present.Now);
-  if (Report.Listing)
+  if (Report.Listing && Report.Listing->ClockMs >= Worker.ListedClockMs)
     applyListing(Worker, Report, Present);
   if (Worker.usable(Present.Now) != UsableBefore) {
     RoundNeeded = true;
--- a/src/core/work/tests/schedulerroundtest.cpp
+++ b/src/core/work/tests/schedulerroundtest.cpp
@@ -138,3 +138,24 @@
   runRounds(2);
   LONGS_EQUAL(2, Placed);
 }
+
+// An agent that repeats a listing, or that can't reach its worker, knows
+// nothing of the worker that would extend the lease.
+TEST(SchedulerRound, OnlyAListingOfTheWorkerItselfExtendsItsLease) {
+  worker_report Report{.Description = testing::makeWorker("w1"),
+                       .Listing =
+                           worker_listing{.StartTimeMs = 1, .ClockMs = 1000}};
+  feed(worker_reported{Report});
+  const time_point LeaseEnd = Scheduler->leases().front().End;
+  Present.Now += 3s;
+  feed(worker_reported{Report});
+  CHECK(Scheduler->leases().front().End == LeaseEnd);
+  Report.Listing.reset();
+  Report.Reachable = false;
+  feed(worker_reported{Report});
+  CHECK(Scheduler->leases().front().End == LeaseEnd);
+  Report.Listing = worker_listing{.StartTimeMs = 1, .ClockMs = 4000};
+  Report.Reachable = true;
+  feed(worker_reported{Report});
+  CHECK(Scheduler->leases().front().End == LeaseEnd + 3s);
+}
--- a/src/core/work/workerpool.h
+++ b/src/core/work/workerpool.h
@@ -3,6 +3,7 @@
 #include "core/work/types/limits.h"
 #include "core/work/types/liverun.h"
 
+#include <limits>
 #include <map>
 #include <vector>
 
@@ -18,7 +19,9 @@
   resources Freeing; ///< part of Used that stopping runs occupy
   std::vector<live_run *> Runs;
   time_point DrainDeadline = time_point::max(); ///< earliest shutdown
-  time_point LeaseEnd{}; ///< without a report, all its runs have ended by then
+  time_point LeaseEnd{}; ///< without a listing, all its runs have ended by then
+  /// The worker's clock in its newest listing.
+  std::int64_t ListedClockMs = std::numeric_limits<std::int64_t>::min();
   std::uint64_t LastEndNumber = 0;   ///< highest number of a processed end
   std::uint64_t AcknowledgedEnd = 0; ///< ends up to this number are in the log
   std::uint64_t OrdersNumber = 0;    ///< see worker_pool::numberOrders
@@ -57,7 +60,9 @@
   /// Continues the entry with a later instance of its worker. Its runs, which
   /// the later instance has to have, move to that instance.
   void replaceInstance(pool_worker &Worker, const worker_instance &Next);
-  /// Updates a worker from its report and extends its lease.
+  /// Updates a worker from its report. Extends its lease if the worker itself
+  /// has answered since the last report: leases are granted from the time of a
+  /// listing, so a report that repeats one grants nothing.
   pool_worker &applyReport(const worker_report &Report, time_point Now);
   void erase(const worker_id &Worker) { Workers.erase(Worker); }
 
--- a/src/core/workhost/internal/runreconciler.cpp
+++ b/src/core/workhost/internal/runreconciler.cpp
@@ -289,11 +289,13 @@
 }
 
 worker_report run_reconciler::report() const {
+  const bool Reachable = FailedListings < UnreachableAfter;
   worker_report Report{.Description = Description,
-                       .Listing = Listing,
                        .Applied = Applied,
-                       .Reachable = FailedListings < UnreachableAfter,
+                       .Reachable = Reachable,
                        .Left = workerGone()};
+  if (Reachable || Report.Left)
+    Report.Listing = Listing;
   if (Report.Listing)
     for (const run_ref &Run : Started)
       Report.Listing->Running.push_back({.Run = Run});
--- a/src/core/workhost/tests/clustersimulationtest.cpp
+++ b/src/core/workhost/tests/clustersimulationtest.cpp
@@ -129,6 +129,17 @@
       [&] { return Simulation.state(Job) == job_state::Completed; }, 18s));
 }
 
+// The agent goes on reporting, but the worker itself gives no sign of life.
+TEST(ClusterSimulation,
+     TasksOfAnUnreachableWorkerRunElsewhereOnceItsLeaseExpires) {
+  Simulation.submit(jobOf("j1", 3, "2000", 8));
+  Simulation.runFor(1s);
+  for (int Worker = 0; Worker < 2; ++Worker)
+    Simulation.cutWorker(Worker, 60s);
+  // The remaining lease, two runs in sequence and a second for the messages.
+  CHECK(reaches(job_state::Completed, 6420ms + 4s + 1s));
+}
+
 TEST(ClusterSimulation,
      TasksOfWorkersThatShutDownRunElsewhereBeforeTheirLeasesExpire) {
   Simulation.submit(jobOf("j1", 3, "3000", 8));
--- a/src/core/workhost/tests/runreconcilertest.cpp
+++ b/src/core/workhost/tests/runreconcilertest.cpp
@@ -186,6 +186,7 @@
   feed(reconciler_timer_expired{});
   feed(listing_failed{});
   CHECK(!Reconciler.report().Reachable);
+  CHECK(!Reconciler.report().Listing); // the last one shows nothing any more
   Now += 1s;
   feed(reconciler_timer_expired{});
   listing();
