End a worker's session only when the worker confirms the later instance

One malformed heartbeat under the id of a worker made the scheduler start its task on a second worker.

Change: decodeHeartbeat wants a service, a zone and a possible start time. The agent asks the worker before it ends a session for another instance or another worker at the address; until the answer the session goes on.

--- a/src/jobagent/internal/jobagentrole.cpp
+++ b/src/jobagent/internal/jobagentrole.cpp
@@ -118,35 +118,72 @@
     Responder.respond(encodeError(BadRequest, "malformed", Problem.what()));
     return;
   }
+  if (Heartbeat.Address.empty())
+    Heartbeat.Address = Settings.WorkerAddress;
   const work::worker_instance &Instance = Heartbeat.Description.Instance;
   const auto Found = Sessions.find(Instance.Worker);
-  if (Found == Sessions.end() ||
-      Found->second->instance().StartTimeMs < Instance.StartTimeMs)
-    beginSession(Heartbeat.Description, Heartbeat.Address);
-  else if (Found->second->instance().StartTimeMs == Instance.StartTimeMs)
+  if (Found != Sessions.end() && Found->second->instance() == Instance) {
     Found->second->handleHeartbeat(Heartbeat.Description);
+  } else {
+    const auto Replaced = replacedStartTime(Instance.Worker, Heartbeat.Address);
+    if (!Replaced)
+      beginSession(Heartbeat.Description, Heartbeat.Address);
+    else if (*Replaced < Instance.StartTimeMs)
+      confirmInstance(Heartbeat);
+    // Otherwise it is a late heartbeat of an earlier instance.
+  }
   Responder.respond(encodeEmpty(Success));
 }
 
+std::optional<std::uint64_t>
+job_agent_role::replacedStartTime(const worker_id &Worker,
+                                  std::string_view Address) const {
+  std::optional<std::uint64_t> Latest;
+  for (const auto &[Id, Session] : Sessions)
+    if (Id == Worker || Session->address() == Address)
+      Latest = std::max(Latest, std::optional(Session->instance().StartTimeMs));
+  return Latest;
+}
+
+void job_agent_role::confirmInstance(const worker_heartbeat &Heartbeat) {
+  const work::worker_instance &Instance = Heartbeat.Description.Instance;
+  if (!Confirming.insert(Instance).second)
+    return;
+  Environment.Worker.list(
+      {Heartbeat.Address, Instance, Fencing.token()}, {},
+      [this, Heartbeat](const listing_outcome &Outcome) {
+        const work::worker_instance &Instance = Heartbeat.Description.Instance;
+        Confirming.erase(Instance);
+        const bool Confirmed =
+            Outcome.Listing &&
+            Outcome.Listing->StartTimeMs == Instance.StartTimeMs;
+        if (Confirmed)
+          beginSession(Heartbeat.Description, Heartbeat.Address);
+        else
+          Log.warningEvent(
+              "instance_not_confirmed",
+              {{"worker", Instance.Worker.view()},
+               {"born", Instance.StartTimeMs},
+               {"address", Heartbeat.Address},
+               {"answered", Outcome.Listing || Outcome.WrongWorker ? 1 : 0}});
+      });
+}
+
 void job_agent_role::beginSession(const work::worker_description &Description,
                                   const std::string &Address) {
-  const std::string &WorkerAddress =
-      Address.empty() ? Settings.WorkerAddress : Address;
-  // Ignores a late heartbeat of an earlier worker at this address.
-  for (const auto &[Id, Session] : Sessions)
-    if (Session->address() == WorkerAddress &&
-        Session->instance().StartTimeMs > Description.Instance.StartTimeMs)
-      return;
+  const worker_id &Worker = Description.Instance.Worker;
+  if (replacedStartTime(Worker, Address) >
+      std::optional(Description.Instance.StartTimeMs))
+    return;
   std::erase_if(Sessions, [&](const auto &Each) {
-    return Each.second->address() == WorkerAddress ||
-           Each.first == Description.Instance.Worker;
+    return Each.second->address() == Address || Each.first == Worker;
   });
   Fencing.advance();
   auto Session = std::make_unique<worker_session>(
       Environment.Loop, Environment.Worker, Scheduler, Fencing,
-      limitsFrom(Settings), WorkerAddress, Description);
+      limitsFrom(Settings), Address, Description);
   worker_session &Added = *Session;
-  Sessions[Description.Instance.Worker] = std::move(Session);
+  Sessions[Worker] = std::move(Session);
   Added.start();
 }
 
--- a/src/jobagent/jobagentrole.h
+++ b/src/jobagent/jobagentrole.h
@@ -13,10 +13,15 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
+#include <string_view>
 
 namespace geraniumpaddle {
 
+struct worker_heartbeat;
+
 struct job_agent_environment {
   ievent_loop &Loop;
   ipeer_client &Peers;
@@ -48,6 +53,14 @@
   void handleHeartbeat(std::string_view Worker,
                        const http_request_view &Request,
                        ihttp_responder &Responder);
+  /// Latest start time among the workers whose sessions a session with this
+  /// worker would end; nothing if there are none.
+  std::optional<std::uint64_t>
+  replacedStartTime(const worker_id &Worker, std::string_view Address) const;
+  /// Begins a session once the worker itself has given the start time that its
+  /// heartbeat names.
+  void confirmInstance(const worker_heartbeat &Heartbeat);
+  /// Does nothing if a later worker has a session.
   void beginSession(const work::worker_description &Description,
                     const std::string &Address);
   void removeExpiredSessions();
@@ -59,6 +72,7 @@
   fencing_source Fencing;
   scheduler_client Scheduler;
   std::map<worker_id, std::unique_ptr<worker_session>> Sessions;
+  std::set<work::worker_instance> Confirming; ///< asked for their start time
   timer SweepTimer;
   logger Log{"agent"};
 };
--- a/src/jobagent/tests/jobagenttest.cpp
+++ b/src/jobagent/tests/jobagenttest.cpp
@@ -35,11 +35,18 @@
   void stop(const worker_target &, const work::run_ref &,
             std::function<void(work::worker_call_result)>) override {}
   void list(const worker_target &Target, const work::list_runs &,
-            std::function<void(const listing_outcome &)>) override {
+            std::function<void(const listing_outcome &)> Done) override {
     Listed.push_back(Target);
+    Answers.push_back(std::move(Done));
+  }
+  /// Answers the last listing asked for as an instance of the worker.
+  void answerAs(std::uint64_t StartTimeMs) {
+    const auto Answer = Answers.back();
+    Answer({.Listing = work::worker_listing{.StartTimeMs = StartTimeMs}});
   }
 
   std::vector<worker_target> Listed;
+  std::vector<std::function<void(const listing_outcome &)>> Answers;
 };
 
 /// A heartbeat with \p Address and \p Extra, further fields with a comma before
@@ -95,9 +102,43 @@
 TEST(JobAgent, ASessionWithANewInstanceHasAHigherFencingToken) {
   send("w1", heartbeat("127.0.0.1:80", 1));
   send("w1", heartbeat("127.0.0.1:80", 2));
-  LONGS_EQUAL(2, Worker.Listed.size());
-  CHECK(Worker.Listed[0].FencingToken < Worker.Listed[1].FencingToken);
-  LONGS_EQUAL(2, Worker.Listed[1].Instance.StartTimeMs);
+  Worker.answerAs(2);
+  LONGS_EQUAL(3, Worker.Listed.size());
+  CHECK(Worker.Listed[0].FencingToken < Worker.Listed[2].FencingToken);
+  LONGS_EQUAL(2, Worker.Listed[2].Instance.StartTimeMs);
+}
+
+// A heartbeat of another program may name a later start under the id or the
+// address of a known worker.
+TEST(JobAgent, AHeartbeatThatItsWorkerContradictsDoesNotReplaceTheSession) {
+  send("w1", heartbeat("127.0.0.1:80", 1));
+  for (const char *Id : {"w1", "w2"}) {
+    const std::size_t Before = Worker.Listed.size();
+    LONGS_EQUAL(200, send(Id, heartbeat("127.0.0.1:80", 2)));
+    LONGS_EQUAL(Before + 1, Worker.Listed.size());
+    LONGS_EQUAL(2, Worker.Listed.back().Instance.StartTimeMs);
+    Worker.answerAs(1);
+    LONGS_EQUAL(Before + 1, Worker.Listed.size());
+  }
+  // The session with the worker goes on.
+  Worker.Answers.front()({});
+  Loop.advance(1s);
+  LONGS_EQUAL(1, Worker.Listed.back().Instance.StartTimeMs);
+}
+
+TEST(JobAgent, AHeartbeatOfAnEarlierInstanceIsIgnored) {
+  send("w1", heartbeat("127.0.0.1:80", 2));
+  LONGS_EQUAL(200, send("w1", heartbeat("127.0.0.1:80", 1)));
+  LONGS_EQUAL(1, Worker.Listed.size());
+}
+
+TEST(JobAgent, AHeartbeatThatNamesNoInstanceIsRejected) {
+  send("w1", heartbeat("127.0.0.1:80", 1));
+  for (const char *Field :
+       {R"(,"Service":"")", R"(,"Service":null)", R"(,"Zone":"")",
+        R"(,"born":9007199254740991)", R"(,"born":0)", R"(,"born":"2")"})
+    LONGS_EQUAL(400, send("w1", heartbeat("127.0.0.1:80", 2, Field)));
+  LONGS_EQUAL(1, Worker.Listed.size());
 }
 
 // Heartbeats may come from another program. One that can't be used must not
--- a/src/platform/internal/platformdecode.cpp
+++ b/src/platform/internal/platformdecode.cpp
@@ -39,6 +39,21 @@
   return *Value;
 }
 
+std::string readName(const json &Object, const char *Field) {
+  std::string Name = readString(Object, Field);
+  if (Name.empty())
+    throwFieldError(Field, "is missing");
+  return Name;
+}
+
+/// A time in milliseconds since 1970; it cannot be omitted.
+std::uint64_t readTimeMs(const json &Object, const char *Field) {
+  const auto Value = readNumber<std::int64_t>(Object, Field, 1);
+  if (Value > MaxMilliseconds)
+    throwFieldError(Field, "is out of range");
+  return static_cast<std::uint64_t>(Value);
+}
+
 bool readBool(const json &Object, const char *Field) {
   const auto Value = boolField(Object, Field);
   if (!Value)
@@ -166,9 +181,9 @@
   const json Object = parseBody(Body);
   worker_heartbeat Heartbeat{.Address = readString(Object, "Address")};
   work::worker_description &Worker = Heartbeat.Description;
-  Worker.Instance = {worker_id(Id), readNumber<std::uint64_t>(Object, "born")};
-  Worker.Service = service_id(readString(Object, "Service"));
-  Worker.Zone = availability_zone_id(readString(Object, "Zone"));
+  Worker.Instance = {worker_id(Id), readTimeMs(Object, "born")};
+  Worker.Service = service_id(readName(Object, "Service"));
+  Worker.Zone = availability_zone_id(readName(Object, "Zone"));
   const json *Capacity = member(Object, "Capacity");
   if (!Capacity || !Capacity->is_object())
     throwFieldError("Capacity", "is missing");
--- a/src/platform/internal/taskworkerclient.cpp
+++ b/src/platform/internal/taskworkerclient.cpp
@@ -302,7 +302,8 @@
         Http.send(Call, Finish); // the worker closes each connection
         return;
       }
-      keepConnection(Target, Result);
+      if (Result.ok())
+        keepConnection(Target, Result);
       Finish(Result);
     });
   });
