Spread a SameRack step if no rack could ever take it

A step with SameRack and one task a worker never started when each rack had one worker, with six idle workers.

Cause: whether a rack could take the step was counted by the capacity of its workers only, without the limit of tasks on one worker, the capacity that lasting tasks keep, and probation. Placement and preemption both ask this.

Change: placement_round counts what each worker could take once its runs that end by themselves have ended.

--- a/src/core/work/internal/placementround.cpp
+++ b/src/core/work/internal/placementround.cpp
@@ -199,19 +199,41 @@
   return Order;
 }
 
+/// Number of tasks that \p Target could have at once if all its runs that end
+/// by themselves had ended; no more than are asked for.
+std::size_t
+placement_round::mostTasksOn(const host_capacity &Target,
+                             const placement_request &Request) const {
+  const step_spec &Step = *Request.Step;
+  const resources Need = reservedResources(Step);
+  resources Capacity = Target.Worker->Description.Capacity;
+  for (const live_run *Run : Target.Worker->Runs)
+    if (Run->LongRunning)
+      Capacity -= Run->Need;
+  std::size_t Most = Request.Tasks.size();
+  if (Target.Worker->OnProbation)
+    Most = std::min<std::size_t>(Most, 1);
+  if (Step.MaxPerWorker > 0) {
+    // Tasks of the step that are running take up the limit until they end.
+    const std::uint32_t Lasting = Step.LongRunning ? Target.Placed : 0;
+    Most = std::min<std::size_t>(
+        Most, Step.MaxPerWorker - std::min(Lasting, Step.MaxPerWorker));
+  }
+  std::size_t Count = 0;
+  while (Count < Most && Capacity.covers(Need)) {
+    Capacity -= Need;
+    ++Count;
+  }
+  return Count;
+}
+
 bool placement_round::fitsInOneRack(const placement_request &Request) {
-  const resources Need = reservedResources(*Request.Step);
   std::vector<std::size_t> Fitting(Racks.size());
   for (const host_capacity &Target : hostsOf(AnyRack)) {
     if (!Target.Eligible)
       continue;
-    resources Capacity = Target.Worker->Description.Capacity;
-    std::size_t &Count = Fitting[Target.Rack];
-    while (Count < Request.Tasks.size() && Capacity.covers(Need)) {
-      Capacity -= Need;
-      ++Count;
-    }
-    if (Count >= Request.Tasks.size())
+    Fitting[Target.Rack] += mostTasksOn(Target, Request);
+    if (Fitting[Target.Rack] >= Request.Tasks.size())
       return true;
   }
   return false;
--- a/src/core/work/placementround.h
+++ b/src/core/work/placementround.h
@@ -110,6 +110,8 @@
   std::vector<placed_task> tryPlace(const placement_request &Request,
                                     capacity_view View);
   std::vector<std::size_t> rackOrder(const placement_request &Request) const;
+  std::size_t mostTasksOn(const host_capacity &Target,
+                          const placement_request &Request) const;
   bool fitsInOneRack(const placement_request &Request);
   bool fitsIn(const placement_request &Request, capacity_view View);
   std::optional<preemption> planPreemptionIn(const placement_request &Request,
--- a/src/core/work/tests/placementtest.cpp
+++ b/src/core/work/tests/placementtest.cpp
@@ -28,7 +28,8 @@
   /// Occupies accelerators of a worker with a run of another job.
   const live_run &occupy(std::string_view Worker, std::int32_t Accelerators,
                          std::uint32_t Priority = 2,
-                         duration Left = std::chrono::seconds(5)) {
+                         duration Left = std::chrono::seconds(5),
+                         bool LongRunning = false) {
     static std::uint32_t Number = 0;
     live_run Run{.Run = {{job_id("other" + std::to_string(++Number)), {}}, 1},
                  .Worker = {worker_id(Worker), 1},
@@ -39,6 +40,7 @@
                  .ExpectedDuration = Left,
                  .PlacedAt = Now,
                  .Started = true,
+                 .LongRunning = LongRunning,
                  .StartedAt = Now,
                  .PercentAt = Now};
     live_run *Added = Runs.add(Run);
@@ -115,6 +117,56 @@
   LONGS_EQUAL(2, Round.place(request()).size());
 }
 
+// Waiting for a rack that can never take all tasks would be waiting for ever.
+TEST(Placement, SameRackIsSpreadIfNoRackHasEnoughWorkersForTheLimit) {
+  addWorker("w1", "r1");
+  addWorker("w2", "r2");
+  step() = {.Count = 2, .Need = {.Accelerators = 1}};
+  step().SameRack = true;
+  step().MaxPerWorker = 1;
+  auto Round = round();
+  CHECK(workersOf(Round.place(request())) ==
+        (std::set<std::string>{"w1", "w2"}));
+}
+
+TEST(Placement, SameRackWaitsForARackWithEnoughWorkersForTheLimit) {
+  addWorker("w1", "r1");
+  addWorker("w2", "r2");
+  addWorker("w3", "r2");
+  occupy("w3", 8);
+  step() = {.Count = 2, .Need = {.Accelerators = 1}};
+  step().SameRack = true;
+  step().MaxPerWorker = 1;
+  auto Round = round();
+  CHECK(Round.place(request()).empty());
+}
+
+TEST(Placement, SameRackIsSpreadIfLastingTasksOccupyTheRacks) {
+  addWorker("w1", "r1");
+  addWorker("w2", "r2");
+  for (const char *Worker : {"w1", "w2"})
+    occupy(Worker, 4, 2, std::chrono::seconds(5), true);
+  step() = {.Count = 2, .Need = {.Accelerators = 4}};
+  step().SameRack = true;
+  auto Round = round();
+  LONGS_EQUAL(2, Round.place(request()).size());
+}
+
+TEST(Placement, SameRackPreemptsInSeveralRacksIfNoneHasEnoughWorkers) {
+  addWorker("w1", "r1");
+  addWorker("w2", "r2");
+  occupy("w1", 8);
+  occupy("w2", 8);
+  Spec.Policy.Priority = 0;
+  step() = {.Count = 2, .Need = {.Accelerators = 1}};
+  step().SameRack = true;
+  step().MaxPerWorker = 1;
+  auto Round = round();
+  const auto Plan = Round.planPreemption(request());
+  CHECK(Plan.has_value());
+  LONGS_EQUAL(2, Plan->Victims.size());
+}
+
 TEST(Placement, ARequiredLabelMayNameKindOrRack) {
   addWorker("w1", "r1");
   addWorker("w2", "r2");
