--- a/src/core/work/internal/placementround.cpp
+++ b/src/core/work/internal/placementround.cpp
@@ -214,10 +214,10 @@
   if (Target.Worker->OnProbation)
     Most = std::min<std::size_t>(Most, 1);
   if (Step.MaxPerWorker > 0) {
-    // Tasks of the step that are running take up the limit until they end.
     const std::uint32_t Lasting = Step.LongRunning ? Target.Placed : 0;
-    Most = std::min<std::size_t>(
-        Most, Step.MaxPerWorker - std::min(Lasting, Step.MaxPerWorker));
+    const std::uint32_t Left =
+        Step.MaxPerWorker - std::min(Lasting, Step.MaxPerWorker);
+    Most = std::min<std::size_t>(Most, Left);
   }
   std::size_t Count = 0;
   while (Count < Most && Capacity.covers(Need)) {
--- a/src/jobagent/internal/workersession.cpp
+++ b/src/jobagent/internal/workersession.cpp
@@ -77,6 +77,9 @@
                       {"step", Run.Task.Position.Step},
                       {"index", Run.Task.Position.Index},
                       {"run", Run.Run},
+                      {"born", instance().StartTimeMs},
+                      {"term", KnownVersion.Term},
+                      {"orders", KnownVersion.Number},
                       {"lease_end", Command.LeaseEndMs}});
   Worker.start(
       Target, Command,
@@ -99,7 +102,10 @@
   Log.event("stop", {{"job", Run.Task.Job.view()},
                      {"step", Run.Task.Position.Step},
                      {"index", Run.Task.Position.Index},
-                     {"run", Run.Run}});
+                     {"run", Run.Run},
+                     {"born", instance().StartTimeMs},
+                     {"term", KnownVersion.Term},
+                     {"orders", KnownVersion.Number}});
   Worker.stop(Target, Run,
               [this, Run, Alive = Alive](work::worker_call_result Result) {
                 if (*Alive)
