Hold up only the start that had no answer

The agent sent no start at all between a call without an answer and the next listing. Since starts are bound to the connection of an instance, only the repetition has to wait; other tasks of the worker start meanwhile.

Tests: RunReconciler.AStartWithoutAnAnswerDoesNotHoldUpOthers; the property with starts that reach the next instance holds.

--- a/src/core/workhost/internal/runreconciler.cpp
+++ b/src/core/workhost/internal/runreconciler.cpp
@@ -224,7 +224,7 @@
       sendStop(Run);
     return;
   }
-  if (!InstanceAnswers)
+  if (UnconfirmedStarts.contains(Run) && !InstanceAnswers)
     return; // continues with the next listing
   const auto Retry = RetryAt.find(Run);
   if (Retry != RetryAt.end() && Retry->second > Now) {
--- a/src/core/workhost/runreconciler.h
+++ b/src/core/workhost/runreconciler.h
@@ -18,7 +18,7 @@
 /// absent.
 ///
 /// The worker may restart under its id, and calls name nothing but the id. So a
-/// run is started only while the last call was answered by this instance.
+/// start is repeated only once this instance has answered another listing.
 class run_reconciler {
 public:
   run_reconciler(const reconciler_limits &Limits,
