Comments: what the binding to an instance covers

The interface said that starts and listings reach their instance or none. That holds for a worker that keeps its connections; one that closes them gets its calls on new ones.

--- a/src/core/work/workerpool.h
+++ b/src/core/work/workerpool.h
@@ -57,8 +57,8 @@
   /// Adds an instance that is known only from the log and may hold leases
   /// until \p LeaseEnd.
   pool_worker &addFromLog(const worker_instance &Instance, time_point LeaseEnd);
-  /// Continues the entry with a later instance of its worker. Its runs, which
-  /// the later instance has to have, move to that instance.
+  /// Continues the entry with a later instance of its worker, to which all its
+  /// runs move; the caller has removed those that the later instance lacks.
   void replaceInstance(pool_worker &Worker, const worker_instance &Next);
   /// Updates a worker from its report. Extends its lease if the worker itself
   /// has answered since the last report: leases are granted from the time of a
--- a/src/platform/itaskworker.h
+++ b/src/platform/itaskworker.h
@@ -7,7 +7,8 @@
 namespace geraniumpaddle {
 
 /// Interface of a worker of the platform to its agent. Starts and listings
-/// reach the instance of their target or none.
+/// reach the instance of their target or none, if the worker keeps its
+/// connections open between calls.
 class itask_worker {
 public:
   virtual ~itask_worker() = default;
--- a/src/platform/taskworkerclient.h
+++ b/src/platform/taskworkerclient.h
@@ -18,7 +18,9 @@
 /// lease times and numbers of ends start anew. Starts and listings are
 /// therefore sent on a connection on which the instance has given its start
 /// time; if none is idle, a listing without effects on a new connection asks
-/// for it. A stop is harmless at another instance, since it names a run.
+/// for it. A worker that closes its connection after each call is asked in the
+/// same way, and gets the call on a new connection. A stop is harmless at
+/// another instance, since it names a run.
 class task_worker_client final : public itask_worker {
 public:
   /// \param Timeout timeout of one call; added to the wait time of list().
