Hold back signals until their handlers are installed

What callers saw: a process that got SIGHUP or SIGTERM while it started ended with status 129 or 143; with several signals in a row it was away for longer than its restart takes.

Cause: the handlers stood only after sockets were bound and the role was constructed. Until then the default action of the kernel ended the process.

Change: the daemon blocks the signals first; event_loop::onSignal unblocks each one once its handler is installed, so that it is delivered then. Threads of gRPC inherit the mask, so signals reach the loop's thread only.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -14,6 +14,7 @@
 #include "settings/settingsreader.h"
 
 #include <array>
+#include <csignal>
 #include <cstdio>
 #include <gflags/gflags.h>
 #include <sysexits.h>
@@ -144,6 +145,8 @@
 }
 
 int runDaemon() {
+  // Without a handler they would end the process.
+  holdSignals(std::array{SIGHUP, SIGTERM, SIGINT});
   settings Settings = readSettingsFile(FLAGS_settings);
   if (FLAGS_print_settings) {
     std::fputs(printSettings(Settings).c_str(), stdout);
--- a/src/transport/eventloop.h
+++ b/src/transport/eventloop.h
@@ -5,6 +5,7 @@
 #include <exception>
 #include <memory>
 #include <optional>
+#include <span>
 #include <unordered_map>
 #include <utility>
 
@@ -12,6 +13,10 @@
 
 namespace geraniumpaddle {
 
+/// Holds back \p Signals until event_loop::onSignal() has installed a handler.
+/// To be called before the process starts threads.
+void holdSignals(std::span<const int> Signals);
+
 /// Event loop over libevent. It blocks in the kernel until a socket, a timer or
 /// a signal is ready. Not thread-safe: only the thread that runs the loop may
 /// use it; other threads post to a mailbox. The constructor makes the process
--- a/src/transport/internal/eventloop.cpp
+++ b/src/transport/internal/eventloop.cpp
@@ -30,6 +30,15 @@
 
 } // namespace
 
+void holdSignals(std::span<const int> Signals) {
+  sigset_t Set{};
+  sigemptyset(&Set);
+  for (const int Signal : Signals) {
+    sigaddset(&Set, Signal);
+  }
+  pthread_sigmask(SIG_BLOCK, &Set, nullptr);
+}
+
 struct event_loop::timer_entry {
   timer_entry(event_loop &Loop, timer_id Id, std::function<void()> Callback)
       : Loop(Loop), Id(Id), Callback(std::move(Callback)) {}
@@ -120,6 +129,10 @@
     throw unavailable_error("cannot install a signal handler");
   }
   Signals[Signal] = std::move(Entry);
+  sigset_t Set{};
+  sigemptyset(&Set);
+  sigaddset(&Set, Signal);
+  pthread_sigmask(SIG_UNBLOCK, &Set, nullptr);
 }
 
 void event_loop::onSignalEvent(int, short, void *Context) {
