Serve connections that the kernel has accepted when a server stops

What callers saw: a connection that was established, with its request sent, is reset around a SIGTERM without an answer.

Cause: the listener was closed at once.

Change: the listener is closed after the loop has polled it once more.

Http.StoppingServesConnectionsThatTheKernelHasAccepted failed before (no response) and passes now. Http.StoppingServesOpenRequestsAndRefusesNewConnections wanted a refusal before the loop had run again, which is what reset those connections; it now wants the refusal after one iteration, everything else is as before.

--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -88,6 +88,7 @@
   event_ptr RegisterEvent;
   std::vector<evhttp_connection *> Aborted;
   event_ptr CloseAbortedEvent;
+  event_ptr CloseListenerEvent;
   evhttp_ptr Http;
 };
 
@@ -139,7 +140,15 @@
       Loop.base(), -1, 0,
       [](int, short, void *Self) { static_cast<impl *>(Self)->closeAborted(); },
       this));
-  if (!Http || !RegisterEvent || !CloseAbortedEvent) {
+  CloseListenerEvent.reset(evtimer_new(
+      Loop.base(),
+      [](int, short, void *Self) {
+        auto &Server = *static_cast<impl *>(Self);
+        evhttp_del_accept_socket(Server.Http.get(), Server.Bound);
+        Server.Bound = nullptr;
+      },
+      this));
+  if (!Http || !RegisterEvent || !CloseAbortedEvent || !CloseListenerEvent) {
     throw unavailable_error("cannot create the HTTP server");
   }
   evhttp_set_max_headers_size(Http.get(),
@@ -164,10 +173,13 @@
   Http.reset();
 }
 
+// Closing the listener resets connections that the kernel has accepted already,
+// so it is closed after the loop has polled it once more and accepted them.
 void http_server::impl::stopAccepting() {
   if (!Stopped) {
     Stopped = true;
-    evhttp_del_accept_socket(Http.get(), Bound);
+    const timeval AfterNextPoll{};
+    event_add(CloseListenerEvent.get(), &AfterNextPoll);
   }
 }
 
--- a/src/transport/tests/httptest.cpp
+++ b/src/transport/tests/httptest.cpp
@@ -499,6 +499,7 @@
   CHECK(Test.until([&] { return Pair.Pending.size() == 1; }));
   const auto Port = Pair.Server->port();
   Pair.Server->stopAccepting();
+  Test.Loop.runOnce(10ms); // accepts what the kernel has accepted before
   CHECK(callCanned(Test, Port).Status == call_status::NotSent);
   LONGS_EQUAL(1, Pair.Server->openRequests());
   Pair.Pending.front()->respond({.Code = 200, .Body = "whole"});
@@ -508,6 +509,20 @@
   LONGS_EQUAL(0, Pair.Server->openRequests());
 }
 
+// The callers have connected and sent, and the loop has not run since.
+TEST(Http, StoppingServesConnectionsThatTheKernelHasAccepted) {
+  http_pair Pair(Test.Loop);
+  constexpr const char *Request = "GET / HTTP/1.1\r\n\r\n";
+  const auto Port = Pair.Server->port();
+  raw_connection First(Test.Loop, test::connectAndSend(Port, Request));
+  raw_connection Second(Test.Loop, test::connectAndSend(Port, Request));
+  Pair.Server->stopAccepting();
+  for (const raw_connection *Caller : {&First, &Second}) {
+    CHECK(Test.until([&] { return Caller->ClosedByPeer; }));
+    STRCMP_CONTAINS("HTTP/1.1 200", Caller->Received.c_str());
+  }
+}
+
 TEST(Http, TheServerMayBeDestroyedWithOpenRequests) {
   http_pair Pair(Test.Loop);
   Pair.holdRequests();
--- a/src/transport/tests/rawsocket.cpp
+++ b/src/transport/tests/rawsocket.cpp
@@ -98,6 +98,18 @@
   bufferevent_disable(Buffer, EV_READ | EV_WRITE);
 }
 
+int connectAndSend(std::uint16_t Port, std::string_view Bytes) {
+  const sockaddr_in Address = loopbackAddress(Port);
+  const int Descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+  if (::connect(Descriptor, reinterpret_cast<const sockaddr *>(&Address),
+                sizeof Address) != 0 ||
+      ::send(Descriptor, Bytes.data(), Bytes.size(), 0) < 0) {
+    throw unavailable_error("cannot connect to a test port");
+  }
+  evutil_make_socket_nonblocking(Descriptor);
+  return Descriptor;
+}
+
 raw_listener::raw_listener(event_loop &Loop, accept_function Accepted)
     : Loop(Loop), Accepted(std::move(Accepted)) {
   sockaddr_in Address = loopbackAddress(0);
--- a/src/transport/tests/rawsocket.h
+++ b/src/transport/tests/rawsocket.h
@@ -43,6 +43,10 @@
   bool ClosePending = false;
 };
 
+/// Connects to a port on loopback and sends \p Bytes without running the loop.
+/// \returns the descriptor of the connection.
+int connectAndSend(std::uint16_t Port, std::string_view Bytes);
+
 /// Accepts connections and hands each to the test.
 class raw_listener {
 public:
