Close no connection with unread input when a server stops

What callers saw: of two requests in a row on one connection around a SIGTERM the second had no answer, and the answer to the first could be lost with the reset.

Cause: the answer to the first said Connection: close, and evhttp closed the connection with the second request unread. A real kernel resets it then and drops what the caller has not read yet.

Change: an answer asks to close the connection only if nothing else has arrived on it.

Http.StoppingLosesNoResponseToPipelinedRequests failed before (the second request was not handled within 10 s) and passes now.

--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -6,6 +6,7 @@
 #include "transport/internal/httpheaders.h"
 #include "transport/internal/httprequest.h"
 
+#include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 
@@ -74,6 +75,7 @@
   void finishExchange(connection &Connection);
   static void notifyDisconnect(exchange &Exchange);
   void updateListener();
+  static bool hasUnreadInput(evhttp_connection *Raw);
 
   event_loop &Loop;
   http_server_limits Limits;
@@ -347,7 +349,9 @@
   evhttp_request *Request = Exchange.Request;
   evkeyvalq *Headers = evhttp_request_get_output_headers(Request);
   addHeaders(*Headers, Response.Headers);
-  if (Stopped) {
+  // A connection that is closed with unread input is reset, and the response
+  // may be lost.
+  if (Stopped && !hasUnreadInput(evhttp_request_get_connection(Request))) {
     evhttp_remove_header(Headers, "Connection");
     evhttp_add_header(Headers, "Connection", "close");
   }
@@ -359,6 +363,16 @@
   evhttp_send_reply(Request, Response.Code, nullptr, nullptr);
 }
 
+bool http_server::impl::hasUnreadInput(evhttp_connection *Raw) {
+  bufferevent *Buffer = evhttp_connection_get_bufferevent(Raw);
+  if (evbuffer_get_length(bufferevent_get_input(Buffer)) > 0) {
+    return true;
+  }
+  char Byte = 0;
+  return ::recv(bufferevent_getfd(Buffer), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) >
+         0;
+}
+
 // evhttp may still be dispatching the request, so the connection is closed from
 // an event of its own.
 void http_server::impl::abort(exchange &Exchange) {
--- a/src/transport/tests/httptest.cpp
+++ b/src/transport/tests/httptest.cpp
@@ -523,6 +523,21 @@
   }
 }
 
+TEST(Http, StoppingLosesNoResponseToPipelinedRequests) {
+  http_pair Pair(Test.Loop);
+  Pair.holdRequests();
+  raw_connection Caller(Test.Loop, loopback(Pair.Server->port()));
+  Caller.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  CHECK(Test.until([&] { return Pair.Pending.size() == 1; }));
+  Pair.Server->stopAccepting();
+  Pair.Pending[0]->respond({.Code = 200, .Body = "first"});
+  CHECK(Test.until([&] { return Pair.Pending.size() == 2; }));
+  Pair.Pending[1]->respond({.Code = 200, .Body = "second"});
+  CHECK(Test.until([&] { return Caller.ClosedByPeer; }));
+  STRCMP_CONTAINS("first", Caller.Received.c_str());
+  CHECK(Caller.Received.ends_with("second"));
+}
+
 TEST(Http, TheServerMayBeDestroyedWithOpenRequests) {
   http_pair Pair(Test.Loop);
   Pair.holdRequests();
