Answer requests that are read late in a drain before the process exits

What callers saw: a request on a kept connection, sent in the last second and a half of a drain, ended without an answer if the store was slow.

Cause: the process host ended its loop 1.4 s after the drain of 2.5 s, whatever was still open, while the job API may take 1.35 s for an answer and the platform leaves 6 s.

Change: it waits up to 2.6 s for open requests, and still 1.4 s for connections that are only open, so that callers' idle connections delay no restart. A line "stop" says how many requests were unanswered; the old code left no trace of them.

--- a/src/daemon/internal/processhost.cpp
+++ b/src/daemon/internal/processhost.cpp
@@ -3,7 +3,6 @@
 #include "settings/settingsreader.h"
 #include "transport/address.h"
 
-#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <cstdio>
@@ -16,8 +15,11 @@
 /// Time between two checks whether the last responses are written.
 constexpr duration ExitCheckInterval = std::chrono::milliseconds(200);
 /// A caller may send one more request on a keep-alive connection, so the
-/// process waits this many intervals at most before it exits.
-constexpr int MaxExitChecks = 7;
+/// process waits for open connections before it exits.
+constexpr duration MaxConnectionWait = std::chrono::milliseconds(1400);
+/// Limit of the wait for responses. With the drain of a role before it, the
+/// process exits within the 6 s after which the platform kills it.
+constexpr duration MaxResponseWait = std::chrono::milliseconds(2600);
 /// The file may change without a SIGHUP, so it is checked periodically. Reading
 /// it takes less than a millisecond.
 constexpr duration SettingsCheckInterval = std::chrono::seconds(5);
@@ -140,23 +142,36 @@
   PeerServer->stopAccepting();
   for (const auto &Server : ExtraHttpServers)
     Server->stopAccepting();
-  stopWhenIdle(MaxExitChecks);
-}
-
-void process_host::stopWhenIdle(int ChecksLeft) {
-  Loop.startTimer(ExitCheckInterval, [this, ChecksLeft] {
-    const bool Busy =
-        HttpServer->openConnections() > 0 || PeerServer->openCalls() > 0 ||
-        std::any_of(
-            ExtraHttpServers.begin(), ExtraHttpServers.end(),
-            [](const auto &Server) { return Server->openConnections() > 0; });
-    if (Busy && ChecksLeft > 0)
-      stopWhenIdle(ChecksLeft - 1);
-    else
-      Loop.stop();
+  stopWhenIdle(Loop.now());
+}
+
+void process_host::stopWhenIdle(time_point StoppedAt) {
+  Loop.startTimer(ExitCheckInterval, [this, StoppedAt] {
+    const duration Waited = Loop.now() - StoppedAt;
+    const std::size_t Requests = sumOverServers(&http_server::openRequests);
+    const std::size_t Connections =
+        sumOverServers(&http_server::openConnections) + PeerServer->openCalls();
+    const bool Wait = (Requests > 0 && Waited < MaxResponseWait) ||
+                      (Connections > 0 && Waited < MaxConnectionWait);
+    if (Wait) {
+      stopWhenIdle(StoppedAt);
+      return;
+    }
+    ProcessLog.event("stop", {{"unanswered_requests", Requests},
+                              {"open_connections", Connections},
+                              {"waited_ms", millisecondsOf(Waited)}});
+    Loop.stop();
   });
 }
 
+std::size_t process_host::sumOverServers(std::size_t (http_server::*Count)()
+                                             const) const {
+  std::size_t Sum = (*HttpServer.*Count)();
+  for (const auto &Server : ExtraHttpServers)
+    Sum += (*Server.*Count)();
+  return Sum;
+}
+
 void process_host::registerTrafficMetrics() {
   Metrics.onRender([this] {
     for (const auto &[Key, Count] : Traffic.counts()) {
--- a/src/daemon/processhost.h
+++ b/src/daemon/processhost.h
@@ -45,7 +45,8 @@
   /// passes the new settings to \p OnChange if they are valid.
   void watchSettings(std::string Path,
                      std::function<void(const settings &)> OnChange);
-  /// Stops listening and ends run() once the last responses are written.
+  /// Stops listening and ends run() once the last responses are written, or
+  /// after a time limit.
   void stop();
 
 private:
@@ -53,7 +54,8 @@
   void scheduleSettingsCheck();
   bool serveBuiltinPage(const http_request_view &Request,
                         ihttp_responder &Responder);
-  void stopWhenIdle(int ChecksLeft);
+  void stopWhenIdle(time_point StoppedAt);
+  std::size_t sumOverServers(std::size_t (http_server::*Count)() const) const;
   void registerTrafficMetrics();
 
   const settings Settings;
@@ -70,6 +72,7 @@
   std::function<void(const settings &)> OnSettingsChange;
   timer SettingsTimer;
   logger Log{"settings"};
+  logger ProcessLog{"process"};
   std::vector<std::unique_ptr<http_server>> ExtraHttpServers;
 };
 
--- a/src/daemon/tests/shutdowntest.cpp
+++ b/src/daemon/tests/shutdowntest.cpp
@@ -96,3 +96,22 @@
                         10s));
   LONGS_EQUAL(0, *Daemon.process().exitCode());
 }
+
+// The store answers so slowly that the answer is due after the time that the
+// process waits for idle connections.
+TEST(Shutdown, ARequestReadLateInADrainIsAnswered) {
+  startEntry();
+  const time_point Start = Cluster.loop().now();
+  Cluster.process("entry-1").signal(SIGTERM);
+  Cluster.process("entry-1").signal(SIGTERM);
+  waitUntil(Start + 3500ms);
+  Cluster.setFault("store", R"({"mode":"slow","delay_ms":1200})");
+  const http_result Result = getJob(); // on the connection that was kept
+  CHECK(Result.Status == call_status::Completed);
+  CHECK(Cluster.waitFor(
+      [&] { return Cluster.process("entry-1").exitCode().has_value(); },
+      Start + 6s - Cluster.loop().now()));
+  LONGS_EQUAL(0, *Cluster.process("entry-1").exitCode());
+  STRCMP_CONTAINS("message=stop unanswered_requests=0",
+                  Cluster.process("entry-1").output().c_str());
+}
