Start a lasting task again however its run ended

Cause: the end done of any run ended its task. Failures of lasting tasks were counted too, which kept their next run to workers without any failure.

Change: work_scheduler::finishRun ends a task, or counts a failure, only if the task does not last; a lasting gang of which one member ends is stopped.

Evidence: ClusterSimulation.ALastingTaskRunsAgainHoweverItsRunEnds failed on the code before with "CHECK(Each.state(Job) == job_state::Running) failed" and passes now. ALastingTaskIsNotRestartedByATakeover passed before and after. gp_work_tests and gp_workhost_tests pass.

--- a/src/core/work/internal/workerreports.cpp
+++ b/src/core/work/internal/workerreports.cpp
@@ -244,17 +244,20 @@
   const task_progress &Task = Job->task(Run.Run.Task.Position);
   const bool Current =
       Task.State == task_state::Running && Task.Run == Run.Run.Run;
-  if (Current && EndReason != run_end_reason::Done && Run.GangSize > 1)
+  const bool LongRunning = Job->step(Run.Run.Task.Position.Step).LongRunning;
+  // Only a cancellation ends a lasting task.
+  const bool TaskDone = EndReason == run_end_reason::Done && !LongRunning;
+  if (Current && !TaskDone && Run.GangSize > 1)
     stopGang(Run.Run, "member_ended");
   eraseRun(Run.Run);
   if (!Current)
     return;
-  if (EndReason == run_end_reason::Done) {
+  if (TaskDone) {
     taskDone(*Job, Run.Run, Present);
     return;
   }
   releaseTask(*Job, Run.Run, Checkpoint);
-  if (EndReason == run_end_reason::Failed)
+  if (EndReason == run_end_reason::Failed && !LongRunning)
     taskFailed(*Job, Run.Run, Present);
 }
 
@@ -285,8 +288,7 @@
                                 const present_time &Present) {
   const std::uint32_t Failures = Job.countFailure(Run.Task.Position, Run.Run);
   markChanged(Run.Task.Job);
-  const bool IsLongRunning = Job.step(Run.Task.Position.Step).LongRunning;
-  if (!IsLongRunning && Failures >= policyOf(Job).Attempts)
+  if (Failures >= policyOf(Job).Attempts)
     endJob(Run.Task.Job, job_state::Failed, Present);
 }
 
--- a/src/core/workhost/tests/clustersimulation.cpp
+++ b/src/core/workhost/tests/clustersimulation.cpp
@@ -22,7 +22,8 @@
   const job_spec &Spec = Specs.at(Run.Task.Job);
   const step_spec &Step = Spec.Steps[Run.Task.Position.Step];
   standins::task_behaviour Behaviour{.Need = reservedResources(Step),
-                                     .Checkpointing = Step.Checkpointing};
+                                     .Checkpointing = Step.Checkpointing,
+                                     .LongRunning = Step.LongRunning};
   Behaviour.Work = std::chrono::milliseconds(std::stoi(std::string(Payload)));
   Behaviour.Fails = Payload.find('f') != std::string_view::npos;
   if (Step.Gang) {
--- a/src/core/workhost/tests/clustersimulationtest.cpp
+++ b/src/core/workhost/tests/clustersimulationtest.cpp
@@ -86,6 +86,40 @@
   CHECK(Simulation.state(Job) == job_state::Cancelled);
 }
 
+// Each run ends by itself; the job must not count as completed.
+TEST(ClusterSimulation, ALastingTaskRunsAgainHoweverItsRunEnds) {
+  for (const char *Payload : {"500", "500f"}) {
+    for (const bool Gang : {false, true}) {
+      cluster_simulation Each{1, Workers, {}};
+      job_spec Spec = jobOf("j1", 2, Payload);
+      Spec.Steps[0].LongRunning = true;
+      Spec.Steps[0].Gang = Gang;
+      Each.submit(Spec);
+      Each.runFor(6s);
+      CHECK(Each.state(Job) == job_state::Running);
+      for (const task_progress &Task : Each.progress(Job).Tasks)
+        CHECK(Task.Run >= 5);
+      Each.cancel(Job);
+      CHECK(Each.runUntil(
+          [&] { return Each.simulatedWorkers().running() == 0; }, 1s));
+      CHECK(Each.state(Job) == job_state::Cancelled);
+      checkNoViolation(Each);
+    }
+  }
+}
+
+TEST(ClusterSimulation, ALastingTaskIsNotRestartedByATakeover) {
+  job_spec Spec = jobOf("j1", 2, "60000");
+  Spec.Steps[0].LongRunning = true;
+  Simulation.submit(Spec);
+  Simulation.runFor(1s);
+  Simulation.takeOver();
+  Simulation.runFor(8s);
+  for (const task_progress &Task : Simulation.progress(Job).Tasks)
+    LONGS_EQUAL(1, Task.Run);
+  LONGS_EQUAL(2, Simulation.simulatedWorkers().running());
+}
+
 TEST(ClusterSimulation, ANewSchedulerKeepsRunningTasks) {
   Simulation.submit(jobOf("j1", 4, "3000"));
   Simulation.runFor(1s);
--- a/standins/taskworkers/workersimulation.cpp
+++ b/standins/taskworkers/workersimulation.cpp
@@ -109,7 +109,7 @@
         Violations.push_back("task runs twice: " + describe(Run.Run) +
                              " while run " + std::to_string(Key.Run) +
                              " runs on " + Id.str());
-  if (DoneTasks.contains(Run.Run.Task))
+  if (!Run.Behaviour.LongRunning && DoneTasks.contains(Run.Run.Task))
     Violations.push_back("started after the task was done: " +
                          describe(Run.Run));
   resources Used = Run.Behaviour.Need;
--- a/standins/taskworkers/workersimulation.h
+++ b/standins/taskworkers/workersimulation.h
@@ -20,6 +20,7 @@
   bool Fails = false;
   bool Hangs = false;
   bool Checkpointing = false;
+  bool LongRunning = false; ///< started again however it ends
 };
 
 /// Time limits and intervals of the simulated workers.
