Request a placement round whenever waiting steps may start

A due occurrence, and a job for which the room of a cancelled gang had been reserved, waited for some unrelated event.

Cause: the wake-up for occurrences and for preemption shared NextExpiry with the leases, which a stored batch reset without a round. The end of a job without runs requested no round, although reservations for it had kept others waiting.

Change: NextReview holds the time from which placement may differ and is set anew by each round, at most 0.5 s ahead while steps wait; endJob requests a round.

Evidence: SchedulerRound.AnOccurrenceStartsAtItsTimeWithoutAnyOtherEvent and .ACancelledJobThatNeverRanLetsOthersStart, which pass on no events but the timers that were set, failed on the code before (both "expected <2>, but was <1>" runs placed) and pass now. gp_work_tests and gp_workhost_tests pass.

--- a/src/core/work/internal/scheduledecisions.cpp
+++ b/src/core/work/internal/scheduledecisions.cpp
@@ -21,6 +21,9 @@
 /// Pause after a round for each worker that it examined, so that rounds leave
 /// most of the processor to reports and callers.
 constexpr std::chrono::nanoseconds PausePerWorker{250};
+/// Time between two rounds while steps wait, since deadlines, forecasts and the
+/// reservations that rest on them change with time.
+constexpr duration ReviewInterval = std::chrono::milliseconds(500);
 /// Work that preemption may discard for a step, as a multiple of the step's
 /// own.
 constexpr double PreemptionFactor = 2;
@@ -51,14 +54,19 @@
     expireWorkers(Present);
     expireGangs(Present);
   }
+  if (Present.Now >= NextReview)
+    RoundNeeded = true;
   if (RoundNeeded && Present.Now >= NextRound) {
     RoundNeeded = false;
+    NextReview = time_point::max();
     const std::size_t Examined = placeAll(Present);
     NextRound = Present.Now + Limits.RoundInterval +
                 std::chrono::duration_cast<duration>(PausePerWorker * Examined);
   }
   if (RoundNeeded)
     requestTimer(NextRound);
+  else if (NextReview != time_point::max())
+    requestTimer(std::max(NextReview, NextRound));
   if (NextExpiry != time_point::max())
     requestTimer(NextExpiry);
 }
@@ -68,6 +76,7 @@
   const std::vector<candidate> Ready = readySteps(Present);
   if (Ready.empty())
     return 0;
+  NextReview = std::min(NextReview, Present.Now + ReviewInterval);
   placement_round Round(Pool, Present.Now);
   int Reservations = 0;
   int Plans = 0;
@@ -138,7 +147,7 @@
   if (FitAt && *FitAt <= StartBy) {
     Round.reserveAt(Request, *FitAt);
     // Decides again in time to preempt if the runs take longer than expected.
-    NextExpiry = std::min(NextExpiry, StartBy);
+    NextReview = std::min(NextReview, StartBy);
     return;
   }
   const auto Plan = Round.planPreemption(Request);
@@ -310,8 +319,8 @@
         continue;
       AnyWaiting = true;
       if (Job.dueAt(Step.Occurrence) > Present.Wall)
-        NextExpiry =
-            std::min(NextExpiry,
+        NextReview =
+            std::min(NextReview,
                      Present.Now + (Job.dueAt(Step.Occurrence) - Present.Wall));
       // Members of a gang start together: none while one of an earlier run is
       // still active.
--- a/src/core/work/internal/workscheduler.cpp
+++ b/src/core/work/internal/workscheduler.cpp
@@ -199,6 +199,7 @@
   FailedOn.erase(Job);
   for (const live_run *Run : Runs.ofJob(Job))
     stopRun(Run->Run, name(State));
+  RoundNeeded = true; // capacity may have been reserved for it
 }
 
 void work_scheduler::stopRun(const run_ref &Run, std::string_view Reason) {
--- a/src/core/work/tests/schedulerroundtest.cpp
+++ b/src/core/work/tests/schedulerroundtest.cpp
@@ -18,6 +18,7 @@
   int Stopped = 0;
   int Placed = 0;
   int Ended = 0;
+  time_point TimerAt = time_point::max();
 
   void setup() override {
     Queues.replace(testing::makeConfiguration());
@@ -28,7 +29,10 @@
   /// Feeds \p Event and stores what the scheduler appends.
   void feed(const scheduler_event &Event) {
     std::vector<std::uint64_t> Batches;
+    TimerAt = time_point::max();
     for (const scheduler_command &Each : Scheduler->handle(Event, Present)) {
+      if (const auto *Timer = std::get_if<set_scheduler_timer>(&Each))
+        TimerAt = Timer->At;
       if (const auto *Append = std::get_if<append_progress>(&Each))
         Batches.push_back(Append->Batch);
       const auto *Decision = std::get_if<logged_decision>(&Each);
@@ -47,6 +51,33 @@
     }
   }
 
+  void pass(duration Time) {
+    Present.Now += Time;
+    Present.Wall += std::chrono::duration_cast<wall_time::duration>(Time);
+  }
+
+  /// Lets \p Time pass without any event but the timers that were set.
+  void runTimers(duration Time) {
+    const time_point End = Present.Now + Time;
+    while (TimerAt <= End) {
+      pass(std::max(TimerAt - Present.Now, duration{}));
+      feed(scheduler_timer_expired{});
+    }
+    pass(End - Present.Now);
+  }
+
+  void addWorkers(int Count) {
+    for (int I = 0; I < Count; ++I)
+      feed(worker_reported{
+          {.Description = testing::makeWorker("w" + std::to_string(I)),
+           .Listing = worker_listing{.StartTimeMs = 1}}});
+  }
+
+  void submit(job_spec Spec) {
+    Spec.SubmittedAt = Present.Wall;
+    feed(job_arrived{std::make_shared<const job_spec>(Spec)});
+  }
+
   void submit(int Jobs, std::uint32_t Priority, duration Estimate) {
     for (int I = 0; I < Jobs; ++I) {
       job_spec Spec = testing::makeJob(
@@ -159,3 +190,37 @@
   feed(worker_reported{Report});
   CHECK(Scheduler->leases().front().End == LeaseEnd + 3s);
 }
+
+// A batch that is stored in between must not drop the timer of the occurrence.
+TEST(SchedulerRound, AnOccurrenceStartsAtItsTimeWithoutAnyOtherEvent) {
+  addWorkers(2);
+  job_spec Spec = testing::makeJob("timed");
+  Spec.Scheduled = true;
+  Spec.FirstStart = Present.Wall + 3s;
+  submit(Spec);
+  runTimers(1s);
+  submit(1, 1, 4s);
+  runTimers(1500ms);
+  LONGS_EQUAL(1, Placed);
+  runTimers(600ms);
+  LONGS_EQUAL(2, Placed);
+}
+
+// The room that was reserved for it is free again.
+TEST(SchedulerRound, ACancelledJobThatNeverRanLetsOthersStart) {
+  addWorkers(2);
+  submit(1, 1, 4s);
+  runTimers(100ms);
+  job_spec Gang = testing::makeJob("gang", 2, 8);
+  Gang.Steps[0].Gang = true;
+  submit(Gang);
+  runTimers(100ms);
+  job_spec Long = testing::makeJob("long", 1, 8);
+  Long.Steps[0].Estimate = 5s;
+  submit(Long);
+  runTimers(100ms);
+  LONGS_EQUAL(1, Placed);
+  feed(job_cancel_requested{job_id("gang")});
+  runTimers(100ms);
+  LONGS_EQUAL(2, Placed);
+}
--- a/src/core/work/workscheduler.h
+++ b/src/core/work/workscheduler.h
@@ -194,7 +194,8 @@
   std::deque<unstored_end> UnstoredEnds;
 
   bool RoundNeeded = true; ///< something changed that placement depends on
-  time_point NextRound{};
+  time_point NextRound{};  ///< earliest time for a round
+  time_point NextReview{}; ///< placement may differ from then on by time alone
   time_point NextExpiry{};
   std::optional<time_point> TimerAt;
   std::vector<scheduler_command> Commands;
