Bound the time that a job stands still beside idle capacity

Cause: SameRack, suspicion, probation beside a lasting task, reservations, the limit of plans in a round, and workers to avoid each kept a step from free capacity without a limit in time.

Change: they become preferences. A step that has waited 1.5 s, of whose job nothing runs in a service that is more than half idle, or whose tasks last, is placed without regard to racks and reservations, and if that does not suffice on workers that are set aside. A step that has waited 1 s is logged once with the reason (step_waiting), at most four in a round.

Evidence: failed on the code before, each with fewer runs placed after 2.5 s than expected, and pass now: SchedulerStandstill. ASameRackStepDoesNotWaitForABusyRack (0 of 3), AStepThatOnlyASuspectedWorkerFitsStarts (0 of 1), AStepStartsBesideALastingTaskOnAWorkerOnProbation (1 of 3), EachLastingTaskStartsAlthoughOthersOfItsJobRun (1 of 3), CapacityReservedForAGangThatWaitsIsUsed (0 of 1), UrgentStepsWithoutAPlanHoldNobodyUpForLong (1 of 2), AJobThatFailedOnTheOnlyFreeWorkersStarts (0 of 1). ASameRackStepWaitsForItsRackInABusyService and ASuspectedWorkerIsTheLastChoice passed before and after. gp_work_tests and gp_workhost_tests pass.

--- a/src/core/work/internal/livejobs.cpp
+++ b/src/core/work/internal/livejobs.cpp
@@ -13,6 +13,7 @@
   const auto StepCount = static_cast<std::uint32_t>(this->Spec->Steps.size());
   OpenByStep.resize(std::size_t{StepCount} * this->Spec->Occurrences);
   WaitingByStep.resize(OpenByStep.size());
+  Waits.resize(OpenByStep.size());
   LastFailedRun.resize(OpenByStep.size());
   for (std::uint32_t K = 0; K < this->Spec->Occurrences; ++K)
     for (std::uint32_t Step = 0; Step < StepCount; ++Step)
@@ -56,11 +57,29 @@
   });
 }
 
+time_point live_job::noteWaiting(const step_ref &Step, time_point Now) {
+  step_wait &Wait = Waits[stepIndex(Step.Occurrence, Step.Step)];
+  if (!Wait.Since)
+    Wait.Since = Now;
+  return *Wait.Since;
+}
+
+bool live_job::noteWaitLogged(const step_ref &Step) {
+  step_wait &Wait = Waits[stepIndex(Step.Occurrence, Step.Step)];
+  return !std::exchange(Wait.Logged, true);
+}
+
+void live_job::removeWaiting(const task_position &Position) {
+  const std::size_t Step = stepIndex(Position.Occurrence, Position.Step);
+  if (--WaitingByStep[Step] == 0)
+    Waits[Step] = {};
+}
+
 void live_job::setRunning(const task_position &Position, std::uint32_t Run,
                           const worker_instance &LastWorker) {
   task_progress &Task = mutableTask(Position);
   if (Task.State == task_state::Waiting)
-    --WaitingByStep[stepIndex(Position.Occurrence, Position.Step)];
+    removeWaiting(Position);
   Task.State = task_state::Running;
   Task.Run = Run;
   Task.LastWorker = LastWorker;
@@ -78,7 +97,7 @@
   if (Task.State == task_state::Done)
     return;
   if (Task.State == task_state::Waiting)
-    --WaitingByStep[stepIndex(Position.Occurrence, Position.Step)];
+    removeWaiting(Position);
   Task.State = task_state::Done;
   --OpenByStep[stepIndex(Position.Occurrence, Position.Step)];
   --OpenTasks;
--- a/src/core/work/internal/placementround.cpp
+++ b/src/core/work/internal/placementround.cpp
@@ -1,6 +1,7 @@
 #include "core/work/placementround.h"
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <tuple>
 
@@ -20,7 +21,7 @@
     : Now(Now) {
   std::map<std::string_view, std::size_t> RackNumbers;
   for (const auto &[Id, Worker] : Pool.all()) {
-    if (!Worker.usable(Now))
+    if (!Worker.available())
       continue;
     const std::string &Rack = Worker.Description.Rack;
     const auto [Known, IsNew] = RackNumbers.try_emplace(Rack, Racks.size());
@@ -66,9 +67,14 @@
         (!Request.ReliableOnly &&
          (!Target.Worker->OnProbation ||
           (Target.Worker->Runs.empty() && !Target.Probed && !Step.Gang)));
-    Target.Eligible =
-        !Avoided && Trusted && Worker.Service == Request.Service &&
+    const bool Suitable =
+        Worker.Service == Request.Service &&
         (Step.RequiredLabel.empty() || Worker.hasLabel(Step.RequiredLabel));
+    Target.Doubtful = Avoided || !Trusted || !Target.Worker->usable(Now);
+    const bool InScope =
+        !Target.Doubtful ||
+        (Request.Scope == placement_scope::All && !Target.Probed);
+    Target.Eligible = Suitable && InScope;
     Target.Placed = 0;
   }
   countSiblings(Request);
@@ -91,7 +97,8 @@
                                      capacity_view View,
                                      const placement_request &Request) const {
   const bool EndsBefore = Now + Request.ExpectedDuration <= Target.ReservedAt;
-  if (!Target.Reserved || EndsBefore)
+  if (!Target.Reserved || EndsBefore ||
+      Request.Scope != placement_scope::Preferred)
     return Target.*View;
   return componentwiseMin(Target.*View, Target.Spare);
 }
@@ -102,8 +109,9 @@
   const step_spec &Step = *Request.Step;
   const resources Need = reservedResources(Step);
   host_capacity *Best = nullptr;
-  // Prefers the rack of the data, then the worker with the least free capacity.
-  std::tuple<bool, std::int32_t, std::int64_t> BestKey;
+  // Prefers workers without doubts, then the rack of the data, then the worker
+  // with the least free capacity.
+  std::tuple<bool, bool, std::int32_t, std::int64_t> BestKey;
   for (host_capacity &Target : hostsOf(Rack)) {
     if (!Target.Eligible)
       continue;
@@ -114,7 +122,8 @@
       continue;
     const bool Remote =
         !Step.DataRack.empty() && Racks[Target.Rack] != Step.DataRack;
-    const std::tuple Key(Remote, Free.Accelerators, Free.MilliCores);
+    const std::tuple Key(Target.Doubtful, Remote, Free.Accelerators,
+                         Free.MilliCores);
     if (!Best || Key < BestKey) {
       Best = &Target;
       BestKey = Key;
@@ -126,7 +135,7 @@
 void placement_round::allocate(host_capacity &Target,
                                const placement_request &Request) {
   const resources Need = reservedResources(*Request.Step);
-  if (Target.Worker->OnProbation) {
+  if (Target.Worker->OnProbation && !Request.Step->Gang) {
     Target.Probed = true;
     Target.Eligible = false;
   }
@@ -142,7 +151,7 @@
                                  std::span<const placed_task> Placed) {
   const resources Need = reservedResources(*Request.Step);
   for (const placed_task &Each : Placed) {
-    if (Each.Target->Worker->OnProbation) {
+    if (Each.Target->Worker->OnProbation && !Request.Step->Gang) {
       Each.Target->Probed = false;
       Each.Target->Eligible = true;
     }
@@ -250,8 +259,9 @@
     deallocate(Request, Placed);
   }
   // A step that does not fit in any rack, even an empty one, is spread over
-  // several.
-  if (Step.SameRack && !fitsInOneRack(Request)) {
+  // several, and so is one that must not wait for a rack.
+  const bool MaySpread = Request.Scope != placement_scope::Preferred;
+  if (Step.SameRack && (MaySpread || !fitsInOneRack(Request))) {
     std::vector<placed_task> Placed = fill(Request, View, AnyRack);
     if (Placed.size() == Request.Tasks.size() || !Step.Gang)
       return Placed;
@@ -468,4 +478,62 @@
   reserveFreed(Request);
 }
 
+bool placement_round::fitsPartly(const placement_request &Request) {
+  prepare(Request);
+  const std::vector<placed_task> Placed =
+      tryPlace(Request, &host_capacity::Free);
+  deallocate(Request, Placed);
+  return !Placed.empty();
+}
+
+placement_obstacle placement_round::obstacle(placement_request Request) {
+  const auto Serves = [&](const host_capacity &Target) {
+    return Target.Worker->Description.Service == Request.Service;
+  };
+  if (std::none_of(Hosts.begin(), Hosts.end(), Serves))
+    return placement_obstacle::NoWorker;
+  const std::string &Label = Request.Step->RequiredLabel;
+  const auto HasLabel = [&](const host_capacity &Target) {
+    return Serves(Target) && Target.Worker->Description.hasLabel(Label);
+  };
+  if (!Label.empty() && std::none_of(Hosts.begin(), Hosts.end(), HasLabel))
+    return placement_obstacle::Label;
+  Request.Scope = placement_scope::All;
+  if (!fitsPartly(Request))
+    return placement_obstacle::Room;
+  Request.Scope = placement_scope::Trusted;
+  if (!fitsPartly(Request))
+    return placement_obstacle::SetAside;
+  return Request.Step->SameRack ? placement_obstacle::Rack
+                                : placement_obstacle::Reserved;
+}
+
+bool placement_round::halfIdle(const service_id &Service) {
+  const auto [Known, IsNew] = HalfIdle.try_emplace(Service, false);
+  if (!IsNew)
+    return Known->second;
+  resources Free;
+  resources Total;
+  for (const host_capacity &Target : hostsOf(AnyRack)) {
+    if (Target.Worker->Description.Service != Service)
+      continue;
+    Free += Target.Free;
+    Total += Target.Worker->Description.Capacity;
+  }
+  Known->second = 2 * Free.MilliCores > Total.MilliCores ||
+                  2 * coreEquivalents(Free) > coreEquivalents(Total);
+  return Known->second;
+}
+
+std::string_view name(placement_scope Scope) {
+  static constexpr std::array<std::string_view, 3> Names{"", "trusted", "all"};
+  return Names.at(static_cast<std::size_t>(Scope));
+}
+
+std::string_view name(placement_obstacle Obstacle) {
+  static constexpr std::array<std::string_view, 6> Names{
+      "no_worker", "label", "no_room", "set_aside", "rack_busy", "reserved"};
+  return Names.at(static_cast<std::size_t>(Obstacle));
+}
+
 } // namespace geraniumpaddle::work
--- a/src/core/work/internal/scheduledecisions.cpp
+++ b/src/core/work/internal/scheduledecisions.cpp
@@ -21,6 +21,13 @@
 /// Pause after a round for each worker that it examined, so that rounds leave
 /// most of the processor to reports and callers.
 constexpr std::chrono::nanoseconds PausePerWorker{250};
+/// A step of which nothing runs although there is capacity is placed without
+/// regard to preferences after this time. The platform allows 3 s, of which
+/// the start itself needs a part.
+constexpr duration StandstillLimit = std::chrono::milliseconds(1500);
+/// A step that has waited this long is logged, a few in each round.
+constexpr duration WaitLogLimit = std::chrono::seconds(1);
+constexpr int MaxLoggedWaits = 4;
 /// Time between two rounds while steps wait, since deadlines, forecasts and the
 /// reservations that rest on them change with time.
 constexpr duration ReviewInterval = std::chrono::milliseconds(500);
@@ -78,47 +85,102 @@
     return 0;
   NextReview = std::min(NextReview, Present.Now + ReviewInterval);
   placement_round Round(Pool, Present.Now);
-  int Reservations = 0;
-  int Plans = 0;
-  bool UrgentReserved = false;
+  round_use Use;
+  for (const candidate &Each : Ready)
+    placeStep(Round, Use, Each, Present);
+  return Round.examined();
+}
+
+void work_scheduler::placeStep(placement_round &Round, round_use &Use,
+                               const candidate &Step,
+                               const present_time &Present) {
+  const live_job &Job = *findJob(Step.Step.Job);
+  const bool CheapToStop = Job.step(Step.Step.Step).Checkpointing;
+  const bool Deferrable =
+      Step.Priority >= FirstDeferrablePriority && !CheapToStop;
+  if (Deferrable && !Use.UrgentReserved) {
+    Use.UrgentReserved = true;
+    reserveForUrgent(Round, Present);
+  }
+  // Capacity that urgent steps without a plan wait for stays free.
+  const bool HeldBack = Deferrable && Use.Plans > MaxPlans;
+  if (!HeldBack && placeTasks(Round, Step, placement_scope::Preferred, Present))
+    return;
+  logWait(Round, Use, Step, Present);
+  for (const auto Scope : {placement_scope::Trusted, placement_scope::All})
+    if (standsStill(Round, Step, Present) &&
+        placeTasks(Round, Step, Scope, Present))
+      return;
+  if (!HeldBack)
+    planFor(Round, Use, Step, Present);
+}
+
+/// \returns true if no task of \p Step waits any more.
+bool work_scheduler::placeTasks(placement_round &Round, const candidate &Step,
+                                placement_scope Scope,
+                                const present_time &Present) {
+  live_job &Job = *findJob(Step.Step.Job);
+  const std::vector<task_position> Tasks = Job.waiting(Step.Step);
   std::vector<const live_run *> Siblings;
-  for (const candidate &Each : Ready) {
-    live_job &Job = *findJob(Each.Step.Job);
-    const bool CheapToStop = Job.step(Each.Step.Step).Checkpointing;
-    if (Each.Priority >= FirstDeferrablePriority && !CheapToStop &&
-        !UrgentReserved) {
-      UrgentReserved = true;
-      reserveForUrgent(Round, Present);
-    }
-    // Capacity that urgent steps without a plan wait for stays free.
-    if (Plans > MaxPlans && Each.Priority >= FirstDeferrablePriority &&
-        !CheapToStop)
-      continue;
-    const std::vector<task_position> Tasks = Job.waiting(Each.Step);
-    placement_request Request = requestFor(Job, Each.Step, Tasks, Siblings);
-    if ((Request.Avoid || Request.ReliableOnly) &&
-        !Round.fitsEmptyWorkers(Request)) {
-      Request.Avoid = nullptr;
-      Request.ReliableOnly = false;
-    }
-    const std::vector<assignment> Placed = Round.place(Request);
-    startRuns(Job, Each.Step, Placed, Present);
-    if (Placed.size() == Tasks.size())
-      continue;
-    const std::vector<task_position> Remaining = Job.waiting(Each.Step);
-    Request.Tasks = Remaining;
-    const bool Urgent = Each.Guaranteed || Each.Priority == 0;
-    if (Urgent && !Each.PastDeadline) {
-      // Runs that were stopped for it may free the capacity soon.
-      if (!Round.reserveFreed(Request) && ++Plans <= MaxPlans)
-        reserveOrPreempt(Round, Each, Request, Present);
-    } else if (Job.step(Each.Step.Step).Gang && !Each.PastDeadline &&
-               Reservations++ < MaxReservations) {
-      if (const auto At = Round.earliestFit(Request))
-        Round.reserveAt(Request, *At);
-    }
+  placement_request Request =
+      requestFor(Round, Job, Step.Step, Tasks, Siblings);
+  Request.Scope = Scope;
+  const std::vector<assignment> Placed = Round.place(Request);
+  startRuns(Job, Step.Step, Placed, Scope, Present);
+  return Placed.size() == Tasks.size();
+}
+
+/// True if \p Step has waited so long that its preferences no longer count:
+/// nothing of its job runs, although much of its service is idle. Of tasks that
+/// last, each one counts, however busy the service is.
+bool work_scheduler::standsStill(placement_round &Round, const candidate &Step,
+                                 const present_time &Present) const {
+  if (Present.Now - Step.WaitingSince < StandstillLimit)
+    return false;
+  const live_job &Job = *findJob(Step.Step.Job);
+  return Job.step(Step.Step.Step).LongRunning ||
+         (Runs.ofJob(Step.Step.Job).empty() &&
+          Round.halfIdle(policyOf(Job).Service));
+}
+
+/// Reserves capacity for the tasks of \p Step that still wait, or preempts.
+void work_scheduler::planFor(placement_round &Round, round_use &Use,
+                             const candidate &Step,
+                             const present_time &Present) {
+  const live_job &Job = *findJob(Step.Step.Job);
+  const std::vector<task_position> Tasks = Job.waiting(Step.Step);
+  std::vector<const live_run *> Siblings;
+  const placement_request Request =
+      requestFor(Round, Job, Step.Step, Tasks, Siblings);
+  const bool Urgent = Step.Guaranteed || Step.Priority == 0;
+  if (Urgent && !Step.PastDeadline) {
+    // Runs that were stopped for it may free the capacity soon.
+    if (!Round.reserveFreed(Request) && ++Use.Plans <= MaxPlans)
+      reserveOrPreempt(Round, Step, Request, Present);
+  } else if (Job.step(Step.Step.Step).Gang && !Step.PastDeadline &&
+             Use.Reservations++ < MaxReservations) {
+    if (const auto At = Round.earliestFit(Request))
+      Round.reserveAt(Request, *At);
   }
-  return Round.examined();
+}
+
+/// Logs once for each wait of a step why it waits.
+void work_scheduler::logWait(placement_round &Round, round_use &Use,
+                             const candidate &Step,
+                             const present_time &Present) {
+  if (Present.Now - Step.WaitingSince < WaitLogLimit ||
+      Use.LoggedWaits >= MaxLoggedWaits)
+    return;
+  live_job &Job = *findJob(Step.Step.Job);
+  if (!Job.noteWaitLogged(Step.Step))
+    return;
+  ++Use.LoggedWaits;
+  const std::vector<task_position> Tasks = Job.waiting(Step.Step);
+  std::vector<const live_run *> Siblings;
+  const placement_obstacle Obstacle =
+      Round.obstacle(requestFor(Round, Job, Step.Step, Tasks, Siblings));
+  logDecision(decision_kind::StepWaiting, {{Step.Step.Job, Tasks.front()}, 0},
+              {}, name(Obstacle));
 }
 
 void work_scheduler::reserveForUrgent(placement_round &Round,
@@ -311,7 +373,7 @@
   std::vector<job_id> NothingWaiting;
   const std::set<customer_id> WithinGuarantee = guaranteedCustomers();
   for (const job_id &Id : Waiting) {
-    const live_job &Job = *findJob(Id);
+    live_job &Job = *findJob(Id);
     bool AnyWaiting = false;
     for (const step_ref &Step : Job.steps()) {
       const std::uint32_t Count = Job.waitingCount(Step);
@@ -329,6 +391,10 @@
       if (!AllMembersWaiting || !Job.ready(Step, Present.Wall))
         continue;
       candidate Each = candidateFor(Job, Step, Present);
+      Each.WaitingSince = Job.noteWaiting(Step, Present.Now);
+      for (const duration Limit : {WaitLogLimit, StandstillLimit})
+        if (Each.WaitingSince + Limit > Present.Now)
+          NextReview = std::min(NextReview, Each.WaitingSince + Limit);
       Each.Guaranteed = Each.Guaranteed && Each.Priority == 0 &&
                         WithinGuarantee.contains(Job.spec().Customer);
       Ready.push_back(Each);
@@ -358,7 +424,8 @@
 }
 
 placement_request
-work_scheduler::requestFor(const live_job &Job, const step_ref &Step,
+work_scheduler::requestFor(placement_round &Round, const live_job &Job,
+                           const step_ref &Step,
                            std::span<const task_position> Tasks,
                            std::vector<const live_run *> &Siblings) const {
   Siblings.clear();
@@ -367,19 +434,27 @@
       Siblings.push_back(Run);
   const queue_policy &Policy = policyOf(Job);
   const auto Failed = FailedOn.find(Step.Job);
-  return {.Step = &Job.step(Step.Step),
-          .Service = Policy.Service,
-          .Priority = Policy.Priority,
-          .ExpectedDuration =
-              Forecast.expectedDuration(Policy, Job.step(Step.Step)),
-          .Tasks = Tasks,
-          .Siblings = Siblings,
-          .ReliableOnly = isLastAttempt(Job, Tasks),
-          .Avoid = Failed == FailedOn.end() ? nullptr : &Failed->second};
+  placement_request Request{
+      .Step = &Job.step(Step.Step),
+      .Service = Policy.Service,
+      .Priority = Policy.Priority,
+      .ExpectedDuration =
+          Forecast.expectedDuration(Policy, Job.step(Step.Step)),
+      .Tasks = Tasks,
+      .Siblings = Siblings,
+      .ReliableOnly = isLastAttempt(Job, Tasks),
+      .Avoid = Failed == FailedOn.end() ? nullptr : &Failed->second};
+  if ((Request.Avoid || Request.ReliableOnly) &&
+      !Round.fitsEmptyWorkers(Request)) {
+    Request.Avoid = nullptr;
+    Request.ReliableOnly = false;
+  }
+  return Request;
 }
 
 void work_scheduler::startRuns(live_job &Job, const step_ref &Step,
                                std::span<const assignment> Assignments,
+                               placement_scope Scope,
                                const present_time &Present) {
   if (Assignments.empty())
     return;
@@ -399,7 +474,7 @@
     if (Spec.Gang)
       Job.setCheckpoint(Each.Task, GangCheckpoint);
     const live_run Run = makeRun(Job, policyOf(Job), Each.Task, Present.Now);
-    logDecision(decision_kind::RunPlaced, Run.Run, Each.Worker);
+    logDecision(decision_kind::RunPlaced, Run.Run, Each.Worker, name(Scope));
     addRun(Run);
     UnstoredRuns.emplace_back(NextBatch, Run.Run);
   }
@@ -409,10 +484,10 @@
 }
 
 std::string_view name(decision_kind Kind) {
-  static constexpr std::array<std::string_view, 10> Names{
-      "job_arrived", "job_ended",       "run_placed",  "run_stopped",
-      "run_ended",   "run_lost",        "run_refused", "worker_known",
-      "worker_gone", "worker_suspected"};
+  static constexpr std::array<std::string_view, 11> Names{
+      "job_arrived", "job_ended",        "run_placed",  "run_stopped",
+      "run_ended",   "run_lost",         "run_refused", "worker_known",
+      "worker_gone", "worker_suspected", "step_waiting"};
   return Names.at(static_cast<std::size_t>(Kind));
 }
 
--- a/src/core/work/livejobs.h
+++ b/src/core/work/livejobs.h
@@ -3,6 +3,7 @@
 #include "core/work/types/progress.h"
 
 #include <memory>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -53,6 +54,12 @@
   wall_time dueAt(std::uint32_t Occurrence) const;
   std::span<const step_ref> steps() const { return Steps; }
 
+  /// Notes that a ready step has tasks that wait.
+  /// \returns since when that has been so without a break.
+  time_point noteWaiting(const step_ref &Step, time_point Now);
+  /// \returns whether this is the first call during the present wait.
+  bool noteWaitLogged(const step_ref &Step);
+
   void setRunning(const task_position &Position, std::uint32_t Run,
                   const worker_instance &LastWorker);
   void setWaiting(const task_position &Position);
@@ -72,6 +79,13 @@
     return Occurrence * Spec->Steps.size() + Step;
   }
 
+  struct step_wait {
+    std::optional<time_point> Since;
+    bool Logged = false;
+  };
+
+  void removeWaiting(const task_position &Position);
+
   std::shared_ptr<const job_spec> Spec;
   job_progress Progress;
   task_layout Layout;
@@ -79,6 +93,7 @@
   std::vector<step_ref> Steps;
   std::vector<std::uint32_t> OpenByStep;    ///< tasks not done, by stepIndex
   std::vector<std::uint32_t> WaitingByStep; ///< tasks that wait for a run
+  std::vector<step_wait> Waits;             ///< by stepIndex
   std::vector<std::uint32_t> LastFailedRun; ///< of gangs: last one counted
   std::size_t OpenTasks = 0;
 };
--- a/src/core/work/placementround.h
+++ b/src/core/work/placementround.h
@@ -2,6 +2,7 @@
 
 #include "core/work/workerpool.h"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <span>
@@ -12,6 +13,27 @@
 
 namespace geraniumpaddle::work {
 
+/// Workers and capacity that a step may use.
+enum class placement_scope : std::uint8_t {
+  Preferred, ///< keeps to racks, reservations and workers without doubts
+  Trusted,   ///< several racks and reserved capacity too
+  All,       ///< also workers that are set aside or to be avoided
+};
+/// Lower-case name, for logs; empty if Preferred.
+std::string_view name(placement_scope Scope);
+
+/// Why no task of a step can be placed.
+enum class placement_obstacle : std::uint8_t {
+  NoWorker, ///< none of its service can be used
+  Label,    ///< none of them has the required label
+  Room,     ///< not enough free capacity
+  SetAside, ///< only on workers that are set aside or to be avoided
+  Rack,     ///< not enough free capacity in one rack
+  Reserved, ///< the capacity is reserved for other steps
+};
+/// Lower-case name, for logs.
+std::string_view name(placement_obstacle Obstacle);
+
 /// Tasks of one step that wait for a run.
 struct placement_request {
   const step_spec *Step = nullptr;
@@ -25,6 +47,7 @@
   bool ReliableOnly = false;
   /// Workers to avoid, such as those on which the job failed.
   const std::set<worker_id> *Avoid = nullptr;
+  placement_scope Scope = placement_scope::Preferred;
 };
 
 struct assignment {
@@ -68,6 +91,13 @@
   /// True if the tasks would fit if all workers were empty.
   bool fitsEmptyWorkers(const placement_request &Request);
 
+  /// Why place() has placed no task of \p Request.
+  placement_obstacle obstacle(placement_request Request);
+
+  /// True if less than half of the capacity of \p Service was in use when it
+  /// was first asked for.
+  bool halfIdle(const service_id &Service);
+
   /// Workers examined so far, each once for every question about it: a measure
   /// of the processor time that the round has taken.
   std::size_t examined() const { return Examined; }
@@ -83,6 +113,7 @@
     time_point ReservedAt{};
     resources Spare;          ///< free at ReservedAt apart from the reservation
     bool Eligible = false;    ///< for the current request
+    bool Doubtful = false;    ///< not eligible for it in a narrower scope
     bool Probed = false;      ///< on probation, with a task from this round
     std::uint32_t Placed = 0; ///< of the current step, including siblings
   };
@@ -114,6 +145,7 @@
                           const placement_request &Request) const;
   bool fitsInOneRack(const placement_request &Request);
   bool fitsIn(const placement_request &Request, capacity_view View);
+  bool fitsPartly(const placement_request &Request);
   std::optional<preemption> planPreemptionIn(const placement_request &Request,
                                              std::size_t Rack);
   std::optional<preemption> victimsOn(const host_capacity &Target,
@@ -130,6 +162,7 @@
   std::vector<std::string> Racks;
   std::vector<std::size_t> RackBegins; ///< in Hosts; one more than racks
   std::unordered_map<worker_id, std::size_t> HostOf;
+  std::map<service_id, bool> HalfIdle;
   std::size_t Examined = 0;
 };
 
--- a/src/core/work/tests/schedulerroundtest.cpp
+++ b/src/core/work/tests/schedulerroundtest.cpp
@@ -224,3 +224,254 @@
   runTimers(100ms);
   LONGS_EQUAL(2, Placed);
 }
+
+// A job of which nothing runs, for which there is room twice over in a service
+// of which less than half is in use, starts within 3 s, whatever else speaks
+// against the workers that have the room.
+
+TEST_GROUP_BASE(SchedulerStandstill, TEST_GROUP_CppUTestGroupSchedulerRound) {
+  static constexpr duration Limit = 2500ms; // leaves time for the start
+
+  void addWorker(std::string_view Id, std::string_view Rack,
+                 std::string_view Kind = "plain") {
+    worker_report Report{.Description = testing::makeWorker(Id, Rack),
+                         .Listing = worker_listing{.StartTimeMs = 1}};
+    Report.Description.Kind = std::string(Kind);
+    Reports[std::string(Id)] = Report;
+    feed(worker_reported{Report});
+  }
+
+  /// The runs that the orders of a worker contain.
+  std::vector<run_ref> ordered(const std::string &Id) {
+    std::vector<run_ref> Ordered;
+    const auto Orders = Scheduler->orders(Reports[Id].Description.Instance);
+    for (const desired_run &Each : Orders->Runs)
+      Ordered.push_back(Each.Run);
+    return Ordered;
+  }
+
+  /// The worker runs what it was ordered to; one run ends if a reason is given.
+  void report(const std::string &Id,
+              std::optional<run_end_reason> EndReason = std::nullopt) {
+    worker_report &Report = Reports[Id];
+    worker_listing &Listing = *Report.Listing;
+    Report.Applied = Scheduler->orders(Report.Description.Instance)->Version;
+    Listing.ClockMs = millisecondsOf(Present.Now.time_since_epoch());
+    Listing.Running.clear();
+    for (const run_ref &Run : ordered(Id))
+      Listing.Running.push_back({.Run = Run});
+    if (EndReason) {
+      CHECK(!Listing.Running.empty());
+      Listing.Finished = {{.Number = ++LastEnd,
+                           .Run = Listing.Running.back().Run,
+                           .EndReason = *EndReason}};
+      Listing.Running.pop_back();
+    }
+    feed(worker_reported{Report});
+  }
+
+  /// Lets time pass; the workers run what they are ordered to.
+  void wait(duration Time) {
+    constexpr duration ReportInterval = 100ms;
+    for (duration Passed{}; Passed < Time; Passed += ReportInterval) {
+      runTimers(ReportInterval);
+      for (const auto &[Id, Report] : Reports)
+        report(Id);
+    }
+  }
+
+  /// Fails as many runs on a worker as make it suspected.
+  void failRuns(const std::string &Id, std::string_view Label) {
+    for (const char *Job : {"failing-1", "failing-2", "failing-3"}) {
+      job_spec Spec = testing::makeJob(Job);
+      Spec.Steps[0].RequiredLabel = std::string(Label);
+      submit(Spec);
+      wait(100ms);
+      report(Id, run_end_reason::Failed);
+      feed(job_cancel_requested{Spec.Id});
+      report(Id);
+      wait(100ms);
+    }
+    Placed = 0;
+  }
+
+  /// Ends of runs are numbered in the whole test, which workers may do as well.
+  std::uint64_t LastEnd = 0;
+  std::map<std::string, worker_report> Reports;
+};
+
+TEST(SchedulerStandstill, ASameRackStepDoesNotWaitForABusyRack) {
+  for (const char *Rack : {"r1", "r2", "r3"}) {
+    for (const char *Id : {"a", "b", "c"})
+      addWorker(std::string(Rack) + Id, Rack);
+    job_spec Busy = testing::makeJob(std::string("busy-") + Rack);
+    Busy.Steps[0].RequiredLabel = Rack;
+    Busy.Steps[0].Estimate = 60s;
+    submit(Busy);
+  }
+  wait(100ms);
+  Placed = 0;
+  job_spec Spec = testing::makeJob("j1", 3, 8);
+  Spec.Steps[0].SameRack = true;
+  Spec.Steps[0].Gang = true;
+  submit(Spec);
+  wait(500ms);
+  LONGS_EQUAL(0, Placed);
+  wait(Limit - 500ms);
+  LONGS_EQUAL(3, Placed);
+}
+
+TEST(SchedulerStandstill, ASameRackStepWaitsForItsRackInABusyService) {
+  for (const char *Rack : {"r1", "r2"})
+    for (const char *Id : {"a", "b"})
+      addWorker(std::string(Rack) + Id, Rack);
+  for (const char *Rack : {"r1", "r2"}) {
+    job_spec Busy = testing::makeJob(std::string("busy-") + Rack, 1, 8);
+    Busy.Steps[0].RequiredLabel = Rack;
+    Busy.Steps[0].Need.MilliCores = 64000;
+    Busy.Steps[0].Estimate = 60s;
+    submit(Busy);
+  }
+  wait(100ms);
+  Placed = 0;
+  job_spec Spec = testing::makeJob("j1", 2, 8);
+  Spec.Steps[0].SameRack = true;
+  Spec.Steps[0].Gang = true;
+  submit(Spec);
+  wait(5s);
+  LONGS_EQUAL(0, Placed);
+}
+
+TEST(SchedulerStandstill, AStepThatOnlyASuspectedWorkerFitsStarts) {
+  addWorker("w1", "r1");
+  addWorker("w2", "r1");
+  addWorker("rare", "r1", "rare");
+  failRuns("rare", "rare");
+  job_spec Spec = testing::makeJob("j1");
+  Spec.Steps[0].RequiredLabel = "rare";
+  submit(Spec);
+  wait(500ms);
+  LONGS_EQUAL(0, Placed);
+  wait(Limit - 500ms);
+  LONGS_EQUAL(1, Placed);
+}
+
+TEST(SchedulerStandstill, ASuspectedWorkerIsTheLastChoice) {
+  addWorker("w1", "r1");
+  addWorker("w2", "r1", "rare");
+  failRuns("w2", "rare");
+  submit(testing::makeJob("j1", 4));
+  wait(Limit);
+  LONGS_EQUAL(4, ordered("w1").size());
+}
+
+TEST(SchedulerStandstill, AStepStartsBesideALastingTaskOnAWorkerOnProbation) {
+  addWorker("w1", "r1");
+  addWorker("rare", "r1", "rare");
+  failRuns("rare", "rare");
+  wait(4s);
+  job_spec Lasting = testing::makeJob("lasting");
+  Lasting.Steps[0].RequiredLabel = "rare";
+  Lasting.Steps[0].LongRunning = true;
+  submit(Lasting);
+  wait(100ms);
+  LONGS_EQUAL(1, Placed);
+  report("rare");
+  job_spec Spec = testing::makeJob("j1", 2);
+  Spec.Steps[0].RequiredLabel = "rare";
+  Spec.Steps[0].Gang = true;
+  submit(Spec);
+  wait(Limit);
+  LONGS_EQUAL(3, Placed);
+}
+
+TEST(SchedulerStandstill, EachLastingTaskStartsAlthoughOthersOfItsJobRun) {
+  addWorker("w1", "r1");
+  addWorker("rare", "r1", "rare");
+  failRuns("rare", "rare");
+  wait(4s);
+  job_spec Spec = testing::makeJob("j1", 3);
+  Spec.Steps[0].RequiredLabel = "rare";
+  Spec.Steps[0].LongRunning = true;
+  submit(Spec);
+  wait(100ms);
+  LONGS_EQUAL(1, Placed);
+  report("rare");
+  wait(Limit);
+  LONGS_EQUAL(3, Placed);
+}
+
+TEST(SchedulerStandstill, CapacityReservedForAGangThatWaitsIsUsed) {
+  for (const char *Id : {"w1", "w2", "w3", "w4"})
+    addWorker(Id, "r1");
+  job_spec Busy = testing::makeJob("busy", 1, 8);
+  Busy.Steps[0].Estimate = 60s;
+  submit(Busy);
+  wait(100ms);
+  job_spec Gang = testing::makeJob("gang", 4, 8);
+  Gang.Steps[0].Gang = true;
+  submit(Gang);
+  wait(100ms);
+  Placed = 0;
+  job_spec Long = testing::makeJob("j1", 1, 8);
+  Long.Steps[0].Estimate = 200s;
+  submit(Long);
+  wait(500ms);
+  LONGS_EQUAL(0, Placed);
+  wait(Limit - 500ms);
+  LONGS_EQUAL(1, Placed);
+}
+
+// A round plans for a few urgent steps only; the others hold up what could use
+// their capacity, but not for ever.
+TEST(SchedulerStandstill, UrgentStepsWithoutAPlanHoldNobodyUpForLong) {
+  addWorker("w1", "r1");
+  for (const char *Id : {"w2", "w3", "w4"})
+    addWorker(Id, "r2");
+  for (int I = 0; I < 10; ++I) {
+    job_spec Urgent = testing::makeJob("urgent-" + std::to_string(I), 1, 8);
+    Urgent.Policy.Queue = "urgent";
+    Urgent.Policy.Priority = 0;
+    Urgent.Customer = customer_id("bolt");
+    Urgent.Steps[0].RequiredLabel = "r1";
+    Urgent.Steps[0].Estimate = 30s;
+    submit(Urgent);
+  }
+  wait(100ms);
+  LONGS_EQUAL(1, Placed);
+  submit(testing::makeJob("j1"));
+  wait(Limit);
+  LONGS_EQUAL(2, Placed);
+}
+
+TEST(SchedulerStandstill, AJobThatFailedOnTheOnlyFreeWorkersStarts) {
+  for (const char *Id : {"w1", "w2", "w3", "w4"})
+    addWorker(Id, Id);
+  job_spec Spec = testing::makeJob("j1", 1, 8);
+  Spec.Steps[0].RequiredLabel = "w1";
+  submit(Spec);
+  wait(100ms);
+  job_spec Other = testing::makeJob("j2", 1, 4);
+  Other.Policy.Queue = "batch";
+  submit(Other);
+  wait(100ms);
+  std::string First;
+  for (const char *Id : {"w2", "w3", "w4"})
+    if (!ordered(Id).empty())
+      First = Id;
+  // All but the worker where it failed are taken, with less than half in use.
+  for (const char *Id : {"w2", "w3", "w4"}) {
+    if (Id == First)
+      continue;
+    job_spec Busy = testing::makeJob(std::string("busy-") + Id, 1, 5);
+    Busy.Steps[0].RequiredLabel = Id;
+    Busy.Steps[0].Estimate = 60s;
+    Busy.Steps[0].Need.MilliCores = 1000;
+    submit(Busy);
+  }
+  wait(100ms);
+  Placed = 0;
+  report(First, run_end_reason::Failed);
+  wait(Limit);
+  LONGS_EQUAL(1, Placed);
+}
--- a/src/core/work/types/schedulerevents.h
+++ b/src/core/work/types/schedulerevents.h
@@ -76,6 +76,7 @@
   WorkerKnown, ///< first report of a worker instance
   WorkerGone,
   WorkerSuspected, ///< gets no tasks for some time
+  StepWaiting,     ///< has been ready for some time, and why it waits
 };
 std::string_view name(decision_kind Kind);
 
--- a/src/core/work/workerpool.h
+++ b/src/core/work/workerpool.h
@@ -30,9 +30,11 @@
   time_point SuspectUntil{};     ///< gets no tasks until then
   int ConsecutiveSuspicions = 0; ///< since the last successful run
 
+  bool available() const {
+    return HasReported && HasListing && Reachable && !Description.Draining;
+  }
   bool usable(time_point Now) const {
-    return HasReported && HasListing && Reachable && !Description.Draining &&
-           SuspectUntil <= Now;
+    return available() && SuspectUntil <= Now;
   }
   /// No failure since its last success; for tasks that must not fail again.
   bool reliable() const { return ConsecutiveFailures == 0 && !OnProbation; }
--- a/src/core/work/workscheduler.h
+++ b/src/core/work/workscheduler.h
@@ -66,6 +66,7 @@
     time_point LatestStart{};   ///< latest start to meet the objective
     bool PastObjective = false; ///< LatestStart has passed
     time_point ReclaimBy{};     ///< latest start if Guaranteed
+    time_point WaitingSince{};  ///< when its tasks were first ready to run
 
     auto order() const {
       return std::tuple(!Guaranteed, PastDeadline, Priority, PastObjective,
@@ -73,6 +74,14 @@
     }
   };
 
+  /// What the steps of one round have used up of its limits.
+  struct round_use {
+    int Reservations = 0;
+    int Plans = 0;
+    int LoggedWaits = 0;
+    bool UrgentReserved = false;
+  };
+
   void onJobArrived(const job_arrived &Event, const present_time &Present);
   void onCancelRequested(const job_cancel_requested &Event,
                          const present_time &Present);
@@ -141,6 +150,16 @@
   // Placement rounds: scheduledecisions.cpp.
   void decide(const present_time &Present);
   std::size_t placeAll(const present_time &Present);
+  void placeStep(placement_round &Round, round_use &Use, const candidate &Step,
+                 const present_time &Present);
+  bool placeTasks(placement_round &Round, const candidate &Step,
+                  placement_scope Scope, const present_time &Present);
+  bool standsStill(placement_round &Round, const candidate &Step,
+                   const present_time &Present) const;
+  void planFor(placement_round &Round, round_use &Use, const candidate &Step,
+               const present_time &Present);
+  void logWait(placement_round &Round, round_use &Use, const candidate &Step,
+               const present_time &Present);
   void expireWorkers(const present_time &Present);
   void expireGangs(const present_time &Present);
   void evacuateDraining(const pool_worker &Worker, const present_time &Present);
@@ -150,11 +169,13 @@
   std::set<customer_id> guaranteedCustomers() const;
   bool isLastAttempt(const live_job &Job,
                      std::span<const task_position> Tasks) const;
-  placement_request requestFor(const live_job &Job, const step_ref &Step,
+  /// Preferences that no worker can meet are left out.
+  placement_request requestFor(placement_round &Round, const live_job &Job,
+                               const step_ref &Step,
                                std::span<const task_position> Tasks,
                                std::vector<const live_run *> &Siblings) const;
   void startRuns(live_job &Job, const step_ref &Step,
-                 std::span<const assignment> Assignments,
+                 std::span<const assignment> Assignments, placement_scope Scope,
                  const present_time &Present);
   void reserveForUrgent(placement_round &Round, const present_time &Present);
   void reserveOrPreempt(placement_round &Round, const candidate &Step,
