Keep joining after the group's generations began anew

Callers would see accepted jobs that stand still for good (LOST): no scheduler in office, while entries, agents and workers run.

Cause: an answer to a join with a lower generation than the last one was dropped, and no timer was set, so that the candidate never joined again. A group without members may begin anew. Claims in a lower generation were below the topic's term, too, and rose by one generation for each refused claim.

Now the group's last answer counts, whatever its generation, and a claim is above the highest term that the topics show.

--- a/src/core/topics/internal/leaderelection.cpp
+++ b/src/core/topics/internal/leaderelection.cpp
@@ -84,9 +84,9 @@
 void leader_election::onJoined(const join_succeeded &Event,
                                const time_point &Now) {
   JoinPending = false;
-  if (Phase == phase::Retired || Phase == phase::Leading ||
-      Event.Generation < Generation)
+  if (Phase == phase::Retired || Phase == phase::Leading)
     return;
+  // Lower than before if the group was empty or was reset in between.
   Generation = Event.Generation;
   if (Phase == phase::Candidate && defersToStronger(Now)) {
     UnreachedSince.reset();
@@ -125,7 +125,7 @@
                                      const time_point &Now) {
   QueryPending = false;
   if (Phase == phase::Candidate && Assigned && mayTakeOver(Event, Now))
-    claim();
+    claim(Event.Term);
 }
 
 bool leader_election::mayTakeOver(const leader_status &Leader, time_point Now) {
@@ -155,10 +155,14 @@
   return false;
 }
 
-void leader_election::claim() {
+void leader_election::claim(std::uint64_t LastTerm) {
   Phase = phase::Claiming;
-  const std::uint64_t First = Generation * TermsPerGeneration + TermOffset +
-                              Incarnation % TermsPerGeneration;
+  std::uint64_t First = Generation * TermsPerGeneration + TermOffset +
+                        Incarnation % TermsPerGeneration;
+  // The group's generations may start anew; the terms must not. The rest of the
+  // division keeps the terms of candidates apart.
+  if (First <= LastTerm)
+    First += ((LastTerm - First) / TermsPerGeneration + 1) * TermsPerGeneration;
   Term = std::max(First, Term + 1);
   Commands.emplace_back(send_claim{Term});
 }
--- a/src/core/topics/leaderelection.h
+++ b/src/core/topics/leaderelection.h
@@ -47,7 +47,8 @@
                       const time_point &Now);
   bool defersToStronger(time_point Now);
   bool mayTakeOver(const leader_status &Leader, time_point Now);
-  void claim();
+  /// \param LastTerm highest term that is known here.
+  void claim(std::uint64_t LastTerm);
   void stepDown(time_point Now);
   void scheduleJoin(time_point At);
 
--- a/src/core/topics/tests/leaderelectiontest.cpp
+++ b/src/core/topics/tests/leaderelectiontest.cpp
@@ -191,6 +191,30 @@
   CHECK(Second && Second->Term > First->Term);
 }
 
+// A group without members may begin again with its first generation.
+TEST(LeaderElection, JoinsAgainAfterAnAnswerWithAnEarlierGeneration) {
+  const std::uint64_t Term = becomeLeader(Election, 9);
+  Election.handle(term_fenced{Term}, Now);
+  Election.handle(election_timer_expired{}, Now);
+  CHECK(find<set_election_timer>(
+            Election.handle(join_succeeded{2, false, 1}, Now))
+            .has_value());
+  Now += 1s;
+  const auto Join =
+      find<send_join>(Election.handle(election_timer_expired{}, Now));
+  CHECK(Join.has_value());
+  LONGS_EQUAL(2, Join->Generation);
+}
+
+TEST(LeaderElection, ClaimsAHigherTermThanTheLastOneInAnEarlierGeneration) {
+  const std::uint64_t LastTerm = becomeLeader(Election, 400);
+  leader_election Other{election_limits{}, Incarnation - 1000};
+  const auto Claim = claimAgainst(Other, 2, {.Term = LastTerm});
+  CHECK(Claim && Claim->Term > LastTerm);
+  leader_election Third{election_limits{}, Incarnation + 1000};
+  CHECK(claimAgainst(Third, 2, {.Term = LastTerm})->Term != Claim->Term);
+}
+
 TEST(LeaderElection,
      IgnoresALeaderStatusThatArrivesAfterItsCandidacyWasRevoked) {
   Election.handle(join_succeeded{4, true, 1}, Now);
--- a/src/core/topics/types/electionevents.h
+++ b/src/core/topics/types/electionevents.h
@@ -25,6 +25,7 @@
     Leading,    ///< it answered that it is the leader
   };
   leader_state State = leader_state::Unknown;
+  std::uint64_t Term = 0;          ///< highest known one
   std::size_t CandidateAgents = 0; ///< that recently reported to this candidate
   /// If the leader did not answer: at least half of the other entries did.
   bool OthersReachable = false;
--- a/src/jobentry/internal/jobentryleadership.cpp
+++ b/src/jobentry/internal/jobentryleadership.cpp
@@ -122,11 +122,12 @@
 void job_entry_role::queryLeader(std::function<void(leader_status)> Done) {
   const work::entry_record Leader = lastLeader();
   if (Leader.Term == 0 || Leader.Node == Self.Node) {
-    Done({});
+    Done({.Term = Leader.Term});
     return;
   }
   LeaderProbe.run(Leader.PeerAddress, otherEntries(),
                   [this, Leader, Done = std::move(Done)](leader_status Answer) {
+                    Answer.Term = Leader.Term;
                     Answer.CandidateAgents = recentAgentCount();
                     Answer.Weaker = Leader.CpuMilliCores < CpuMilliCores;
                     Done(Answer);
