Tests: all processes end at one moment

No test ended all processes at once. These end both entries and both agents by SIGKILL while 6 jobs run or have ended and 24 more are being submitted, with workers that survive and with workers that end as well. Every accepted job must be known to each entry as soon as it is ready, and complete within 14 s; the simulated workers report runs that overlap.

An agent that is started again keeps its address for heartbeats, so that surviving workers find it.

--- a/src/daemon/tests/jobplatformtest.cpp
+++ b/src/daemon/tests/jobplatformtest.cpp
@@ -12,6 +12,9 @@
 
 constexpr const char *BatchJobPath = "/batch/00000000000000a1";
 
+/// Time after the last fault in which accepted jobs must complete.
+constexpr duration FinishLimit = 14s;
+
 /// Body of a job with one step; the simulated workers run \p Payload.
 std::string jobBody(int Count, int Accelerators, const std::string &Payload,
                     bool Gang = false) {
@@ -30,6 +33,7 @@
 // implement the protocols of the users' platform.
 TEST_GROUP(JobPlatform) {
   process_cluster Cluster;
+  std::vector<std::string> Accepted; ///< paths of jobs
 
   void setup() override {
     Cluster.startStore();
@@ -72,6 +76,67 @@
              const std::string &Path = BatchJobPath) {
     return Cluster.jobCall(Entry, "POST", Path, Body).Code;
   }
+  static std::string jobPath(int Number) {
+    return "/batch/00000000000001" + std::to_string(Number);
+  }
+  /// Submits jobs to both entries and ends all entries and agents at one
+  /// moment, while some jobs run and others are being submitted. With
+  /// \p WithWorkers the workers end as well. Then starts all of them again.
+  void endAndRestartAll(bool WithWorkers) {
+    constexpr int FirstJob = 10;
+    constexpr int RunningJobs = 6;
+    constexpr int SubmittedJobs = 30;
+    for (int I = FirstJob; I < FirstJob + RunningJobs; ++I) {
+      LONGS_EQUAL(200, submit(jobBody(2, 1,
+                                      I % 2 == 0 ? R"({"ms":300,"needs":1})"
+                                                 : R"({"ms":4000,"needs":1})"),
+                              I % 2 == 0 ? "entry-1" : "entry-2", jobPath(I)));
+      Accepted.push_back(jobPath(I));
+    }
+    CHECK(waitForState("completed", "entry-1", jobPath(FirstJob)));
+    CHECK(waitForState("running", "entry-1", jobPath(FirstJob + 1)));
+    for (int I = FirstJob + RunningJobs; I < FirstJob + SubmittedJobs; ++I)
+      Cluster.jobCallAsync(I % 2 == 0 ? "entry-1" : "entry-2", "POST",
+                           jobPath(I), jobBody(1, 1, R"({"ms":200,"needs":1})"),
+                           [this, I](const http_result &Result) {
+                             if (Result.ok())
+                               Accepted.push_back(jobPath(I));
+                           });
+    CHECK(Cluster.waitFor([&] { return Accepted.size() > RunningJobs + 6; }));
+    std::vector<std::string> Ended{"entry-1", "entry-2", "agent-1", "agent-2"};
+    if (WithWorkers) {
+      STRCMP_EQUAL("", Cluster.process("workers").errors().c_str());
+      Ended.emplace_back("workers");
+    }
+    for (const std::string &Each : Ended)
+      Cluster.process(Each).signal(SIGKILL);
+    for (const std::string &Each : Ended)
+      Cluster.process(Each).kill();
+    // Answers that were sent before the end.
+    Cluster.waitFor([] { return false; }, 200ms);
+    for (const char *Agent : {"agent-1", "agent-2"})
+      Cluster.startJobAgent(Agent);
+    for (const char *Entry : {"entry-1", "entry-2"})
+      Cluster.startJobEntry(Entry);
+    if (WithWorkers)
+      Cluster.startTaskWorkers({"agent-1", "agent-2"});
+  }
+  /// Every accepted job is known to both entries once they are ready, and
+  /// completes within \p Limit.
+  void checkAcceptedJobsComplete(duration Limit) {
+    for (const char *Entry : {"entry-1", "entry-2"}) {
+      CHECK_TEXT(Cluster.waitFor([&] { return ready(Entry); }, 3s), Entry);
+      for (const std::string &Job : Accepted)
+        LONGS_EQUAL_TEXT(200, Cluster.jobCall(Entry, "GET", Job).Code,
+                         (Job + " at " + Entry).c_str());
+    }
+    const time_point End = Cluster.loop().now() + Limit;
+    for (const std::string &Job : Accepted)
+      CHECK_TEXT(Cluster.waitFor(
+                     [&] { return showsState("entry-1", Job, "completed"); },
+                     End - Cluster.loop().now()),
+                 Job.c_str());
+  }
   /// The entry that started the highest term according to the logs; empty if
   /// no entry has been elected.
   std::string leader() {
@@ -259,3 +324,13 @@
   LONGS_EQUAL(0, *Cluster.process("entry-1").exitCode());
   CHECK(waitForState("completed", "entry-2"));
 }
+
+TEST(JobPlatform, NoAcceptedJobIsLostWhenAllEntriesAndAgentsEndAtOnce) {
+  endAndRestartAll(false);
+  checkAcceptedJobsComplete(FinishLimit);
+}
+
+TEST(JobPlatform, NoAcceptedJobIsLostWhenOnlyTheStoreSurvives) {
+  endAndRestartAll(true);
+  checkAcceptedJobsComplete(FinishLimit);
+}
--- a/src/daemon/tests/processcluster.cpp
+++ b/src/daemon/tests/processcluster.cpp
@@ -194,9 +194,13 @@
 
 void process_cluster::startJobAgent(const std::string &Name,
                                     const std::string &Store) {
+  const auto Known = Addresses.find(Name + ".control");
+  const std::string Control =
+      Known == Addresses.end() ? "127.0.0.1:0" : Known->second;
   startDaemon(Name, jobRoleSettings("job_agent", Name, Store) +
                         "listen: {peer: \"127.0.0.1:0\", http: "
-                        "\"127.0.0.1:0\", control: \"127.0.0.1:0\"}\n");
+                        "\"127.0.0.1:0\", control: \"" +
+                        Control + "\"}\n");
   Addresses[Name + ".control"] = extraAddresses(Name, 1)[0];
 }
 
@@ -236,15 +240,28 @@
                                      const std::string &Method,
                                      const std::string &Path,
                                      const std::string &Body) {
-  return call({.Address = address(Entry + ".front"),
-               .Method = Method,
-               .Target = Path,
-               .Headers = {{"Host", "jobs.example"},
-                           {"Authorization", "Bearer key"},
-                           {"Content-Type", "application/json"},
-                           {"X-Timeout-Ms", "3000"}},
-               .Body = Body,
-               .Timeout = std::chrono::seconds(4)});
+  std::optional<http_result> Answer;
+  jobCallAsync(Entry, Method, Path, Body,
+               [&](const http_result &Result) { Answer = Result; });
+  while (!Answer)
+    Loop.runOnce(MaxLoopWait);
+  return *Answer;
+}
+
+void process_cluster::jobCallAsync(
+    const std::string &Entry, const std::string &Method,
+    const std::string &Path, const std::string &Body,
+    std::function<void(const http_result &)> Done) {
+  Http.send({.Address = address(Entry + ".front"),
+             .Method = Method,
+             .Target = Path,
+             .Headers = {{"Host", "jobs.example"},
+                         {"Authorization", "Bearer key"},
+                         {"Content-Type", "application/json"},
+                         {"X-Timeout-Ms", "3000"}},
+             .Body = Body,
+             .Timeout = std::chrono::seconds(4)},
+            std::move(Done));
 }
 
 std::string process_cluster::address(const std::string &Name) {
--- a/src/daemon/tests/processcluster.h
+++ b/src/daemon/tests/processcluster.h
@@ -60,7 +60,7 @@
   /// \param Store ip:port of the store or a proxy; empty: the store itself.
   void startJobEntry(const std::string &Name, const std::string &Store = "");
   /// Starts an agent of the users' platform; workers send their heartbeats to
-  /// address(Name + ".control").
+  /// address(Name + ".control"), which stays the same when it starts again.
   void startJobAgent(const std::string &Name, const std::string &Store = "");
   /// Starts one process that simulates a worker for each agent, two per rack.
   void startTaskWorkers(const std::vector<std::string> &Agents);
@@ -71,6 +71,10 @@
   /// \param Method POST, GET or DELETE.
   http_result jobCall(const std::string &Entry, const std::string &Method,
                       const std::string &Path, const std::string &Body = "");
+  /// The same without waiting; \p Done gets the response while the loop runs.
+  void jobCallAsync(const std::string &Entry, const std::string &Method,
+                    const std::string &Path, const std::string &Body,
+                    std::function<void(const http_result &)> Done);
 
   child_process &process(const std::string &Name) {
     return *Processes.at(Name);
