Odd values in the platform's messages end no process

Callers would see a process end again and again while an odd message stays where it is, or a task started twice because a damaged listing was read as an empty one.

Causes: parts of parsed answers were copied, which recurses; the body of a start was printed without regard to texts that are not UTF-8; numbers were cast without a check; a listing of another type counted as empty; the key after which a page continues was put into the query as it is.

--- a/src/platform/internal/platformdecode.cpp
+++ b/src/platform/internal/platformdecode.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/internal/jsonfields.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace geraniumpaddle {
@@ -9,8 +10,13 @@
 namespace {
 
 constexpr int MillisecondsPerSecond = 1000;
-/// About 100 years. Sums of a few such times and dates still fit in a duration.
-constexpr std::int64_t MaxMilliseconds = 3'155'760'000'000;
+/// About 100 years since 1970.
+constexpr std::int64_t MaxTimeMs = 3'155'760'000'000;
+/// About 10 years. The occurrences or steps of the largest job add up to less
+/// than a duration can hold.
+constexpr std::int64_t MaxDurationMs = 315'576'000'000;
+/// Limit of a factor of durations.
+constexpr double MaxSlackFactor = 1000;
 
 [[noreturn]] void throwFieldError(std::string_view Field,
                                   std::string_view Problem) {
@@ -48,10 +54,13 @@
 
 /// A time in milliseconds since 1970; it cannot be omitted.
 std::uint64_t readTimeMs(const json &Object, const char *Field) {
-  const auto Value = readNumber<std::int64_t>(Object, Field, 1);
-  if (Value > MaxMilliseconds)
+  const json *Member = member(Object, Field);
+  const auto Value = Member ? asWholeNumber(*Member) : std::nullopt;
+  if (!Value)
+    throwFieldError(Field, "is not a whole number");
+  if (*Value < 1 || *Value > MaxTimeMs)
     throwFieldError(Field, "is out of range");
-  return static_cast<std::uint64_t>(Value);
+  return static_cast<std::uint64_t>(*Value);
 }
 
 bool readBool(const json &Object, const char *Field) {
@@ -61,20 +70,19 @@
   return *Value;
 }
 
-duration readMilliseconds(const json &Object, const char *Field) {
+std::chrono::milliseconds readMilliseconds(const json &Object,
+                                           const char *Field,
+                                           std::int64_t Max = MaxDurationMs) {
   const auto Value = readNumber<std::int64_t>(Object, Field);
-  if (Value > MaxMilliseconds)
+  if (Value > Max)
     throwFieldError(Field, "is out of range");
   return std::chrono::milliseconds(Value);
 }
 
 /// Reads an array; a missing one is empty.
 const json &readArray(const json &Object, const char *Field) {
-  static const json None = json::array();
-  const json *Value = member(Object, Field);
+  const json *Value = arrayField(Object, Field);
   if (!Value)
-    return None;
-  if (!Value->is_array())
     throwFieldError(Field, "is not a list");
   return *Value;
 }
@@ -102,7 +110,8 @@
   Policy.Service = service_id(readString(Object, "Service"));
   Policy.Priority = readNumber<std::uint32_t>(Object, "Priority");
   Policy.Attempts = readNumber<std::uint32_t>(Object, "Attempts");
-  Policy.SlackFactor = numberField(Object, "SlackFactor").value_or(1);
+  Policy.SlackFactor = std::clamp(
+      numberField(Object, "SlackFactor").value_or(1), 0.0, MaxSlackFactor);
   Policy.TargetLatency = readMilliseconds(Object, "TargetLatencyMs");
   return Route;
 }
@@ -153,6 +162,8 @@
   return Step;
 }
 
+bool isVisible(char Each) { return Each > ' ' && Each <= '~'; }
+
 http_response makeJsonResponse(int Code, const json &Body) {
   return {.Code = Code,
           .Headers = {{"Content-Type", "application/json"}},
@@ -178,6 +189,9 @@
 }
 
 worker_heartbeat decodeHeartbeat(std::string_view Id, std::string_view Body) {
+  // The id is sent back to the worker in a header.
+  if (Id.empty() || !std::all_of(Id.begin(), Id.end(), isVisible))
+    throwFieldError("the id", "is not a name");
   const json Object = parseBody(Body);
   worker_heartbeat Heartbeat{.Address = readString(Object, "Address")};
   work::worker_description &Worker = Heartbeat.Description;
@@ -215,9 +229,7 @@
   const auto Times = readNumber<std::uint32_t>(Object, "Times");
   Spec.Scheduled = Times > 0;
   Spec.Occurrences = std::max(Times, 1U);
-  Spec.FirstStart =
-      wall_time(std::chrono::duration_cast<std::chrono::milliseconds>(
-          readMilliseconds(Object, "StartAtMs")));
+  Spec.FirstStart = wall_time(readMilliseconds(Object, "StartAtMs", MaxTimeMs));
   Spec.Interval = readMilliseconds(Object, "IntervalMs");
   return Spec;
 }
@@ -225,7 +237,7 @@
 std::optional<std::uint64_t> decodeStartTimeMs(std::string_view Body) {
   const auto Object = parseObject(Body);
   const json *Value = Object ? member(*Object, "born") : nullptr;
-  const auto StartTimeMs = Value ? asInteger(*Value) : std::nullopt;
+  const auto StartTimeMs = Value ? asWholeNumber(*Value) : std::nullopt;
   if (!StartTimeMs || *StartTimeMs < 0)
     return std::nullopt;
   return static_cast<std::uint64_t>(*StartTimeMs);
--- a/src/platform/internal/storeclient.cpp
+++ b/src/platform/internal/storeclient.cpp
@@ -3,7 +3,9 @@
 #include "platform/internal/jsonfields.h"
 #include "platform/internal/storeframes.h"
 
+#include <algorithm>
 #include <array>
+#include <cctype>
 #include <utility>
 
 namespace geraniumpaddle {
@@ -32,6 +34,31 @@
       .append(Partition);
 }
 
+/// Percent-encodes \p Value for a query: a key may contain any byte.
+std::string queryValue(std::string_view Value) {
+  constexpr std::string_view Digits = "0123456789ABCDEF";
+  constexpr std::string_view Unreserved = "-._~";
+  constexpr unsigned DigitBits = 4;
+  std::string Out;
+  for (const char Each : Value) {
+    const auto Byte = static_cast<unsigned char>(Each);
+    if (std::isalnum(Byte) != 0 || Unreserved.find(Each) != Unreserved.npos) {
+      Out += Each;
+      continue;
+    }
+    Out += '%';
+    Out += Digits[Byte >> DigitBits];
+    Out += Digits[Byte % Digits.size()];
+  }
+  return Out;
+}
+
+/// A number of \p Object that counts from 0; 0 if it is anything else.
+std::uint64_t countField(const json &Object, const char *Name) {
+  return static_cast<std::uint64_t>(
+      std::max<std::int64_t>(integerField(Object, Name).value_or(0), 0));
+}
+
 /// True if the answer rules out that the store executed the call.
 bool wasNotExecuted(const store_reply &Reply) {
   constexpr int FirstClientError = 400;
@@ -49,10 +76,8 @@
   const auto Body = parseObject(Reply.Body);
   if (Reply.Status == call_status::Completed && Reply.Code == Ok && Body) {
     Outcome.Status = store_append_status::Stored;
-    Outcome.Offset =
-        static_cast<std::uint64_t>(integerField(*Body, "Offset").value_or(0));
-    Outcome.End =
-        static_cast<std::uint64_t>(integerField(*Body, "End").value_or(0));
+    Outcome.Offset = countField(*Body, "Offset");
+    Outcome.End = countField(*Body, "End");
     return Outcome;
   }
   if (!wasNotExecuted(Reply))
@@ -63,8 +88,7 @@
   const bool Fenced = stringField(*Body, "Reason") == "fenced";
   Outcome.Status =
       Fenced ? store_append_status::Fenced : store_append_status::OutOfSequence;
-  Outcome.Sequence =
-      static_cast<std::uint64_t>(integerField(*Body, "Seq").value_or(0));
+  Outcome.Sequence = countField(*Body, "Seq");
   return Outcome;
 }
 
@@ -73,14 +97,13 @@
   if (Reply.Status != call_status::Completed || Reply.Code != Ok)
     return Outcome;
   const auto Body = parseObject(Reply.Body);
-  const json *Items = Body ? member(*Body, "items") : nullptr;
-  if (!Body || (Items && !Items->is_array()))
+  const json *Items = Body ? arrayField(*Body, "items") : nullptr;
+  if (!Items)
     return Outcome;
   Outcome.Ok = true;
   Outcome.Page.HasMore = boolField(*Body, "HasMore").value_or(false);
-  Outcome.Page.End =
-      static_cast<std::uint64_t>(integerField(*Body, "End").value_or(0));
-  for (const json &Item : Items ? *Items : json::array()) {
+  Outcome.Page.End = countField(*Body, "End");
+  for (const json &Item : *Items) {
     if (!Item.is_object())
       continue;
     const auto Key = stringField(Item, "Key");
@@ -88,12 +111,10 @@
     const auto Decoded = decodeBase64(Value.value_or(""));
     if (!Key || !Decoded)
       continue;
-    const auto Offset = integerField(Item, "Offset").value_or(0);
-    Outcome.Page.Records.push_back(
-        {.Key = *Key,
-         .Value = *Decoded,
-         .Deleted = Decoded->empty(),
-         .Offset = static_cast<std::uint64_t>(Offset)});
+    Outcome.Page.Records.push_back({.Key = *Key,
+                                    .Value = *Decoded,
+                                    .Deleted = Decoded->empty(),
+                                    .Offset = countField(Item, "Offset")});
   }
   return Outcome;
 }
@@ -103,13 +124,12 @@
   if (Reply.Status != call_status::Completed || Reply.Code != Ok)
     return Outcome;
   const auto Body = parseObject(Reply.Body);
-  if (!Body)
+  const json *Parts = Body ? arrayField(*Body, "parts") : nullptr;
+  if (!Parts)
     return Outcome;
   Outcome.Ok = true;
-  Outcome.Generation =
-      static_cast<std::uint64_t>(integerField(*Body, "Generation").value_or(0));
-  const json *Parts = member(*Body, "parts");
-  for (const json &Part : Parts ? *Parts : json::array()) {
+  Outcome.Generation = countField(*Body, "Generation");
+  for (const json &Part : *Parts) {
     const bool WellFormed = Part.is_array() && Part.size() >= 2;
     if (WellFormed && Part[0] == topicName(store_topic::Progress) &&
         asInteger(Part[1]) == 0)
@@ -184,7 +204,7 @@
                         .Target = topicQuery("/api/log-newest", Topic),
                         .Timeout = ReadGrace};
   if (!After.empty())
-    Request.Target.append("&After=").append(After);
+    Request.Target.append("&After=").append(queryValue(After));
   Transport.call(std::move(Request),
                  [Done = std::move(Done)](const store_reply &Reply) {
                    Done(toNewestOutcome(Reply));
--- a/src/platform/internal/taskworkerclient.cpp
+++ b/src/platform/internal/taskworkerclient.cpp
@@ -3,6 +3,7 @@
 #include "platform/internal/jsonfields.h"
 #include "platform/internal/tasknames.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -62,20 +63,51 @@
   }
 }
 
-std::optional<work::running_run> parseRunningRun(const json &Row) {
-  const bool WellFormed = Row.is_array() && Row.size() >= 3 &&
-                          Row[0].is_string() && asInteger(Row[1]) &&
-                          Row[2].is_string();
-  const auto Task =
-      WellFormed ? parseTaskName(Row[0].get<std::string>()) : std::nullopt;
-  if (!Task)
+std::optional<work::task_ref> parseTask(const json &Row, std::size_t Column) {
+  const bool Named =
+      Row.is_array() && Row.size() > Column && Row[Column].is_string();
+  return Named ? parseTaskName(Row[Column].get<std::string>()) : std::nullopt;
+}
+
+template <typename Number>
+std::optional<Number> parseNumber(const json &Value) {
+  const auto Whole = asWholeNumber(Value);
+  return Whole && std::in_range<Number>(*Whole)
+             ? std::optional(static_cast<Number>(*Whole))
+             : std::nullopt;
+}
+
+std::optional<work::running_run> parseRunningRun(const work::task_ref &Task,
+                                                 const json &Row) {
+  constexpr std::int64_t MaxPercent = 100;
+  if (Row.size() < 3 || !Row[2].is_string())
+    return std::nullopt;
+  const auto Run = parseNumber<std::uint32_t>(Row[1]);
+  if (!Run)
     return std::nullopt;
-  const auto Run = static_cast<std::uint32_t>(*asInteger(Row[1]));
   const auto Percent =
       Row.size() > 3 ? asInteger(Row[3]).value_or(0) : std::int64_t{0};
-  return work::running_run{.Run = {*Task, Run},
+  return work::running_run{.Run = {Task, *Run},
                            .Checkpoint = Row[2].get<std::string>(),
-                           .Percent = static_cast<std::int32_t>(Percent)};
+                           .Percent = static_cast<std::int32_t>(std::clamp(
+                               Percent, std::int64_t{0}, MaxPercent))};
+}
+
+/// Rows that name no task are skipped. Nothing if a row that names one can't be
+/// read: the run would be taken for ended.
+std::optional<std::vector<work::running_run>>
+parseRunningRuns(const json &Rows) {
+  std::vector<work::running_run> Runs;
+  for (const json &Row : Rows) {
+    const auto Task = parseTask(Row, 0);
+    if (!Task)
+      continue;
+    auto Run = parseRunningRun(*Task, Row);
+    if (!Run)
+      return std::nullopt;
+    Runs.push_back(std::move(*Run));
+  }
+  return Runs;
 }
 
 std::optional<work::run_end_reason> parseRunEnd(const std::string &EndReason) {
@@ -87,37 +119,38 @@
 }
 
 std::optional<work::finished_run> parseFinishedRun(const json &Row) {
-  const bool WellFormed = Row.is_array() && Row.size() >= 4 &&
-                          asInteger(Row[0]) && Row[1].is_string() &&
-                          asInteger(Row[2]) && Row[3].is_string();
-  if (!WellFormed)
+  const auto Task = parseTask(Row, 1);
+  if (!Task || Row.size() < 4 || !Row[3].is_string())
     return std::nullopt;
-  const auto Task = parseTaskName(Row[1].get<std::string>());
+  const auto Number = parseNumber<std::uint64_t>(Row[0]);
+  const auto Run = parseNumber<std::uint32_t>(Row[2]);
   const auto EndReason = parseRunEnd(Row[3].get<std::string>());
-  if (!Task || !EndReason)
+  if (!Number || !Run || !EndReason)
     return std::nullopt;
   const bool HasCheckpoint = Row.size() > 4 && Row[4].is_string();
-  return work::finished_run{
-      .Number = static_cast<std::uint64_t>(*asInteger(Row[0])),
-      .Run = {*Task, static_cast<std::uint32_t>(*asInteger(Row[2]))},
-      .EndReason = *EndReason,
-      .Checkpoint = HasCheckpoint ? Row[4].get<std::string>() : ""};
+  return work::finished_run{.Number = *Number,
+                            .Run = {*Task, *Run},
+                            .EndReason = *EndReason,
+                            .Checkpoint =
+                                HasCheckpoint ? Row[4].get<std::string>() : ""};
 }
 
 std::optional<work::worker_listing> parseListing(const json &Body) {
   const auto Clock = integerField(Body, "ClockMs");
-  const auto StartTimeMs = integerField(Body, "born");
-  if (!Clock || !StartTimeMs)
+  const json *StartTime = member(Body, "born");
+  const auto StartTimeMs =
+      StartTime ? parseNumber<std::uint64_t>(*StartTime) : std::nullopt;
+  const json *Running = arrayField(Body, "Running");
+  const json *Finished = arrayField(Body, "Finished");
+  if (!Clock || !StartTimeMs || !Running || !Finished)
+    return std::nullopt;
+  auto Runs = parseRunningRuns(*Running);
+  if (!Runs)
     return std::nullopt;
-  work::worker_listing Listing{.StartTimeMs =
-                                   static_cast<std::uint64_t>(*StartTimeMs),
-                               .ClockMs = *Clock};
-  const json *Running = member(Body, "Running");
-  for (const json &Row : Running ? *Running : json::array())
-    if (auto Run = parseRunningRun(Row))
-      Listing.Running.push_back(std::move(*Run));
-  const json *Finished = member(Body, "Finished");
-  for (const json &Row : Finished ? *Finished : json::array())
+  work::worker_listing Listing{.StartTimeMs = *StartTimeMs,
+                               .ClockMs = *Clock,
+                               .Running = std::move(*Runs)};
+  for (const json &Row : *Finished)
     if (auto Run = parseFinishedRun(Row))
       Listing.Finished.push_back(std::move(*Run));
   return Listing;
@@ -232,7 +265,15 @@
   Body["DeadlineMs"] = Order.LeaseEndMs;
   if (!Order.Run.Checkpoint.empty())
     Body["LastCheckpoint"] = Order.Run.Checkpoint;
-  http_call Call = makeCall(Target, "/api/run-start", Body.dump(), Timeout);
+  auto Text = toText(Body);
+  if (!Text) {
+    Log.warningEvent("run_start_unencodable",
+                     {{"task", taskName(Order.Run.Run.Task)}});
+    Done({work::worker_call_result::Refused, work::start_refusal::Invalid});
+    return;
+  }
+  const http_call Call =
+      makeCall(Target, "/api/run-start", std::move(*Text), Timeout);
   const result_function Finish =
       [this, Name = taskName(Order.Run.Run.Task),
        Born = Target.Instance.StartTimeMs,
