--- a/src/platform/internal/jsonfields.cpp
+++ b/src/platform/internal/jsonfields.cpp
@@ -11,11 +11,11 @@
 constexpr double MaxExactInteger = 9007199254740992.0;
 
 /// The messages of the platform nest 5 levels. Copying and printing a document
-/// recurse, so the depth is limited before it is built.
-constexpr std::size_t MaxNesting = 64;
+/// recurse, so deeper parts are left out when it is built.
+constexpr int MaxNesting = 64;
 
 bool nestsTooDeeply(std::string_view Text) {
-  std::size_t Depth = 0;
+  int Depth = 0;
   bool InString = false;
   for (std::size_t I = 0; I < Text.size(); ++I) {
     const char Each = Text[I];
@@ -36,9 +36,12 @@
 } // namespace
 
 std::optional<json> parseObject(std::string_view Text) {
+  json::parser_callback_t LeaveOutDeepParts;
   if (nestsTooDeeply(Text))
-    return std::nullopt;
-  json Document = json::parse(Text, nullptr, false);
+    LeaveOutDeepParts = [](int Depth, json::parse_event_t, const json &) {
+      return Depth <= MaxNesting;
+    };
+  json Document = json::parse(Text, LeaveOutDeepParts, false);
   if (!Document.is_object())
     return std::nullopt;
   return Document;
--- a/src/platform/internal/taskworkerclient.cpp
+++ b/src/platform/internal/taskworkerclient.cpp
@@ -99,6 +99,8 @@
 parseRunningRuns(const json &Rows) {
   std::vector<work::running_run> Runs;
   for (const json &Row : Rows) {
+    if (!Row.is_array() || Row.empty() || !Row[0].is_string())
+      return std::nullopt;
     const auto Task = parseTask(Row, 0);
     if (!Task)
       continue;
