Deny a job only by the log's end as an append returns it

Callers saw 410 for an accepted job (LOST) from an entry that had started after the submission, as long as the store answered reads from an earlier state.

Cause: the end of the log, up to which an entry reads before it answers 410, came from a read itself. An entry that missed the notification then caught up with an end that was as old as its records.

Evidence, JobPlatform.AnEntryThatStartsWhileReadsAreStaleDeniesNoAcceptedJob without the change: LONGS_EQUAL(503, Cluster.jobCall("entry-2", "GET", BatchJobPath).Code) failed expected <503> but was <410>

topic_reader::catchUp now asks for the end by an append without records. The partition processes it in turn with the submissions, so that it can't be older than one that was confirmed. The entry answers 503 until it has read that far. A new leader catches up with the submissions in the same way.

Each wait for an offset logs offset_reached or offset_not_reached with the end, the reader's own offset and the age of the last answer.

--- a/src/daemon/tests/jobplatformtest.cpp
+++ b/src/daemon/tests/jobplatformtest.cpp
@@ -251,6 +251,21 @@
   setStaleReads(false);
 }
 
+// The entry has missed the notification of the other one, and reads records
+// from before the submission.
+TEST(JobPlatform, AnEntryThatStartsWhileReadsAreStaleDeniesNoAcceptedJob) {
+  setStaleReads(true);
+  LONGS_EQUAL(200, submit(jobBody(1, 1, R"({"ms":200})"), "entry-1"));
+  Cluster.process("entry-2").kill();
+  Cluster.startJobEntry("entry-2");
+  CHECK(Cluster.waitFor([&] { return ready("entry-2"); }));
+  LONGS_EQUAL(503, Cluster.jobCall("entry-2", "GET", BatchJobPath).Code);
+  setStaleReads(false);
+  CHECK(waitForState("completed", "entry-2"));
+  LONGS_EQUAL(
+      410, Cluster.jobCall("entry-2", "GET", "/batch/00000000000000a9").Code);
+}
+
 TEST(JobPlatform, ARestartedEntryDoesNotReplaceTheLeader) {
   CHECK(Cluster.waitFor([&] { return !leader().empty(); }));
   const std::string Leader = leader();
--- a/src/jobentry/internal/topicreader.cpp
+++ b/src/jobentry/internal/topicreader.cpp
@@ -4,6 +4,13 @@
 
 namespace geraniumpaddle {
 
+namespace {
+
+/// Timeout of the append that returns the end of the topic.
+constexpr duration EndTimeout = std::chrono::milliseconds(600);
+
+} // namespace
+
 topic_reader::topic_reader(ievent_loop &Loop, istore &Store, store_topic Topic,
                            duration ReadWait, duration ReadPause,
                            itopic_delegate &Delegate)
@@ -65,16 +72,18 @@
 }
 
 void topic_reader::catchUp(duration Timeout, std::function<void(bool)> Done) {
-  Store.read(Topic, Follower.next(), duration{},
-             [this, Timeout, Alive = Alive,
-              Done = std::move(Done)](const read_outcome &Outcome) {
-               if (!*Alive)
-                 return;
-               if (Outcome.Ok)
-                 waitForOffset(Outcome.Batch.End, Timeout, Done);
-               else
-                 Done(false);
-             });
+  // An append without records returns the end of the topic. A read may be
+  // answered from an earlier state of it.
+  Store.append({.Topic = Topic, .Timeout = std::min(Timeout, EndTimeout)},
+               [this, Timeout, Alive = Alive,
+                Done = std::move(Done)](const append_outcome &Outcome) {
+                 if (!*Alive)
+                   return;
+                 if (Outcome.Status == store_append_status::Stored)
+                   waitForOffset(Outcome.End, Timeout, Done);
+                 else
+                   Done(false);
+               });
 }
 
 void topic_reader::waitForOffset(std::uint64_t End, duration Timeout,
@@ -101,8 +110,16 @@
         [](const auto &A, const auto &B) { return A.Deadline < B.Deadline; });
     WaiterTimer.startAt(Earliest->Deadline, [this] { completeWaiters(); });
   }
-  for (const waiter &Each : Completed)
-    Each.Done(Follower.reached(Each.End));
+  for (const waiter &Each : Completed) {
+    const bool Reached = Follower.reached(Each.End);
+    Log.event(Reached ? "offset_reached" : "offset_not_reached",
+              {{"topic", static_cast<int>(Topic)},
+               {"end", Each.End},
+               {"next", Follower.next()},
+               {"answer_age_ms",
+                millisecondsOf(Loop.now() - Follower.lastAnswer())}});
+    Each.Done(Reached);
+  }
 }
 
 } // namespace geraniumpaddle
