Limit the timeout that a client may ask for

Callers with X-Timeout-Ms got 503 for jobs that the entry did not know yet (review finding; not seen with the users).

Cause: the conversion to microseconds overflowed, and the deadline of the call lay before its arrival.

Evidence, JobPlatform.CallsWithVeryLongTimeoutsAreServed without the change:: expected <410> but was <503>

Timeouts above a minute count as a minute, so that the sum with the present time stays in range.

--- a/src/daemon/tests/jobplatformtest.cpp
+++ b/src/daemon/tests/jobplatformtest.cpp
@@ -137,6 +137,19 @@
                      End - Cluster.loop().now()),
                  Job.c_str());
   }
+  http_result callWithTimeout(const std::string &Method,
+                              const std::string &TimeoutMs,
+                              const std::string &Body = "") {
+    return Cluster.call({.Address = Cluster.address("entry-1.front"),
+                         .Method = Method,
+                         .Target = BatchJobPath,
+                         .Headers = {{"Host", "jobs.example"},
+                                     {"Authorization", "Bearer key"},
+                                     {"Content-Type", "application/json"},
+                                     {"X-Timeout-Ms", TimeoutMs}},
+                         .Body = Body,
+                         .Timeout = 4s});
+  }
   /// The entry that started the highest term according to the logs; empty if
   /// no entry has been elected.
   std::string leader() {
@@ -196,6 +209,18 @@
   STRCMP_CONTAINS("\"Pending\":0", Pending.Body.c_str());
 }
 
+TEST(JobPlatform, CallsWithVeryLongTimeoutsAreServed) {
+  for (const char *TimeoutMs :
+       {"9223372036854775807", "9223372036854775", "9223372036855"}) {
+    LONGS_EQUAL_TEXT(410, callWithTimeout("GET", TimeoutMs).Code, TimeoutMs);
+    LONGS_EQUAL_TEXT(410, callWithTimeout("DELETE", TimeoutMs).Code, TimeoutMs);
+  }
+  LONGS_EQUAL(200, callWithTimeout("POST", "9223372036854775807",
+                                   jobBody(1, 1, R"({"ms":100})"))
+                       .Code);
+  CHECK(waitForState("completed"));
+}
+
 TEST(JobPlatform, AnotherEntryTakesOverWhenTheLeaderIsKilled) {
   CHECK(Cluster.waitFor([&] { return !leader().empty(); }));
   const std::string OldLeader = leader();
--- a/src/jobentry/internal/jobapi.cpp
+++ b/src/jobentry/internal/jobapi.cpp
@@ -27,6 +27,8 @@
 
 /// Used for requests without a timeout header.
 constexpr duration DefaultTimeout = std::chrono::seconds(3);
+/// Longer timeouts of clients count as this.
+constexpr std::chrono::milliseconds MaxTimeout = std::chrono::minutes(1);
 /// Share of the client's timeout that is spent on retries. The rest is left for
 /// the client to receive the error and to retry.
 constexpr double RetryTimeShare = 0.45;
@@ -96,7 +98,7 @@
       std::from_chars(Text.data(), Text.data() + Text.size(), Milliseconds);
   const bool HasTimeout = Error == std::errc() && Milliseconds > 0;
   const duration Timeout =
-      HasTimeout ? duration(std::chrono::milliseconds(Milliseconds))
+      HasTimeout ? std::min(std::chrono::milliseconds(Milliseconds), MaxTimeout)
                  : DefaultTimeout;
   return Loop.now() +
          std::chrono::duration_cast<duration>(Timeout * RetryTimeShare);
