Records and peer messages with values out of range are rejected

Callers would find no entry: each process that reads an odd record of another writer ends, starts, reads it and ends again.

Causes: the check of a step's dependency overflowed for, which then was an index; the limit of tasks held for callers only, while tables are sized by the counts of any record; times, amounts and the slack factor were used without limits; a report could name no worker.

Rejected records and reports were logged and skipped before as well. Answers of other entries are limited instead, since a part of them is of use.

--- a/src/core/work/internal/runforecast.cpp
+++ b/src/core/work/internal/runforecast.cpp
@@ -18,9 +18,12 @@
   return std::chrono::duration<double>(Time).count();
 }
 
+/// About a tenth of what a duration can hold.
+constexpr double MaxSeconds = 1e12;
+
 duration fromSeconds(double Seconds) {
   return std::chrono::duration_cast<duration>(
-      std::chrono::duration<double>(Seconds));
+      std::chrono::duration<double>(std::min(Seconds, MaxSeconds)));
 }
 
 } // namespace
@@ -73,7 +76,7 @@
 
 duration run_forecast::objective(const job_spec &Spec) const {
   const double Factor = std::max(Spec.Policy.SlackFactor, 1.0);
-  return std::chrono::duration_cast<duration>(criticalPath(Spec) * Factor) +
+  return fromSeconds(secondsOf(criticalPath(Spec)) * Factor) +
          Spec.Policy.TargetLatency;
 }
 
--- a/src/core/work/types/job.h
+++ b/src/core/work/types/job.h
@@ -63,6 +63,17 @@
   friend bool operator==(const job_spec &, const job_spec &) = default;
 };
 
+/// Limit of tasks of one job, over all its occurrences. Bounds the size of its
+/// record.
+constexpr std::uint64_t MaxTasks = 4096;
+/// About 10 years. The steps or occurrences of the largest job add up to less
+/// than a duration can hold.
+constexpr std::chrono::milliseconds MaxDuration{315'576'000'000};
+/// About 100 years.
+constexpr std::chrono::milliseconds MaxTimeSinceEpoch{3'155'760'000'000};
+/// Limit of the factor of a job's critical path.
+constexpr double MaxSlackFactor = 1000;
+
 /// True if the job has more than \p Max tasks over all its occurrences.
 bool hasMoreTasksThan(const job_spec &Spec, std::uint64_t Max);
 
--- a/src/jobentry/internal/jobentryleadership.cpp
+++ b/src/jobentry/internal/jobentryleadership.cpp
@@ -221,7 +221,7 @@
     Event.Leases.push_back(
         {.Instance = {worker_id(Lease.life().worker()), Lease.life().born()},
          .End = Environment.Loop.now() +
-                std::chrono::milliseconds(Lease.left_ms())});
+                work::boundedMilliseconds(Lease.left_ms())});
   Log.event("previous_term_ended",
             {{"term", Ended.term()}, {"leases", Event.Leases.size()}});
   SchedulerDriver->feed(Event);
--- a/src/jobentry/internal/leaderprobe.cpp
+++ b/src/jobentry/internal/leaderprobe.cpp
@@ -1,5 +1,7 @@
 #include "jobentry/leaderprobe.h"
 
+#include "workcodec/workcodec.h"
+
 #include <utility>
 
 namespace geraniumpaddle {
@@ -15,8 +17,8 @@
   if (!State.in_office())
     return {.State = NotLeading};
   return {.State = Leading,
-          .SinceLastAppend = std::chrono::milliseconds(State.since_stored_ms()),
-          .SinceElected = std::chrono::milliseconds(State.since_won_ms()),
+          .SinceLastAppend = work::boundedMilliseconds(State.since_stored_ms()),
+          .SinceElected = work::boundedMilliseconds(State.since_won_ms()),
           .Agents = State.agents()};
 }
 
--- a/src/jobentry/internal/relayingtransport.cpp
+++ b/src/jobentry/internal/relayingtransport.cpp
@@ -1,7 +1,9 @@
 #include "jobentry/relayingtransport.h"
 
 #include "platform/storeclient.h"
+#include "workcodec/workcodec.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace geraniumpaddle {
@@ -15,6 +17,16 @@
 constexpr int TooManyRequests = 429;
 constexpr int Unavailable = 503;
 
+/// An answer that can't be read may be that of a call which was executed.
+call_status statusOf(const proto::PeerResponse &Response) {
+  if (!Response.has_store_answer())
+    return call_status::NotSent;
+  const std::uint32_t Status = Response.store_answer().status();
+  return Status <= static_cast<std::uint32_t>(call_status::TimedOut)
+             ? static_cast<call_status>(Status)
+             : call_status::Lost;
+}
+
 bool isRejected(const store_reply &Reply) {
   if (Reply.Status != call_status::Completed)
     return Reply.Status == call_status::NotSent;
@@ -99,7 +111,8 @@
   Call.set_target(Request.Target);
   Call.set_body(Request.Body);
   Call.set_content_type(Request.ContentType);
-  Call.set_timeout_ms(millisecondsOf(Request.Timeout));
+  Call.set_timeout_ms(static_cast<std::uint64_t>(
+      std::max<std::int64_t>(millisecondsOf(Request.Timeout), 0)));
   const std::string &Address = Relays[Route.relay(Relays.size())];
   Peers.call(Address, Message, Request.Timeout + RelayLatencyAllowance,
              [this, Alive = Alive, Address,
@@ -110,9 +123,7 @@
                if (Result.Status == call_status::Completed) {
                  const proto::work::StoreAnswer &Answer =
                      Result.Response.store_answer();
-                 Reply.Status = Result.Response.has_store_answer()
-                                    ? static_cast<call_status>(Answer.status())
-                                    : call_status::NotSent;
+                 Reply.Status = statusOf(Result.Response);
                  Reply.Code = static_cast<int>(Answer.code());
                  Reply.Body = Answer.body();
                } else {
@@ -129,7 +140,7 @@
                .Target = Call.target(),
                .Body = Call.body(),
                .ContentType = Call.content_type(),
-               .Timeout = std::chrono::milliseconds(Call.timeout_ms())},
+               .Timeout = work::boundedMilliseconds(Call.timeout_ms())},
               [Respond = std::move(Respond)](const store_reply &Reply) {
                 proto::PeerResponse Response;
                 proto::work::StoreAnswer &Answer =
--- a/src/workcodec/internal/convert.h
+++ b/src/workcodec/internal/convert.h
@@ -10,11 +10,17 @@
 
 namespace geraniumpaddle::work {
 
-inline duration fromMilliseconds(std::uint64_t Count) {
+/// \throws malformed_message_error if \p Count is greater than \p Max.
+inline std::chrono::milliseconds
+fromMilliseconds(std::uint64_t Count,
+                 std::chrono::milliseconds Max = MaxDuration) {
+  if (Count > static_cast<std::uint64_t>(Max.count()))
+    throw malformed_message_error("a time is out of range");
   return std::chrono::milliseconds(Count);
 }
+/// \throws malformed_message_error
 inline wall_time wallTime(std::uint64_t Count) {
-  return wall_time(std::chrono::milliseconds(Count));
+  return wall_time(fromMilliseconds(Count, MaxTimeSinceEpoch));
 }
 
 /// Converts \p Value to an enumerator.
@@ -29,9 +35,12 @@
 void toProto(const worker_instance &Instance, proto::work::WorkerLife &Message);
 worker_instance fromProto(const proto::work::WorkerLife &Message);
 void toProto(const resources &Need, proto::work::TaskNeed &Message);
+/// \throws malformed_message_error if an amount is negative or so large that
+/// sums over all workers could overflow.
 resources fromProto(const proto::work::TaskNeed &Message);
 void toProto(const job_spec &Spec, proto::work::JobSubmitted &Message);
-/// \throws malformed_message_error if a step depends on itself or a later step.
+/// \throws malformed_message_error if a value is out of range, the job has no
+/// task or too many, or a step depends on itself or a later step.
 job_spec fromProto(const proto::work::JobSubmitted &Message);
 
 } // namespace geraniumpaddle::work
--- a/src/workcodec/internal/peerconvert.cpp
+++ b/src/workcodec/internal/peerconvert.cpp
@@ -97,6 +97,9 @@
 }
 
 worker_report decodeReport(const proto::work::WorkerReport &Message) {
+  const proto::work::WorkerLife &Life = Message.description().life();
+  if (Life.worker().empty() || Life.born() == 0)
+    throw malformed_message_error("the report names no instance of a worker");
   worker_report Report{
       .Description = fromProto(Message.description()),
       .Applied = {Message.applied_term(), Message.applied_number()},
--- a/src/workcodec/internal/recordconvert.cpp
+++ b/src/workcodec/internal/recordconvert.cpp
@@ -3,8 +3,15 @@
 
 #include "core/base/membertable.h"
 
+#include <algorithm>
+
 namespace geraniumpaddle::work {
 
+duration boundedMilliseconds(std::uint64_t Count) {
+  return std::chrono::milliseconds(
+      std::min(Count, static_cast<std::uint64_t>(MaxDuration.count())));
+}
+
 proto::work::QueueForecast encodeForecast(const queue_forecast &Forecast) {
   proto::work::QueueForecast Message;
   for (const auto &[Priority, Wait] : Forecast) {
@@ -18,7 +25,7 @@
 queue_forecast decodeForecast(const proto::work::QueueForecast &Message) {
   queue_forecast Forecast;
   for (const proto::work::QueueForecast::Wait &Each : Message.waits())
-    Forecast[Each.priority()] = fromMilliseconds(Each.wait_ms());
+    Forecast[Each.priority()] = boundedMilliseconds(Each.wait_ms());
   return Forecast;
 }
 
--- a/src/workcodec/internal/specconvert.cpp
+++ b/src/workcodec/internal/specconvert.cpp
@@ -1,5 +1,8 @@
 #include "workcodec/internal/convert.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace geraniumpaddle::work {
 
 void toProto(const worker_instance &Instance,
@@ -18,8 +21,20 @@
   Message.set_accelerators(Need.Accelerators);
 }
 
+namespace {
+
+std::int64_t checkedAmount(std::int64_t Amount) {
+  if (Amount < 0 || Amount > std::numeric_limits<std::int32_t>::max())
+    throw malformed_message_error("an amount is out of range");
+  return Amount;
+}
+
+} // namespace
+
 resources fromProto(const proto::work::TaskNeed &Message) {
-  return {Message.accelerators(), Message.millicores(), Message.memory_mb()};
+  return {static_cast<std::int32_t>(checkedAmount(Message.accelerators())),
+          checkedAmount(Message.millicores()),
+          checkedAmount(Message.memory_mb())};
 }
 
 namespace {
@@ -87,6 +102,26 @@
   Message.set_occurrences(Spec.Occurrences);
 }
 
+namespace {
+
+/// Tables of tasks are sized by these numbers.
+void checkTasks(const job_spec &Spec) {
+  const bool Empty =
+      Spec.Steps.empty() || Spec.Occurrences == 0 ||
+      std::any_of(Spec.Steps.begin(), Spec.Steps.end(),
+                  [](const step_spec &Step) { return Step.Count == 0; });
+  if (Empty || hasMoreTasksThan(Spec, MaxTasks))
+    throw malformed_message_error("a job has no task or too many");
+}
+
+double checkedSlack(double Factor) {
+  if (!(Factor >= 0 && Factor <= MaxSlackFactor))
+    throw malformed_message_error("a slack factor is out of range");
+  return Factor;
+}
+
+} // namespace
+
 job_spec fromProto(const proto::work::JobSubmitted &Message) {
   job_spec Spec;
   Spec.Id = job_id(Message.job());
@@ -96,13 +131,13 @@
                  .Service = service_id(Policy.service()),
                  .Priority = Policy.priority(),
                  .Attempts = Policy.attempts(),
-                 .SlackFactor = Policy.slack_factor(),
+                 .SlackFactor = checkedSlack(Policy.slack_factor()),
                  .TargetLatency = fromMilliseconds(Policy.target_latency_ms())};
   Spec.Payload = Message.payload();
   for (const proto::work::StepSpec &Step : Message.steps()) {
     Spec.Steps.push_back(fromProto(Step));
     for (const std::uint32_t Dependency : Spec.Steps.back().After)
-      if (Dependency + 1 >= Spec.Steps.size())
+      if (Dependency >= Spec.Steps.size() - 1)
         throw malformed_message_error(
             "a step depends on itself or a later one");
   }
@@ -111,6 +146,7 @@
   Spec.FirstStart = wallTime(Message.first_start_ms());
   Spec.Interval = fromMilliseconds(Message.interval_ms());
   Spec.Occurrences = Message.occurrences();
+  checkTasks(Spec);
   return Spec;
 }
 
--- a/src/workcodec/workcodec.h
+++ b/src/workcodec/workcodec.h
@@ -25,6 +25,10 @@
 /// \throws malformed_message_error
 worker_orders decodeOrders(const proto::work::WorkerOrders &Message);
 
+/// \p Count milliseconds, at most MaxDuration; for answers of other entries, of
+/// which a part is still of use.
+duration boundedMilliseconds(std::uint64_t Count);
+
 proto::work::QueueForecast encodeForecast(const queue_forecast &Forecast);
 queue_forecast decodeForecast(const proto::work::QueueForecast &Message);
 
