A caller's timeout of any length is bounded

A caller with "X-Timeout-Ms:" was answered 503 or 504 after one try of the store: the milliseconds were multiplied by 1,000 without a limit, so the deadline lay in the past. Found by reading.

decodeTimeout limits them to work::MaxDuration. It stands with the other decoders of the platform's messages, where a test can reach it; the test has no earlier version to fail on, since the code stood in job_api. That the product overflows is arithmetic: ms are 1,000 times more microseconds than a duration holds.

--- a/src/jobentry/internal/jobapi.cpp
+++ b/src/jobentry/internal/jobapi.cpp
@@ -8,7 +8,6 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
-#include <charconv>
 #include <utility>
 
 namespace geraniumpaddle {
@@ -42,9 +41,6 @@
 constexpr duration MaxStoreRetryAfter = std::chrono::seconds(4);
 /// Number of hexadecimal digits of a job id.
 constexpr std::size_t JobIdDigits = 16;
-/// Limit of tasks of one job, over all its occurrences. Bounds the size of its
-/// record.
-constexpr std::uint64_t MaxTasks = 4096;
 
 bool isJobId(std::string_view Text) {
   return Text.size() == JobIdDigits &&
@@ -90,14 +86,8 @@
       OnStored(std::move(OnStored)) {}
 
 time_point job_api::deadlineOf(const http_request_view &Request) const {
-  const std::string_view Text = headerValue(Request.Headers, TimeoutHeader);
-  std::int64_t Milliseconds = 0;
-  const auto [End, Error] =
-      std::from_chars(Text.data(), Text.data() + Text.size(), Milliseconds);
-  const bool HasTimeout = Error == std::errc() && Milliseconds > 0;
-  const duration Timeout =
-      HasTimeout ? duration(std::chrono::milliseconds(Milliseconds))
-                 : DefaultTimeout;
+  const duration Timeout = decodeTimeout(
+      headerValue(Request.Headers, TimeoutHeader), DefaultTimeout);
   return Loop.now() +
          std::chrono::duration_cast<duration>(Timeout * RetryTimeShare);
 }
@@ -181,7 +171,7 @@
             Problem.what());
     return;
   }
-  if (work::hasMoreTasksThan(Record.Spec, MaxTasks)) {
+  if (work::hasMoreTasksThan(Record.Spec, work::MaxTasks)) {
     respond(
         Call,
         encodeError(BadRequest, "too_large", "a job has at most 4096 tasks"),
--- a/src/platform/internal/platformdecode.cpp
+++ b/src/platform/internal/platformdecode.cpp
@@ -3,6 +3,7 @@
 #include "platform/internal/jsonfields.h"
 
 #include <algorithm>
+#include <charconv>
 #include <limits>
 
 namespace geraniumpaddle {
@@ -10,13 +11,6 @@
 namespace {
 
 constexpr int MillisecondsPerSecond = 1000;
-/// About 100 years since 1970.
-constexpr std::int64_t MaxTimeMs = 3'155'760'000'000;
-/// About 10 years. The occurrences or steps of the largest job add up to less
-/// than a duration can hold.
-constexpr std::int64_t MaxDurationMs = 315'576'000'000;
-/// Limit of a factor of durations.
-constexpr double MaxSlackFactor = 1000;
 
 [[noreturn]] void throwFieldError(std::string_view Field,
                                   std::string_view Problem) {
@@ -58,7 +52,7 @@
   const auto Value = Member ? asWholeNumber(*Member) : std::nullopt;
   if (!Value)
     throwFieldError(Field, "is not a whole number");
-  if (*Value < 1 || *Value > MaxTimeMs)
+  if (*Value < 1 || *Value > work::MaxTimeSinceEpoch.count())
     throwFieldError(Field, "is out of range");
   return static_cast<std::uint64_t>(*Value);
 }
@@ -70,11 +64,11 @@
   return *Value;
 }
 
-std::chrono::milliseconds readMilliseconds(const json &Object,
-                                           const char *Field,
-                                           std::int64_t Max = MaxDurationMs) {
+std::chrono::milliseconds
+readMilliseconds(const json &Object, const char *Field,
+                 std::chrono::milliseconds Max = work::MaxDuration) {
   const auto Value = readNumber<std::int64_t>(Object, Field);
-  if (Value > Max)
+  if (Value > Max.count())
     throwFieldError(Field, "is out of range");
   return std::chrono::milliseconds(Value);
 }
@@ -110,8 +104,9 @@
   Policy.Service = service_id(readString(Object, "Service"));
   Policy.Priority = readNumber<std::uint32_t>(Object, "Priority");
   Policy.Attempts = readNumber<std::uint32_t>(Object, "Attempts");
-  Policy.SlackFactor = std::clamp(
-      numberField(Object, "SlackFactor").value_or(1), 0.0, MaxSlackFactor);
+  Policy.SlackFactor =
+      std::clamp(numberField(Object, "SlackFactor").value_or(1), 0.0,
+                 work::MaxSlackFactor);
   Policy.TargetLatency = readMilliseconds(Object, "TargetLatencyMs");
   return Route;
 }
@@ -229,7 +224,8 @@
   const auto Times = readNumber<std::uint32_t>(Object, "Times");
   Spec.Scheduled = Times > 0;
   Spec.Occurrences = std::max(Times, 1U);
-  Spec.FirstStart = wall_time(readMilliseconds(Object, "StartAtMs", MaxTimeMs));
+  Spec.FirstStart =
+      wall_time(readMilliseconds(Object, "StartAtMs", work::MaxTimeSinceEpoch));
   Spec.Interval = readMilliseconds(Object, "IntervalMs");
   return Spec;
 }
@@ -261,6 +257,17 @@
   return Call;
 }
 
+duration decodeTimeout(std::string_view Text, duration Default) {
+  std::int64_t Milliseconds = 0;
+  const auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Milliseconds);
+  if (Error == std::errc::result_out_of_range && !Text.starts_with('-'))
+    return work::MaxDuration;
+  if (Error != std::errc() || Milliseconds <= 0)
+    return Default;
+  return std::min(std::chrono::milliseconds(Milliseconds), work::MaxDuration);
+}
+
 http_response encodeJobState(work::job_state State) {
   return makeJsonResponse(200, {{"State", name(State)}});
 }
--- a/src/platform/platformdecode.h
+++ b/src/platform/platformdecode.h
@@ -46,6 +46,10 @@
 constexpr std::string_view ReadinessPath = "/api/readyz";
 constexpr std::string_view TimeoutHeader = "X-Timeout-Ms";
 
+/// The time for which a caller waits, from the value of TimeoutHeader; at most
+/// work::MaxDuration, and \p Default if it is not a positive number.
+duration decodeTimeout(std::string_view Text, duration Default);
+
 http_response encodeJobState(work::job_state State);
 http_response encodePending(std::size_t Count);
 http_response encodeEmpty(int Code);
--- a/src/platform/tests/unusableinputtest.cpp
+++ b/src/platform/tests/unusableinputtest.cpp
@@ -198,6 +198,17 @@
                          R"("IntervalMs":3000000000000})"));
 }
 
+// Guards against an overflow of the deadline, which lay in the past.
+TEST(UnusableInput, ACallersTimeoutOfAnyLengthIsBounded) {
+  for (const char *Huge :
+       {"9223372036854775807", "9223372036854775", "99999999999999999999999"})
+    CHECK_TEXT(decodeTimeout(Huge, 3s) == work::MaxDuration, Huge);
+  for (const char *Unusable :
+       {"", "0", "-5", "soon", "-99999999999999999999999"})
+    CHECK_TEXT(decodeTimeout(Unusable, 3s) == 3s, Unusable);
+  CHECK(decodeTimeout("1500", 3s) == 1500ms);
+}
+
 // Guards against an agent that ends when a job of another writer has a payload
 // that is not UTF-8.
 TEST(UnusableInput, AStartThatCannotBeEncodedIsRefused) {
