The loop's time counts the suspension of the machine

A leader whose machine was suspended for longer than its lease answered agents as the leader until its next append was refused, because event_loop::now() read CLOCK_MONOTONIC, which stands still meanwhile. It reads CLOCK_BOOTTIME now. Timers keep to libevent's clock and fire late; what they decide is judged by the time that passed.

The test runs the loop in a time namespace whose boot clock is 100 s ahead. Before the change: Failure in TEST(EventLoop, NowCountsTheTimeOfASuspension) expected <0 (0x0)> but was <1 (0x1)> Where the namespace is refused the test can't tell the clocks apart. On this machine CLOCK_MONOTONIC and CLOCK_BOOTTIME were equal outside of it.

--- a/src/transport/ieventloop.h
+++ b/src/transport/ieventloop.h
@@ -14,7 +14,8 @@
 public:
   virtual ~ievent_loop() = default;
 
-  /// Monotonic time; constant within one iteration of the loop.
+  /// Monotonic time, which counts the time that the machine is suspended;
+  /// constant within one iteration of the loop. Timers don't count that time.
   virtual time_point now() const = 0;
   /// Wall-clock time, for the audit trail and logs only.
   virtual wall_time wallNow() const = 0;
--- a/src/transport/internal/eventloop.cpp
+++ b/src/transport/internal/eventloop.cpp
@@ -73,7 +73,8 @@
 time_point event_loop::now() const {
   if (!CachedNow) {
     timespec Now{};
-    clock_gettime(CLOCK_MONOTONIC, &Now);
+    // The monotonic clock stands still while the machine is suspended.
+    clock_gettime(CLOCK_BOOTTIME, &Now);
     CachedNow =
         time_point(duration(Now.tv_sec * 1'000'000 + Now.tv_nsec / 1'000));
   }
--- a/src/transport/tests/eventlooptest.cpp
+++ b/src/transport/tests/eventlooptest.cpp
@@ -1,11 +1,13 @@
 #include "transport/address.h"
 #include "transport/mailbox.h"
+#include "transport/tests/childprocess.h"
 #include "transport/tests/testloop.h"
 #include "transport/timer.h"
 
 #include <CppUTest/TestHarness.h>
 
 #include <csignal>
+#include <ctime>
 #include <stdexcept>
 #include <thread>
 #include <vector>
@@ -51,6 +53,28 @@
   CHECK(First == Second);
 }
 
+// Guards against permissions that seem valid after the machine was suspended.
+TEST(EventLoop, NowCountsTheTimeOfASuspension) {
+  const auto ClockBehindNow = [](const time_point &Now) {
+    timespec Boot{};
+    clock_gettime(CLOCK_BOOTTIME, &Boot);
+    return time_point(std::chrono::seconds(Boot.tv_sec) +
+                      std::chrono::nanoseconds(Boot.tv_nsec) / 1000ns * 1us) -
+           Now;
+  };
+  const auto CountsSuspension = [&] {
+    const duration Behind = ClockBehindNow(event_loop().now());
+    return Behind >= 0s && Behind < 5s;
+  };
+  CHECK(CountsSuspension());
+  test::child_process Child([&] {
+    // In the namespace the clocks differ as after a suspension. Without the
+    // permission for it, the test shows nothing on a machine that never slept.
+    return test::suspendFor(100s, CountsSuspension) ? 0 : 1;
+  });
+  LONGS_EQUAL(0, Child.exitCode());
+}
+
 TEST(EventLoop, RunReturnsAfterStop) {
   Test.Loop.startTimer(1ms, [&] { Test.Loop.stop(); });
   Test.Loop.run();
