--- a/src/core/topics/tests/leaderelectionpropertytest.cpp
+++ b/src/core/topics/tests/leaderelectionpropertytest.cpp
@@ -49,7 +49,9 @@
     Faulty = false;
     StoreDown = false;
     Silent.fill(false);
+    CutOff.fill(false);
   }
+  void cutOffLeader() { CutOff[*LastLeader] = true; }
   bool hasWorkingLeader() const {
     return std::any_of(Candidates.begin(), Candidates.end(),
                        [this](const auto &Each) {
@@ -117,7 +119,7 @@
   void callStore(std::size_t Which, const std::function<void()> &Execute,
                  const std::function<void()> &OnAnswer,
                  const std::function<void()> &OnFailure) {
-    if (StoreDown) {
+    if (StoreDown || CutOff[Which]) {
       scheduleFor(Which, randomBelow(2) == 0 ? 4ms : CallTimeout, OnFailure);
     } else if (Faulty && randomBelow(4) == 0) {
       if (randomBelow(3) > 0)
@@ -266,11 +268,12 @@
   }
 
   void injectFault() {
-    static constexpr std::array<fault, 8> Faults{
-        &election_simulation::restartOne,  &election_simulation::restartAll,
-        &election_simulation::toggleStore, &election_simulation::toggleStore,
-        &election_simulation::toggleLink,  &election_simulation::resetGroup,
-        &election_simulation::reassign,    &election_simulation::reportLeader};
+    static constexpr auto Faults = std::to_array<fault>(
+        {&election_simulation::restartOne, &election_simulation::restartAll,
+         &election_simulation::toggleStore, &election_simulation::toggleStore,
+         &election_simulation::toggleLink, &election_simulation::toggleCut,
+         &election_simulation::toggleCut, &election_simulation::resetGroup,
+         &election_simulation::reassign, &election_simulation::reportLeader});
     if (!Faulty)
       return;
     (this->*Faults[Random() % Faults.size()])();
@@ -286,6 +289,10 @@
     bool &Changed = Silent[randomCandidate()];
     Changed = !Changed;
   }
+  void toggleCut() {
+    bool &Changed = CutOff[randomCandidate()];
+    Changed = !Changed;
+  }
   void resetGroup() {
     Members.clear();
     Holder.reset();
@@ -312,6 +319,7 @@
   bool Faulty = true;
   bool StoreDown = false;
   std::array<bool, CandidateCount> Silent{}; ///< cut off from its peers
+  std::array<bool, CandidateCount> CutOff{}; ///< from the store
   std::string DeadEnd;
   // The store.
   std::map<std::size_t, time_point> Members; ///< and end of their membership
@@ -337,6 +345,20 @@
   }
 }
 
+// The leader still answers its peers.
+TEST(LeaderElectionProperty, ALeaderThatIsCutOffFromTheStoreIsReplaced) {
+  for (unsigned Seed = 1; Seed <= Seeds; ++Seed) {
+    election_simulation Simulation(Seed);
+    Simulation.runFor(FaultyTime);
+    Simulation.endFaults();
+    Simulation.runFor(MaxLateness + ElectionTimeout);
+    Simulation.cutOffLeader();
+    Simulation.runFor(ElectionTimeout);
+    CHECK_TEXT(Simulation.hasWorkingLeader(),
+               ("seed " + std::to_string(Seed)).c_str());
+  }
+}
+
 TEST(LeaderElectionProperty, ALeaderIsAtWorkSoonAfterTheLastFault) {
   for (unsigned Seed = 1; Seed <= Seeds; ++Seed) {
     election_simulation Simulation(Seed);
