Report a barred run although other runs of its worker are starting

A gang of one task, whose start had no answer and which was stopped as incomplete, never ran again while other tasks kept starting on its worker.

Cause: an agent counted its orders as applied only without any call in flight or without an answer, also for runs that the orders contain. On a busy worker no listing was requested at such a moment.

Change: run_reconciler::ordersApplied asks only for runs that the orders don't contain. These still hold it up while they may start, so no task runs twice.

Evidence: RunReconciler.StartsOfOtherRunsDoNotHoldUpTheReportOfABarredRun failed on the code before ("expected <2>, but was <0>") and passes now; .AStartInFlightThatIsNoLongerWantedHoldsUpItsOrders passed before and after.

--- a/src/core/workhost/internal/runreconciler.cpp
+++ b/src/core/workhost/internal/runreconciler.cpp
@@ -260,13 +260,17 @@
     Commands.emplace_back(stop_run{Run});
 }
 
+/// Whether no run can start any more that the orders don't contain. Those that
+/// they contain may still be starting.
 bool run_reconciler::ordersApplied() const {
-  if (!StartsInFlight.empty() || !StopsInFlight.empty() ||
-      !UnconfirmedStarts.empty())
-    return false;
-  return std::all_of(
-      Started.begin(), Started.end(),
-      [this](const run_ref &Run) { return DesiredRuns.contains(Run); });
+  const auto Wanted = [this](const run_ref &Run) {
+    return DesiredRuns.contains(Run);
+  };
+  const auto AllWanted = [&](const std::set<run_ref> &Some) {
+    return std::all_of(Some.begin(), Some.end(), Wanted);
+  };
+  return StopsInFlight.empty() && AllWanted(StartsInFlight) &&
+         AllWanted(UnconfirmedStarts) && AllWanted(Started);
 }
 
 void run_reconciler::requestListing(time_point Now) {
--- a/src/core/workhost/tests/runreconcilertest.cpp
+++ b/src/core/workhost/tests/runreconcilertest.cpp
@@ -127,6 +127,46 @@
   LONGS_EQUAL(2, Reconciler.report().Applied.Number);
 }
 
+// On a busy worker some start is always in flight. A task whose run was barred
+// would otherwise wait until the worker has nothing more to start.
+TEST(RunReconciler, StartsOfOtherRunsDoNotHoldUpTheReportOfABarredRun) {
+  begin();
+  feed(start_answered{Run, worker_call_result::Unknown});
+  Now += 200ms;
+  worker_orders Orders{.Version = {1, 2},
+                       .Instance = Reconciler.description().Instance};
+  const run_ref Other{{job_id("j2"), {}}, 1};
+  Orders.Runs.push_back({.Run = Other, .HasBody = true});
+  feed(orders_received{Orders, 1000});
+  CHECK(Start && Start->Run.Run == Other);
+  CHECK(Stop == Run);
+  listing(); // requested before the stop
+  listing(); // requested while the stop is in flight
+  CHECK(Reconciler.report().Applied.Number < 2);
+  feed(stop_answered{Run, worker_call_result::Done});
+  listing(); // the same
+  CHECK(Reconciler.report().Applied.Number < 2);
+  listing();
+  LONGS_EQUAL(2, Reconciler.report().Applied.Number);
+}
+
+TEST(RunReconciler, AStartInFlightThatIsNoLongerWantedHoldsUpItsOrders) {
+  begin();
+  orders(2, false);
+  listing();
+  listing();
+  CHECK(Reconciler.report().Applied.Number < 2);
+  feed(start_answered{Run, worker_call_result::Unknown});
+  Now += 200ms;
+  listing();
+  listing();
+  CHECK(Reconciler.report().Applied.Number < 2);
+  feed(stop_answered{Run, worker_call_result::Done});
+  listing();
+  listing();
+  LONGS_EQUAL(2, Reconciler.report().Applied.Number);
+}
+
 // The run may have started and finished since the last listing. If the refusal
 // were reported before its end, the scheduler would start the run again.
 TEST(RunReconciler, ReportsARefusalOnlyWithAListingRequestedAfterIt) {
