Property: no job stands still beside idle capacity

standstill_monitor judges the simulated cluster from outside, by what the workers run: after any order of faults (takeovers, restarts, cuts, failing jobs) and once the machines are calm, no job of which nothing runs, and no lasting task, waits longer than 3 s while there is room twice over and less than half is in use.

--- a/src/core/workhost/tests/clustersimulation.cpp
+++ b/src/core/workhost/tests/clustersimulation.cpp
@@ -216,6 +216,18 @@
   return !SimulatedWorkers.listing(workerId(Worker), Now).Running.empty();
 }
 
+const worker_description &cluster_simulation::description(int Worker) const {
+  return Agents[static_cast<std::size_t>(Worker)].Reconciler->description();
+}
+
+std::vector<run_ref> cluster_simulation::runsOf(int Worker) const {
+  std::vector<run_ref> Active;
+  for (const running_run &Each :
+       SimulatedWorkers.listing(workerId(Worker), Now).Running)
+    Active.push_back(Each.Run);
+  return Active;
+}
+
 void cluster_simulation::disconnectAgent(int Worker, duration For) {
   Agents[static_cast<std::size_t>(Worker)].DisconnectedUntil = Now + For;
 }
--- a/src/core/workhost/tests/clustersimulation.h
+++ b/src/core/workhost/tests/clustersimulation.h
@@ -61,6 +61,11 @@
 
   job_state state(const job_id &Job) const;
   bool allEnded() const;
+  time_point now() const { return Now; }
+  int workerCount() const { return static_cast<int>(Agents.size()); }
+  const worker_description &description(int Worker) const;
+  /// Active runs of a worker.
+  std::vector<run_ref> runsOf(int Worker) const;
   const standins::worker_simulation &simulatedWorkers() const {
     return SimulatedWorkers;
   }
--- a/src/core/workhost/tests/clustersimulationtest.cpp
+++ b/src/core/workhost/tests/clustersimulationtest.cpp
@@ -1,4 +1,5 @@
 #include "core/workhost/tests/clustersimulation.h"
+#include "core/workhost/tests/standstillmonitor.h"
 
 #include <rapidcheck.h>
 
@@ -340,8 +341,9 @@
 
 class random_scenario {
 public:
-  random_scenario(std::uint32_t Seed, const simulation_faults &Faults)
-      : Simulation(Seed, Workers, Faults) {}
+  random_scenario(std::uint32_t Seed, const simulation_faults &Faults,
+                  int WorkerCount = Workers)
+      : Simulation(Seed, WorkerCount, Faults) {}
 
   void apply(const simulation_step &Step) {
     using action = void (random_scenario::*)(const simulation_step &);
@@ -352,10 +354,51 @@
         &random_scenario::restartAgent,    &random_scenario::restartWorker,
         &random_scenario::disconnect,      &random_scenario::cutWorker,
         &random_scenario::restartCutWorker};
+    constexpr int FirstDisturbance = 5; // takeOver
     (this->*Actions[Step.Kind])(Step);
+    if (Step.Kind >= FirstDisturbance)
+      DisturbedUntil =
+          std::max(DisturbedUntil, Simulation.now() + 1s * Step.Amount);
     Simulation.runFor(1ms * Step.WaitMs);
   }
 
+  /// Submits a job of one of the shapes that limit where it may run.
+  void submitShaped(const simulation_step &Step) {
+    constexpr int FirstFailingKind = 9;
+    if (Step.Kind >= FirstFailingKind)
+      return submitFailing(Step);
+    job_spec Spec = next(Step, 1 + Step.WaitMs % 8);
+    step_spec &Shape = Spec.Steps[0];
+    Shape.Count = 1 + static_cast<std::uint32_t>(Step.Amount) % 4;
+    Shape.Gang = Step.Kind % 2 == 0;
+    Shape.SameRack = Step.Kind % 3 == 0;
+    Shape.LongRunning = Step.Kind % 4 == 1;
+    if (Shape.LongRunning)
+      Shape.Need.Accelerators = 1; // most of the capacity is to stay idle
+    if (Step.Target < 2)
+      Shape.RequiredLabel = Step.Target == 0 ? "r1" : "r2";
+    Simulation.submit(Spec);
+  }
+  /// Submits what fails often enough on each worker to set it aside.
+  void submitFailing(const simulation_step &Step) {
+    constexpr int FailuresToSuspect = 3;
+    for (int I = 0; I < FailuresToSuspect; ++I) {
+      job_spec Spec = next(Step, 1);
+      Spec.Payload = "100f";
+      Spec.Steps[0].MaxPerWorker = 1;
+      Spec.Steps[0].Count =
+          static_cast<std::uint32_t>(Simulation.workerCount());
+      Simulation.submit(Spec);
+    }
+  }
+  /// Lets the disturbances end, and what depends on leases of that time.
+  void calmDown() {
+    constexpr duration StableTime = 4s;
+    constexpr duration LeaseTime = 7s;
+    const time_point CalmAt = DisturbedUntil + StableTime + LeaseTime;
+    Simulation.runFor(std::max(CalmAt - Simulation.now(), duration{}));
+  }
+
   cluster_simulation Simulation;
 
 private:
@@ -411,6 +454,7 @@
   }
 
   int Jobs = 0;
+  time_point DisturbedUntil{};
 };
 
 bool invariantsHold(const simulation_faults &Faults) {
@@ -430,10 +474,50 @@
   });
 }
 
+/// Whatever has happened before, no job stands still for long once the machines
+/// are calm, while most of the capacity is idle.
+bool nothingStandsStill(const simulation_faults &Faults) {
+  return rc::check([&] {
+    constexpr int WorkerCount = 2 * Workers;
+    // Full ranges in each case: a short scenario is not a mild one.
+    const auto Step = rc::gen::resize(rc::kNominalSize, anyStep());
+    const auto StepsUpTo = [&](int Most) {
+      return *rc::gen::container<std::vector<simulation_step>>(
+          static_cast<std::size_t>(*rc::gen::inRange(0, Most + 1)), Step);
+    };
+    random_scenario Scenario(*rc::gen::arbitrary<std::uint32_t>(), Faults,
+                             WorkerCount);
+    for (const simulation_step &Each : StepsUpTo(10))
+      Scenario.apply(Each);
+    for (const simulation_step &Each : StepsUpTo(5))
+      Scenario.submitShaped(Each);
+    Scenario.calmDown();
+    standstill_monitor Monitor(Scenario.Simulation);
+    for (const simulation_step &Each : StepsUpTo(10)) {
+      Scenario.submitShaped(Each);
+      Monitor.runFor(1ms * Each.WaitMs);
+    }
+    Monitor.runFor(4s);
+    for (const std::string &Each : Monitor.violations())
+      RC_FAIL(Each);
+    for (const std::string &Each :
+         Scenario.Simulation.simulatedWorkers().violations())
+      RC_FAIL(Each);
+  });
+}
+
 } // namespace
 
 TEST_GROUP(ClusterSimulationProperties){};
 
+TEST(ClusterSimulationProperties, NoJobStandsStillBesideIdleCapacity) {
+  CHECK(nothingStandsStill({}));
+}
+
+TEST(ClusterSimulationProperties, NoJobStandsStillAfterLostOrders) {
+  CHECK(nothingStandsStill({.LostOrders = 20}));
+}
+
 TEST(ClusterSimulationProperties, HoldWithoutLostMessages) {
   CHECK(invariantsHold({}));
 }
