Soak: overlapping faults, callers on kept connections, checks while it runs

The soak ran one call and one fault at a time and judged jobs 60 s after the last fault. Actions now overlap and include crashes and new instances of workers, links between agents, entries and workers, SIGHUP, configurations and the end of all processes. Daemons keep their ports when they are started again.

--- a/src/daemon/tests/processcluster.cpp
+++ b/src/daemon/tests/processcluster.cpp
@@ -3,6 +3,8 @@
 #include "codec/protojson.h"
 #include "codec/tokenhash.h"
 #include "core/base/error.h"
+#include "transport/address.h"
+#include "transport/httpserver.h"
 
 #include <CppUTest/TestHarness.h>
 #include <cstdio>
@@ -11,6 +13,7 @@
 #include <fstream>
 #include <google/protobuf/struct.pb.h>
 #include <optional>
+#include <random>
 #include <utility>
 
 namespace geraniumpaddle::tests {
@@ -27,6 +30,27 @@
   return Pattern;
 }
 
+/// An address with a port that is free now and below the range from which the
+/// kernel chooses the ports of outgoing connections.
+std::string findFreeAddress() {
+  constexpr int FirstPort = 10000;
+  constexpr int PortCount = 20000;
+  // Random, since several test programs may run at the same time.
+  static std::random_device Random;
+  for (int Attempt = 0; Attempt < PortCount; ++Attempt) {
+    const std::string Address =
+        "127.0.0.1:" + std::to_string(FirstPort + Random() % PortCount);
+    try {
+      event_loop Loop;
+      const http_server Probe(Loop, Address, http_server_limits{}, {});
+      return Address;
+    } catch (const bind_error &) {
+      continue;
+    }
+  }
+  throw internal_error("no port is free");
+}
+
 std::string commonSettings(const std::string &Role, const std::string &Node,
                            const std::string &Region, const std::string &Zone) {
   return "role: " + Role + "\nnode: " + Node + "\nregion: " + Region +
@@ -45,12 +69,17 @@
   return "";
 }
 
-process_cluster::process_cluster()
-    : Directory(makeTemporaryDirectory()),
-      Http(Loop, http_client_limits{}, Traffic) {}
+process_cluster::process_cluster(const std::string &LogDirectory)
+    : Directory(LogDirectory.empty() ? makeTemporaryDirectory() : LogDirectory),
+      KeepDirectory(!LogDirectory.empty()), Daemon(GP_DAEMON),
+      Http(Loop, http_client_limits{}, Traffic) {
+  std::filesystem::create_directories(Directory);
+}
 
 process_cluster::~process_cluster() {
   Processes.clear();
+  if (KeepDirectory)
+    return;
   if (UtestShell::getCurrent()->hasFailed()) {
     // An intermittent failure can only be analysed with the logs of its run.
     std::fprintf(stderr, "the logs of the processes are kept in %s\n",
@@ -75,14 +104,36 @@
 
 void process_cluster::startDaemon(const std::string &Name,
                                   const std::string &Settings) {
+  keepOutput(Name);
   std::ofstream(filePrefix(Name) + ".yaml") << Settings;
   Processes[Name] = std::make_unique<child_process>(
-      std::vector<std::string>{GP_DAEMON,
+      std::vector<std::string>{Daemon,
                                "--settings=" + filePrefix(Name) + ".yaml"},
       filePrefix(Name));
   Addresses[Name] = listenAddress(Name, "http=");
 }
 
+void process_cluster::keepOutput(const std::string &Name) {
+  Processes.erase(Name);
+  for (const char *Stream : {".out", ".err"}) {
+    const std::string Path = filePrefix(Name) + Stream;
+    if (!std::filesystem::exists(Path))
+      continue;
+    int Number = 1;
+    while (std::filesystem::exists(Path + "." + std::to_string(Number)))
+      ++Number;
+    std::filesystem::rename(Path, Path + "." + std::to_string(Number));
+  }
+}
+
+std::string process_cluster::reservedAddress(const std::string &Name,
+                                             const std::string &Interface) {
+  std::string &Address = Addresses[Name + "." + Interface];
+  if (Address.empty())
+    Address = findFreeAddress();
+  return Address;
+}
+
 std::string process_cluster::listenAddress(const std::string &Name,
                                            const std::string &Field) {
   std::string Output;
@@ -181,33 +232,48 @@
          "\"}\ntiming: {lease_ms: 6000, gang_wait_ms: 3000, stop_ms: 200}\n";
 }
 
+std::string
+process_cluster::listenSettings(const std::string &Name,
+                                const std::vector<std::string> &Interfaces) {
+  std::string Fields;
+  for (const std::string &Interface : Interfaces)
+    Fields += (Fields.empty() ? "" : ", ") + Interface + ": \"" +
+              reservedAddress(Name, Interface) + "\"";
+  return "listen: {" + Fields + "}\n";
+}
+
 void process_cluster::startJobEntry(const std::string &Name,
                                     const std::string &Store) {
-  startDaemon(Name, jobRoleSettings("job_entry", Name, Store) +
-                        "listen: {peer: \"127.0.0.1:0\", http: "
-                        "\"127.0.0.1:0\", front: \"127.0.0.1:0\", "
-                        "readiness: \"127.0.0.1:0\"}\n");
-  const auto Others = extraAddresses(Name, 2);
-  Addresses[Name + ".front"] = Others[0];
-  Addresses[Name + ".readiness"] = Others[1];
+  startDaemon(Name,
+              jobRoleSettings("job_entry", Name, Store) +
+                  listenSettings(Name, {"peer", "http", "front", "readiness"}));
+  extraAddresses(Name, 2);
 }
 
 void process_cluster::startJobAgent(const std::string &Name,
                                     const std::string &Store) {
   startDaemon(Name, jobRoleSettings("job_agent", Name, Store) +
-                        "listen: {peer: \"127.0.0.1:0\", http: "
-                        "\"127.0.0.1:0\", control: \"127.0.0.1:0\"}\n");
-  Addresses[Name + ".control"] = extraAddresses(Name, 1)[0];
+                        listenSettings(Name, {"peer", "http", "control"}));
+  extraAddresses(Name, 1);
 }
 
-void process_cluster::startTaskWorkers(const std::vector<std::string> &Agents) {
+void process_cluster::startTaskWorkers(
+    const std::vector<std::string> &Agents,
+    const std::vector<std::string> &Proxies) {
   std::string Workers;
   for (std::size_t I = 0; I < Agents.size(); ++I)
     Workers += "w" + std::to_string(I + 1) + "@r" + std::to_string(I / 2) +
-               "@" + address(Agents[I] + ".control") + ",";
-  Processes["workers"] = std::make_unique<child_process>(
-      std::vector<std::string>{GP_STANDIN_TASKWORKERS, "--workers=" + Workers},
-      filePrefix("workers"));
+               (I % 2 == 0 ? "@plain@" : "@fast@") +
+               address(Agents[I] + ".control") +
+               (Proxies.empty() ? "" : "@" + Proxies[I]) + ",";
+  startStandin("workers", {GP_STANDIN_TASKWORKERS, "--workers=" + Workers});
+  const std::string Output = process("workers").output();
+  for (std::size_t I = 1; I <= Agents.size(); ++I) {
+    const std::string Name = "w" + std::to_string(I);
+    const std::string Marker = "worker " + Name + " ";
+    const std::size_t First = Output.find(Marker) + Marker.size();
+    Addresses[Name] = Output.substr(First, Output.find('\n', First) - First);
+  }
 }
 
 void process_cluster::putConfiguration(int Version) {
--- a/src/daemon/tests/processcluster.h
+++ b/src/daemon/tests/processcluster.h
@@ -34,7 +34,9 @@
 public:
   static constexpr auto DefaultTimeout = std::chrono::seconds(30);
 
-  process_cluster();
+  /// \param LogDirectory directory for the files of the processes, which is
+  /// kept; empty: a temporary one, which is kept only if the test fails.
+  explicit process_cluster(const std::string &LogDirectory = "");
   ~process_cluster();
   process_cluster(const process_cluster &) = delete;
   process_cluster &operator=(const process_cluster &) = delete;
@@ -53,7 +55,13 @@
   /// "secret".
   void startDefaultCluster(int Agents, int Slots = 8);
 
-  // The users' platform.
+  /// The address that a daemon of the platform has bound or is going to bind.
+  std::string reservedAddress(const std::string &Name,
+                              const std::string &Interface);
+  // The users' platform. Its daemons keep their ports when they are started
+  // again.
+  /// Selects the program of the daemons started from now on.
+  void useDaemon(std::string Path) { Daemon = std::move(Path); }
   void startStore();
   /// Starts an entry of the users' platform; its interface for callers is at
   /// address(Name + ".front").
@@ -63,7 +71,12 @@
   /// address(Name + ".control").
   void startJobAgent(const std::string &Name, const std::string &Store = "");
   /// Starts one process that simulates a worker for each agent, two per rack.
-  void startTaskWorkers(const std::vector<std::string> &Agents);
+  /// Its control interface is at address("workers"), the workers themselves at
+  /// address("w1") and so on.
+  /// \param Proxies addresses that the workers' heartbeats name; empty: their
+  /// own.
+  void startTaskWorkers(const std::vector<std::string> &Agents,
+                        const std::vector<std::string> &Proxies = {});
   /// Writes a configuration with the queues /urgent/ and /batch/ of the host
   /// jobs.example and the key "key".
   void putConfiguration(int Version);
@@ -133,9 +146,15 @@
                                           std::size_t Count);
   std::string jobRoleSettings(const std::string &Role, const std::string &Node,
                               const std::string &Store);
+  std::string listenSettings(const std::string &Name,
+                             const std::vector<std::string> &Interfaces);
   std::string listenAddress(const std::string &Name, const std::string &Field);
+  /// Renames the output of an earlier process of this name.
+  void keepOutput(const std::string &Name);
 
   std::string Directory;
+  bool KeepDirectory = false;
+  std::string Daemon;
   event_loop Loop;
   traffic_counter Traffic;
   http_client Http;
--- a/src/daemon/tests/soak/faultproxy.cpp
+++ b/src/daemon/tests/soak/faultproxy.cpp
@@ -11,11 +11,15 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <vector>
+
 namespace geraniumpaddle::tests {
 
 namespace {
 
 constexpr duration ForwardingDelay = std::chrono::milliseconds(150);
+/// Time for held data to be written before an ended connection is closed.
+constexpr duration ReleaseTime = std::chrono::milliseconds(100);
 
 sockaddr_in socketAddress(const socket_address &Address) {
   sockaddr_in Raw{};
@@ -46,6 +50,7 @@
   bufferevent_ptr Caller;
   bufferevent_ptr Target;
   bool Silenced = false;
+  bool Ended = false; ///< one side ended while data was held
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   ~connection() { *Alive = false; }
 };
@@ -74,7 +79,7 @@
 }
 
 void fault_proxy::onAccept(int Descriptor) {
-  if (CurrentFault == network_fault::Refuse) {
+  if (CurrentFault == network_fault::Refuse || Target.empty()) {
     ::close(Descriptor);
     return;
   }
@@ -87,7 +92,7 @@
   const auto OnEvent = [](bufferevent *, short Events, void *Raw) {
     auto *Link = static_cast<connection *>(Raw);
     if ((Events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
-      Link->Proxy->close(*Link);
+      Link->Proxy->onEnd(*Link);
   };
   bufferevent_setcb(
       Connection->Caller.get(),
@@ -121,6 +126,8 @@
   const bool Discard = Connection.Silenced ||
                        CurrentFault == network_fault::Silent ||
                        (CurrentFault == network_fault::OneWay && !FromCaller);
+  if (CurrentFault == network_fault::Hold && !Connection.Silenced)
+    return; // stays in the input buffer
   if (Discard) {
     // Discarded data cannot be recovered, so the connection stays silent even
     // after the fault is cleared.
@@ -136,6 +143,32 @@
   }
 }
 
+void fault_proxy::setFault(network_fault Fault) {
+  const bool Releases = CurrentFault == network_fault::Hold;
+  CurrentFault = Fault;
+  if (!Releases || Fault == network_fault::Hold)
+    return;
+  std::vector<std::pair<std::shared_ptr<bool>, connection *>> Ended;
+  for (const auto &Connection : Connections) {
+    forward(*Connection, true);
+    forward(*Connection, false);
+    if (Connection->Ended)
+      Ended.emplace_back(Connection->Alive, Connection.get());
+  }
+  Loop.startTimer(ReleaseTime, [this, Ended] {
+    for (const auto &[StillOpen, Each] : Ended)
+      if (*StillOpen)
+        close(*Each);
+  });
+}
+
+void fault_proxy::onEnd(connection &Connection) {
+  if (CurrentFault == network_fault::Hold)
+    Connection.Ended = true;
+  else
+    close(Connection);
+}
+
 void fault_proxy::close(connection &Connection) {
   Connections.remove_if(
       [&](const auto &Each) { return Each.get() == &Connection; });
--- a/standins/store/storeserver.cpp
+++ b/standins/store/storeserver.cpp
@@ -99,7 +99,8 @@
        {"POST", "/api/log-leave", &store_server::leave},
        {"POST", "/faults", &store_server::setFaults, false},
        {"POST", "/compact", &store_server::compact, false},
-       {"POST", "/stale", &store_server::setStale, false}});
+       {"POST", "/stale", &store_server::setStale, false},
+       {"POST", "/alias", &store_server::addAlias, false}});
   const call Call{std::string(Request.Query), std::string(Request.Body),
                   Responder};
   for (const route &Route : Routes) {
@@ -155,8 +156,13 @@
     Stamp = producer_stamp{queryParameter(Call.Query, "Producer"),
                            queryNumber(Call.Query, "epoch"),
                            queryNumber(Call.Query, "Seq")};
+  std::string Body = Call.Body;
+  for (const auto &[Text, Alias] : Aliases)
+    for (std::size_t At = Body.find(Text); At != Body.npos;
+         At = Body.find(Text, At + Alias.size()))
+      Body.replace(At, Text.size(), Alias);
   const append_result Answer = Model.append(queryParameter(Call.Query, "Topic"),
-                                            splitRecords(Call.Body), Stamp);
+                                            splitRecords(Body), Stamp);
   switch (Answer.Answer) {
   case store_result::Fenced:
     Call.Responder->respond(jsonAnswer(Conflict, {{"Reason", "fenced"}}));
@@ -270,6 +276,16 @@
   Call.Responder->respond({.Code = Ok});
 }
 
+void store_server::addAlias(const call &Call) {
+  const std::string Text = queryParameter(Call.Query, "text");
+  const std::string Alias = queryParameter(Call.Query, "alias");
+  const bool Usable = !Text.empty() && Text.size() == Alias.size();
+  if (Usable)
+    Aliases[Text] = Alias;
+  constexpr int BadRequest = 400;
+  Call.Responder->respond({.Code = Usable ? Ok : BadRequest});
+}
+
 void store_server::setStale(const call &Call) {
   StaleCopy.reset();
   if (queryParameter(Call.Query, "on") == "1")
--- a/standins/store/storeserver.h
+++ b/standins/store/storeserver.h
@@ -56,6 +56,9 @@
   void setFaults(const call &Call);
   void compact(const call &Call);
   void setStale(const call &Call);
+  /// Replaces a text by another of the same length in all later records, for
+  /// proxies between processes that find each other through the store.
+  void addAlias(const call &Call);
   const store_model &visibleModel() const {
     return StaleCopy ? *StaleCopy : Model;
   }
@@ -70,6 +73,7 @@
   std::uint64_t LastReader = 0;
   std::map<std::uint64_t, reader> Readers;
   std::vector<responder_ptr> UnansweredCalls;
+  std::map<std::string, std::string> Aliases;
   std::unique_ptr<http_server> Server;
 };
 
--- a/standins/taskworkers/main.cpp
+++ b/standins/taskworkers/main.cpp
@@ -2,6 +2,7 @@
 // all in one process.
 
 #include "core/base/error.h"
+#include "standins/portfile.h"
 #include "standins/standinmain.h"
 #include "standins/taskworkers/workersimulationserver.h"
 
@@ -13,7 +14,9 @@
 
 DEFINE_string(
     workers, "",
-    "comma-separated NAME@RACK@IP:PORT with the address of the worker's agent");
+    "comma-separated NAME@RACK@KIND@IP:PORT@PROXY with the address of the "
+    "worker's agent and, if there is one, of a proxy to the worker");
+DEFINE_string(port_file, "", "file that the control port is written to");
 
 namespace geraniumpaddle::standins {
 namespace {
@@ -23,14 +26,20 @@
   std::istringstream Stream(Text);
   std::string Item;
   while (std::getline(Stream, Item, ',')) {
-    const std::size_t First = Item.find('@');
-    const std::size_t Second = Item.find('@', First + 1);
-    if (Second == std::string::npos)
-      throw invalid_argument_error("--workers: expected NAME@RACK@IP:PORT: " +
-                                   Item);
-    Configs.push_back({Item.substr(0, First),
-                       Item.substr(First + 1, Second - First - 1),
-                       Item.substr(Second + 1)});
+    std::vector<std::string> Fields;
+    std::istringstream FieldStream(Item);
+    for (std::string Field; std::getline(FieldStream, Field, '@');)
+      Fields.push_back(Field);
+    constexpr std::size_t RequiredFields = 4;
+    if (Fields.size() < RequiredFields)
+      throw invalid_argument_error(
+          "--workers: expected NAME@RACK@KIND@IP:PORT: " + Item);
+    Fields.resize(RequiredFields + 1);
+    Configs.push_back({.Name = Fields[0],
+                       .Rack = Fields[1],
+                       .Kind = Fields[2],
+                       .Agent = Fields[3],
+                       .Proxy = Fields[4]});
   }
   return Configs;
 }
@@ -43,6 +52,7 @@
   Loop.onSignal(SIGTERM, [&Loop] { Loop.stop(); });
   std::printf("serving %zu workers\n", Configs.size());
   std::fflush(stdout);
+  writePort(Server.controlPort(), FLAGS_port_file);
   Loop.run();
 }
 
--- a/standins/taskworkers/workersimulation.cpp
+++ b/standins/taskworkers/workersimulation.cpp
@@ -97,6 +97,7 @@
       std::strtoll(Order.Run.Checkpoint.c_str(), nullptr, 16));
   Run.InitialProgress = Run.Progress;
   checkInvariants(*Worker, Run);
+  FailedRuns.try_emplace(Key.Task, 0);
   Worker->Runs.emplace(Key, std::move(Run));
   return order_result::Done;
 }
@@ -196,6 +197,7 @@
                          .Checkpoint = checkpoint(Found->second)});
   std::uint32_t &HighestRun = Worker.HighestRun[Run.Task];
   HighestRun = std::max(HighestRun, Run.Run);
+  FailedRuns[Run.Task] += EndReason == work::run_end_reason::Failed ? 1 : 0;
   DoneRuns += EndReason == work::run_end_reason::Done ? 1 : 0;
   Worker.Runs.erase(Found);
 }
@@ -258,7 +260,8 @@
       Run.Progress += Step;
       if (Run.Progress < Run.Behaviour.Work)
         continue;
-      if (Run.Behaviour.Fails)
+      if (Run.Behaviour.Fails ||
+          FailedRuns[Key.Task] < Run.Behaviour.FailedRuns)
         EndRun(work::run_end_reason::Failed,
                work::run_end_reason::GangMemberEnded);
       else
@@ -274,6 +277,13 @@
     advanceWorker(Worker, Now, Step);
 }
 
+resources worker_simulation::used(const worker_id &Id) const {
+  resources Used;
+  for (const auto &[Key, Run] : Workers.at(Id).Runs)
+    Used += Run.Behaviour.Need;
+  return Used;
+}
+
 std::size_t worker_simulation::running() const {
   std::size_t Count = 0;
   for (const auto &[Id, Worker] : Workers)
--- a/standins/taskworkers/workersimulation.h
+++ b/standins/taskworkers/workersimulation.h
@@ -18,6 +18,8 @@
   std::string Gang; ///< id of the gang's run; empty: no gang
   std::uint32_t GangSize = 1;
   bool Fails = false;
+  /// The task fails until this many of its runs have ended as failed.
+  std::uint32_t FailedRuns = 0;
   bool Hangs = false;
   bool Checkpointing = false;
 };
@@ -80,6 +82,13 @@
 
   std::span<const std::string> violations() const { return Violations; }
   std::size_t running() const;
+  /// Sum of what the runs on a worker need.
+  resources used(const worker_id &Id) const;
+  /// Tasks that have been started, and how many of their runs have failed. The
+  /// members of a gang fail together.
+  const std::map<work::task_ref, std::uint32_t> &failedRuns() const {
+    return FailedRuns;
+  }
   std::uint64_t doneRuns() const { return DoneRuns; }
   const std::set<work::task_ref> &doneTasks() const { return DoneTasks; }
 
@@ -134,6 +143,7 @@
   std::uint64_t LastStartTimeMs = 1000;
   std::vector<std::string> Violations;
   std::set<work::task_ref> DoneTasks; ///< done, and the end was acknowledged
+  std::map<work::task_ref, std::uint32_t> FailedRuns;
   std::uint64_t DoneRuns = 0;
 };
 
--- a/standins/taskworkers/workersimulationserver.cpp
+++ b/standins/taskworkers/workersimulationserver.cpp
@@ -69,18 +69,21 @@
     event_loop &Loop, std::span<const simulated_worker_config> Configs)
     : Loop(Loop), Http(Loop, http_client_limits{}, Traffic),
       SimulatedWorkers({}, &worker_simulation_server::behaviour),
-      TickTimer(Loop), HeartbeatTimer(Loop) {
+      Control(std::make_unique<http_server>(
+          Loop, "127.0.0.1:0", http_server_limits{},
+          [this](const http_request_view &Request,
+                 const responder_ptr &Responder) {
+            handleControl(Request, Responder);
+          })),
+      TickTimer(Loop) {
   for (const simulated_worker_config &Config : Configs) {
     SimulatedWorkers.addWorker(worker_id(Config.Name), Capacity, Loop.now());
     auto Worker = std::make_unique<served_worker>();
     Worker->Config = Config;
-    served_worker &Added = *Worker;
-    Worker->Server = std::make_unique<http_server>(
-        Loop, "127.0.0.1:0", http_server_limits{},
-        [this, &Added](const http_request_view &Request,
-                       const responder_ptr &Responder) {
-          handle(Added, Request, Responder);
-        });
+    Worker->HeartbeatTimer = std::make_unique<timer>(Loop);
+    listen(*Worker);
+    std::printf("worker %s 127.0.0.1:%u\n", Config.Name.c_str(),
+                static_cast<unsigned>(Worker->Port));
     Workers.push_back(std::move(Worker));
   }
   tick();
@@ -88,16 +91,101 @@
     sendHeartbeat(*Worker);
 }
 
+void worker_simulation_server::listen(served_worker &Worker) {
+  Worker.Server = std::make_unique<http_server>(
+      Loop, "127.0.0.1:" + std::to_string(Worker.Port), http_server_limits{},
+      [this, &Worker](const http_request_view &Request,
+                      const responder_ptr &Responder) {
+        handle(Worker, Request, Responder);
+      });
+  Worker.Port = Worker.Server->port();
+}
+
+void worker_simulation_server::handleControl(const http_request_view &Request,
+                                             const responder_ptr &Responder) {
+  SimulatedWorkers.advance(Loop.now());
+  if (Request.Path == "/state") {
+    Responder->respond({.Body = state()});
+    return;
+  }
+  if (Request.Path == "/started") {
+    Responder->respond({.Body = startedTasks()});
+    return;
+  }
+  const json Body = json::parse(Request.Body);
+  const auto Found =
+      std::find_if(Workers.begin(), Workers.end(), [&](const auto &Each) {
+        return Each->Config.Name == Body.at("worker");
+      });
+  if (Request.Path != "/crash" || Found == Workers.end() || !(*Found)->Server) {
+    Responder->respond({.Code = NotFound});
+    return;
+  }
+  crash(**Found, std::chrono::milliseconds(Body.at("down_ms").get<int>()),
+        Body.value("new_id", ""));
+  Responder->respond({.Code = Ok});
+}
+
+void worker_simulation_server::crash(served_worker &Worker, duration Down,
+                                     const std::string &NewId) {
+  for (const open_listing &Each : Worker.OpenListings)
+    Each.Responder->abort();
+  Worker.OpenListings.clear();
+  Worker.HeartbeatTimer->cancel();
+  Worker.Server.reset();
+  SimulatedWorkers.restart(worker_id(Worker.Config.Name), Loop.now());
+  Loop.startTimer(Down, [this, &Worker, NewId] {
+    if (!NewId.empty()) {
+      Worker.Config.Name = NewId;
+      SimulatedWorkers.addWorker(worker_id(NewId), Capacity, Loop.now());
+    } else {
+      SimulatedWorkers.restart(worker_id(Worker.Config.Name), Loop.now());
+    }
+    Worker.Sequence = 0;
+    listen(Worker);
+    sendHeartbeat(Worker);
+  });
+}
+
+std::string worker_simulation_server::state() const {
+  json List = json::array();
+  for (const auto &Worker : Workers) {
+    const worker_id Id(Worker->Config.Name);
+    json Running = json::array();
+    for (const auto &Run : SimulatedWorkers.listing(Id, Loop.now()).Running)
+      Running.push_back(formatTask(Run.Run.Task));
+    List.push_back({{"Name", Worker->Config.Name},
+                    {"Up", Worker->Server != nullptr},
+                    {"Gpu", Capacity.Accelerators},
+                    {"UsedGpu", SimulatedWorkers.used(Id).Accelerators},
+                    {"Running", Running}});
+  }
+  return json{{"Workers", List}}.dump();
+}
+
+std::string worker_simulation_server::startedTasks() const {
+  json Tasks = json::object();
+  for (const auto &[Task, Failed] : SimulatedWorkers.failedRuns())
+    Tasks[formatTask(Task)] = Failed;
+  return Tasks.dump();
+}
+
 task_behaviour worker_simulation_server::behaviour(const work::run_ref &Run,
                                                    std::string_view Payload) {
-  const json Fields = json::parse(Payload);
+  json Fields = json::parse(Payload);
+  if (Fields.contains("steps"))
+    Fields.update(Fields["steps"].at(Run.Task.Position.Step));
   task_behaviour Task;
   Task.Work = std::chrono::milliseconds(Fields.value("ms", 100));
   Task.Need.Accelerators = Fields.value("needs", 0);
   Task.Fails = Fields.value("fails", false);
+  Task.FailedRuns = Fields.value("fail_runs", 0U);
+  Task.Checkpointing = Fields.value("checkpointing", false);
   Task.GangSize = Fields.value("gang", 1U);
   if (Task.GangSize > 1)
-    Task.Gang = Run.Task.Job.str() + "/" + std::to_string(Run.Run);
+    Task.Gang = Run.Task.Job.str() + "/" +
+                std::to_string(Run.Task.Position.Step) + "/" +
+                std::to_string(Run.Run);
   return Task;
 }
 
@@ -187,7 +275,9 @@
   const worker_id Id(Worker.Config.Name);
   const json Body = {
       {"Service", "desk"},
-      {"Address", "127.0.0.1:" + std::to_string(Worker.Server->port())},
+      {"Address", Worker.Config.Proxy.empty()
+                      ? "127.0.0.1:" + std::to_string(Worker.Port)
+                      : Worker.Config.Proxy},
       {"Zone", "a"},
       {"Version", "v1"},
       {"Slots", 8},
@@ -196,7 +286,7 @@
        {{"Cpu", Capacity.MilliCores},
         {"MemMb", Capacity.MemoryMb},
         {"Gpu", Capacity.Accelerators}}},
-      {"Labels", {"plain", Worker.Config.Rack}},
+      {"Labels", {Worker.Config.Kind, Worker.Config.Rack}},
       {"born", SimulatedWorkers.startTimeMs(Id)},
       {"ClockMs", SimulatedWorkers.clockMs(Id, Loop.now())},
       {"Seq", ++Worker.Sequence}};
@@ -207,8 +297,8 @@
              .Body = Body.dump(),
              .Timeout = 1s},
             [](const http_result &) {});
-  Loop.startTimer(HeartbeatInterval,
-                  [this, &Worker] { sendHeartbeat(Worker); });
+  Worker.HeartbeatTimer->start(HeartbeatInterval,
+                               [this, &Worker] { sendHeartbeat(Worker); });
 }
 
 void worker_simulation_server::tick() {
