Soak: suspended agents, workers lost for good, traffic beyond the last fault

Orders that an agent drops after a suspension, and tasks of a worker that is lost for good, only show if jobs are submitted afterwards and if the worker is lost shortly before the end. The stand-in rejects calls for another worker id, as the protocol has it.

--- a/src/daemon/tests/soak/soakactions.cpp
+++ b/src/daemon/tests/soak/soakactions.cpp
@@ -13,6 +13,8 @@
 /// Bounds of the platform's rules.
 constexpr duration JudgedAfterTerm = 7s;
 constexpr duration ConfigurationApplies = 2500ms;
+constexpr duration LongestFault = 12s;
+constexpr duration LostForGood = 600s;
 
 } // namespace
 
@@ -28,15 +30,12 @@
       &soak_actions::terminateAgent,         &soak_actions::hangUp,
       &soak_actions::terminateEntryAndAgent, &soak_actions::changeConfiguration,
   };
-  static constexpr std::array<action, 8> WorkerTrouble{
-      &soak_actions::crashWorker,
-      &soak_actions::crashWorker,
-      &soak_actions::replaceWorker,
-      &soak_actions::disturbWorkerLink,
-      &soak_actions::disturbWorkerLink,
-      &soak_actions::disturbPeerLink,
-      &soak_actions::breakWorkerConnections,
-      &soak_actions::terminateEntry,
+  static constexpr std::array<action, 10> WorkerTrouble{
+      &soak_actions::crashWorker,       &soak_actions::crashWorker,
+      &soak_actions::replaceWorker,     &soak_actions::disturbWorkerLink,
+      &soak_actions::disturbWorkerLink, &soak_actions::breakWorkerConnections,
+      &soak_actions::suspendAgent,      &soak_actions::suspendAgent,
+      &soak_actions::killAgent,         &soak_actions::terminateAgent,
   };
   static constexpr std::array<action, 12> ProcessTrouble{
       &soak_actions::killEntry,        &soak_actions::killAgent,
@@ -87,6 +86,17 @@
               randomBelow(static_cast<int>(Table.size())))])();
 }
 
+void soak_actions::runLast() {
+  static constexpr std::array<action, 4> LastActions{
+      &soak_actions::loseWorker, &soak_actions::killAll,
+      &soak_actions::suspendAgent, &soak_actions::crashWorker};
+  if (Mix != soak_mix::PlannedWork)
+    (this->*LastActions[static_cast<std::size_t>(
+                randomBelow(LastActions.size()))])();
+  if (randomBelow(2) == 0)
+    Site.runUntil([this] { return !Site.hasScheduled(); }, LongestFault);
+}
+
 duration soak_actions::randomTime(duration Least, duration Most) {
   return Least +
          1ms * randomBelow(static_cast<int>(millisecondsOf(Most - Least)));
@@ -134,7 +144,7 @@
        {network_fault::Delay, "is slow"}}};
   const auto &[Fault, Text] =
       Faults[static_cast<std::size_t>(randomBelow(Faults.size()))];
-  const duration Time = randomTime(1s, 12s);
+  const duration Time = randomTime(1s, LongestFault);
   record(What + " " + Text + " for " + std::to_string(millisecondsOf(Time)) +
          " ms");
   const std::size_t Trouble = Site.checker().beginTrouble(Entry);
@@ -199,8 +209,6 @@
 void soak_actions::killAgent() { kill(randomAgent()); }
 
 void soak_actions::killAll() {
-  if (randomBelow(3) != 0)
-    return;
   record("kill all");
   for (const auto *Names : {&Site.entries(), &Site.agents()})
     for (const std::string &Name : *Names)
@@ -219,15 +227,38 @@
   Site.pause(Name, Time);
 }
 
+void soak_actions::suspendAgent() {
+  const std::string &Name = randomAgent();
+  const duration Time = randomTime(6s, LongestFault);
+  record("pause " + Name + " for " + std::to_string(millisecondsOf(Time)) +
+         " ms");
+  Site.pause(Name, Time);
+}
+
+void soak_actions::loseWorker() {
+  // The other racks have workers with each of the labels.
+  const std::string &Name = Workers[static_cast<std::size_t>(randomBelow(2))];
+  record("lose " + Name);
+  endWorker(Name, LostForGood, Name);
+}
+
+bool soak_actions::endWorker(const std::string &Name, duration Down,
+                             const std::string &NextName) {
+  return Site.cluster()
+      .post(Site.cluster().address("workers"), "/crash",
+            R"({"worker":")" + Name + R"(","new_id":")" +
+                (NextName == Name ? "" : NextName) + R"(","down_ms":)" +
+                std::to_string(millisecondsOf(Down)) + "}")
+      .ok();
+}
+
 void soak_actions::crashWorker() {
   const std::string &Name =
       Workers[static_cast<std::size_t>(randomBelow(soak_site::AgentCount))];
   const duration Down = randomTime(100ms, 4s);
   record("crash " + Name + " for " + std::to_string(millisecondsOf(Down)) +
          " ms");
-  Site.cluster().post(Site.cluster().address("workers"), "/crash",
-                      R"({"worker":")" + Name + R"(","down_ms":)" +
-                          std::to_string(millisecondsOf(Down)) + "}");
+  endWorker(Name, Down, Name);
 }
 
 void soak_actions::replaceWorker() {
@@ -237,11 +268,7 @@
   const duration Down = randomTime(500ms, 4s);
   record("lose " + Name + ", " + Next + " after " +
          std::to_string(millisecondsOf(Down)) + " ms");
-  const http_result Result = Site.cluster().post(
-      Site.cluster().address("workers"), "/crash",
-      R"({"worker":")" + Name + R"(","new_id":")" + Next + R"(","down_ms":)" +
-          std::to_string(millisecondsOf(Down)) + "}");
-  if (Result.ok())
+  if (endWorker(Name, Down, Next))
     Name = Next;
 }
 
--- a/src/daemon/tests/soak/soakactions.h
+++ b/src/daemon/tests/soak/soakactions.h
@@ -11,7 +11,7 @@
 
 enum class soak_mix : std::uint8_t {
   PlannedWork, ///< SIGTERM, SIGHUP and configurations only
-  Workers,     ///< crashes, new instances and links of workers
+  Workers,     ///< workers, their links and their agents
   Processes,   ///< our processes and their links
   Everything,
 };
@@ -23,6 +23,8 @@
   soak_actions(soak_site &Site, unsigned Seed, soak_mix Mix);
 
   void runNext();
+  /// An action right before the end; the faults before it may run out.
+  void runLast();
   /// Ends all faults and starts what is down.
   void clear();
 
@@ -44,6 +46,10 @@
   void breakConnections(fault_proxy &Proxy, const std::string &Entry,
                         const std::string &What);
 
+  /// Crashes a worker, which starts again as \p NextName.
+  bool endWorker(const std::string &Name, duration Down,
+                 const std::string &NextName);
+
   void terminateEntry();
   void terminateEntryTwice();
   void terminateAgent();
@@ -54,6 +60,8 @@
   void killAgent();
   void killAll();
   void pauseProcess();
+  void suspendAgent();
+  void loseWorker();
   void crashWorker();
   void replaceWorker();
   void disturbWorkerLink();
--- a/src/daemon/tests/soak/soakcallers.cpp
+++ b/src/daemon/tests/soak/soakcallers.cpp
@@ -16,7 +16,7 @@
 
 constexpr int CallerCount = 8;
 /// Out of 1000 calls, while there are jobs to choose from.
-constexpr int NewJobShare = 20;
+constexpr int NewJobShare = 30;
 constexpr int CancelShare = 3;
 constexpr int DuplicateShare = 10;
 constexpr int CountShare = 20;
@@ -170,7 +170,8 @@
 soak_job soak_callers::sameRackJob() {
   return makeJob(
       {{"ms", 200 + randomBelow(1800)}, {"needs", 2}, {"gang", 2}},
-      {withField(withField(step(2), "Gang", true), "SameRack", true)});
+      {withField(withField(withField(step(2), "Gang", true), "SameRack", true),
+                 "MaxPerServer", 1 + randomBelow(2))});
 }
 
 soak_job soak_callers::stepsJob() {
--- a/src/daemon/tests/soak/soakrun.cpp
+++ b/src/daemon/tests/soak/soakrun.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <array>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
@@ -19,6 +20,8 @@
 /// Every accepted job must have ended within this time after the last fault.
 constexpr duration SettleTimeout = 60s;
 constexpr duration SnapshotInterval = 200ms;
+/// Jobs are submitted for this time after the last fault.
+constexpr duration TrafficAfterFaults = 3s;
 
 } // namespace
 
@@ -36,12 +39,16 @@
     Site.checker().violation("no entry became ready");
   Callers.start();
   Site.runFor(2s);
+  static constexpr std::array<int, 3> PausesMs{300, 900, 2500};
+  const int LongestPause = PausesMs[Random() % PausesMs.size()];
   const time_point End = Site.cluster().loop().now() + FaultDuration;
   while (Site.cluster().loop().now() < End) {
     Actions.runNext();
-    Site.runFor(1ms * (Random() % 900));
+    Site.runFor(1ms * (Random() % LongestPause));
   }
+  Actions.runLast();
   Actions.clear();
+  Site.runFor(TrafficAfterFaults);
   Callers.stopSubmitting();
   finish();
   return report();
--- a/src/daemon/tests/soak/soaksite.cpp
+++ b/src/daemon/tests/soak/soaksite.cpp
@@ -110,8 +110,18 @@
     return;
   Process.Trouble = Checker.beginTrouble(Name);
   Process.Paused = true;
-  Process.PausedUntil = Cluster.loop().now() + Time;
   Cluster.process(Name).signal(SIGSTOP);
+  after(Time, [this, Name] { resume(Name); });
+}
+
+void soak_site::resume(const std::string &Name) {
+  site_process &Process = Processes[Name];
+  if (!Process.Paused)
+    return;
+  Cluster.process(Name).signal(SIGCONT);
+  Checker.endTrouble(std::exchange(Process.Trouble, NoTrouble));
+  Process.Paused = false;
+  Process.DrainsSince = Cluster.loop().now();
 }
 
 void soak_site::superviseProcess(const std::string &Name,
@@ -119,12 +129,6 @@
   const time_point Now = Cluster.loop().now();
   if (Process.State == process_state::Down)
     return;
-  if (Process.Paused && Now >= Process.PausedUntil) {
-    Cluster.process(Name).signal(SIGCONT);
-    Checker.endTrouble(std::exchange(Process.Trouble, NoTrouble));
-    Process.Paused = false;
-    Process.DrainsSince = std::max(Process.DrainsSince, Now);
-  }
   const auto Code = Cluster.process(Name).exitCode();
   const bool Drains = Process.State == process_state::Draining;
   if (Code && (!Drains || *Code != 0))
@@ -177,9 +181,7 @@
 
 void soak_site::restoreProcesses() {
   for (auto &[Name, Process] : Processes) {
-    if (Process.Paused)
-      Process.PausedUntil = Cluster.loop().now();
-    superviseProcess(Name, Process);
+    resume(Name);
     startIfDown(Name);
   }
   const auto IsUp = [](const auto &Item) {
--- a/src/daemon/tests/soak/soaksite.h
+++ b/src/daemon/tests/soak/soaksite.h
@@ -18,7 +18,7 @@
 class soak_site {
 public:
   static constexpr int EntryCount = 3;
-  static constexpr int AgentCount = 4;
+  static constexpr int AgentCount = 6;
 
   /// \param LogDirectory keeps the output of all processes.
   soak_site(const std::string &LogDirectory, const std::string &Daemon);
@@ -55,6 +55,7 @@
   /// Runs the loop and what is due until \p Condition holds.
   bool runUntil(const std::function<bool()> &Condition, duration Limit);
   void runFor(duration Time);
+  bool hasScheduled() const { return !Due.empty(); }
   /// Calls at once what after() has scheduled for later.
   void runScheduled();
   /// Starts and resumes all processes, and waits for those that drain.
@@ -65,7 +66,6 @@
   struct site_process {
     process_state State = process_state::Down;
     bool Paused = false;
-    time_point PausedUntil{};
     time_point DrainsSince{};
     std::size_t Trouble = NoTrouble;
   };
@@ -73,6 +73,7 @@
 
   void createProxies();
   void startWorkers();
+  void resume(const std::string &Name);
   void superviseProcess(const std::string &Name, site_process &Process);
   void runDue();
 
--- a/standins/taskworkers/workersimulationserver.cpp
+++ b/standins/taskworkers/workersimulationserver.cpp
@@ -198,6 +198,15 @@
   const json Body = json::parse(Request.Body);
   const std::uint64_t Token = Body.value("FencingToken", std::uint64_t{0});
   const std::int64_t ClockMs = SimulatedWorkers.clockMs(Id, Now);
+  const bool ForAnother = std::any_of(
+      Request.Headers.begin(), Request.Headers.end(), [&](const auto &Header) {
+        return Header.Name == "X-Expected-Instance" &&
+               Header.Value != Worker.Config.Name;
+      });
+  if (ForAnother) {
+    Responder->respond({.Code = MisdirectedRequest});
+    return;
+  }
   if (Request.Path == "/api/run-start") {
     work::start_run Order{.LeaseEndMs = Body.at("DeadlineMs")};
     Order.Run = {.Run = parseRun(Body),
