--- a/src/daemon/tests/soak/soakcallers.cpp
+++ b/src/daemon/tests/soak/soakcallers.cpp
@@ -15,6 +15,10 @@
 using namespace std::chrono_literals;
 
 constexpr int CallerCount = 8;
+/// One seed out of this many has lasting jobs, which make its run longer.
+constexpr unsigned SeedsPerLastingJob = 3;
+/// The job that is a lasting one, counted from 0.
+constexpr unsigned LastingJobNumber = 2;
 /// Out of 1000 calls, while there are jobs to choose from.
 constexpr int NewJobShare = 30;
 constexpr int CancelShare = 3;
@@ -22,6 +26,10 @@
 constexpr int CountShare = 20;
 constexpr int RepeatShare = 200;
 constexpr int AllShares = 1000;
+/// Jobs accepted between these times ago are read often: entries that lag
+/// behind may not know them.
+constexpr duration VisibleAfter = 3s;
+constexpr duration RecentlyAccepted = 8s;
 
 /// A step with tasks of two accelerators.
 json step(int Count) {
@@ -59,7 +67,7 @@
 soak_callers::soak_callers(process_cluster &Cluster, soak_checker &Checker,
                            std::vector<std::string> Entries, unsigned Seed)
     : Cluster(Cluster), Checker(Checker), Entries(std::move(Entries)),
-      Random(Seed) {}
+      Random(Seed), HasLastingJobs(Seed % SeedsPerLastingJob == 0) {}
 
 void soak_callers::start() {
   for (int I = 0; I < CallerCount; ++I) {
@@ -89,7 +97,8 @@
       });
 }
 
-soak_job *soak_callers::findJob(bool (*Wanted)(const soak_job &)) {
+soak_job *
+soak_callers::findJob(const std::function<bool(const soak_job &)> &Wanted) {
   std::vector<soak_job *> Found;
   for (auto &[Path, Job] : Checker.jobs())
     if (Wanted(Job))
@@ -131,16 +140,27 @@
           return !Each.AcceptedAt && Each.MaybeStored && !Each.SubmissionOpen;
         }))
       return submission(*Job);
-  soak_job *Job =
-      randomBelow(4) == 0 ? nullptr : findJob([](const soak_job &Each) {
-        return Each.AcceptedAt && !Each.ended();
-      });
-  if (!Job)
-    Job = findJob(
-        [](const soak_job &Each) { return Each.AcceptedAt.has_value(); });
+  const soak_job *Job = chooseJobToRead();
   return {{"", "GET", Job ? Job->Path : "/batch/"}, ""};
 }
 
+soak_job *soak_callers::chooseJobToRead() {
+  const time_point Now = Cluster.loop().now();
+  soak_job *Job = nullptr;
+  if (randomBelow(3) == 0)
+    Job = findJob([Now](const soak_job &Each) {
+      return Each.AcceptedAt &&
+             *Each.AcceptedAt +
+                 VisibleAfter<Now && * Each.AcceptedAt + RecentlyAccepted> Now;
+    });
+  else if (randomBelow(2) == 0)
+    Job = findJob(
+        [](const soak_job &Each) { return Each.AcceptedAt && !Each.ended(); });
+  return Job ? Job : findJob([](const soak_job &Each) {
+    return Each.AcceptedAt.has_value();
+  });
+}
+
 soak_job soak_callers::newJob() {
   static constexpr std::array<job_kind, 12> Kinds{
       &soak_callers::plainJob,    &soak_callers::plainJob,
@@ -149,8 +169,10 @@
       &soak_callers::stepsJob,    &soak_callers::labelledJob,
       &soak_callers::spreadJob,   &soak_callers::failingOnceJob,
       &soak_callers::failingJob,  &soak_callers::checkpointingJob};
-  soak_job Job =
-      (this->*Kinds[static_cast<std::size_t>(randomBelow(Kinds.size()))])();
+  const bool Lasting = HasLastingJobs && JobCount == LastingJobNumber;
+  soak_job Job = Lasting ? lastingJob()
+                         : (this->*Kinds[static_cast<std::size_t>(
+                                       randomBelow(Kinds.size()))])();
   char Id[17];
   std::snprintf(Id, sizeof Id, "%016x", ++JobCount);
   Job.Path = std::string(randomBelow(4) == 0 ? "/urgent/" : "/batch/") + Id;
@@ -207,6 +229,13 @@
   return Job;
 }
 
+soak_job soak_callers::lastingJob() {
+  soak_job Job = makeJob({{"ms", 600000}, {"needs", 2}},
+                         {withField(step(2), "LongRunning", true)});
+  Job.Lasting = true;
+  return Job;
+}
+
 soak_job soak_callers::checkpointingJob() {
   return makeJob({{"ms", 3000}, {"needs", 2}, {"checkpointing", true}},
                  {withField(step(2), "Checkpointing", true)});
--- a/src/daemon/tests/soak/soakcallers.h
+++ b/src/daemon/tests/soak/soakcallers.h
@@ -4,6 +4,7 @@
 #include "daemon/tests/soak/keptconnection.h"
 #include "daemon/tests/soak/soakchecker.h"
 
+#include <functional>
 #include <memory>
 #include <random>
 #include <string>
@@ -37,7 +38,8 @@
   void next(caller &Caller);
   prepared_call chooseCall();
   prepared_call submission(soak_job &Job);
-  soak_job *findJob(bool (*Wanted)(const soak_job &));
+  soak_job *findJob(const std::function<bool(const soak_job &)> &Wanted);
+  soak_job *chooseJobToRead();
   int randomBelow(int Count) { return static_cast<int>(Random() % Count); }
 
   soak_job newJob();
@@ -50,11 +52,13 @@
   soak_job failingOnceJob();
   soak_job failingJob();
   soak_job checkpointingJob();
+  soak_job lastingJob();
 
   process_cluster &Cluster;
   soak_checker &Checker;
   const std::vector<std::string> Entries;
   std::mt19937 Random;
+  const bool HasLastingJobs;
   bool Submitting = true;
   unsigned JobCount = 0;
   std::vector<std::unique_ptr<caller>> Callers;
--- a/src/daemon/tests/soak/soakchecker.cpp
+++ b/src/daemon/tests/soak/soakchecker.cpp
@@ -122,14 +122,13 @@
   Job.SubmissionOpen = false;
   if (Result.Outcome == exchange_outcome::NotSent)
     return;
-  if (Result.Outcome != exchange_outcome::Answered) {
+  const bool Answered = Result.Outcome == exchange_outcome::Answered;
+  const bool Refused = Answered && (Result.Code == TooManyRequests ||
+                                    Result.Code == Unavailable);
+  if (Answered && Result.Code == Success)
+    Job.AcceptedAt = Job.AcceptedAt.value_or(Result.EndedAt);
+  else if (!Refused)
     Job.MaybeStored = true;
-  } else if (Result.Code == Success) {
-    if (!Job.AcceptedAt)
-      Job.AcceptedAt = Result.EndedAt;
-  } else if (Result.Code != TooManyRequests && Result.Code != Unavailable) {
-    Job.MaybeStored = true;
-  }
 }
 
 void soak_checker::onState(soak_job &Job, const soak_call &Call,
@@ -175,15 +174,15 @@
   }
 }
 
-bool soak_checker::allEnded() const {
+bool soak_checker::allSettled() const {
   return std::all_of(Jobs.begin(), Jobs.end(), [](const auto &Item) {
-    return !Item.second.AcceptedAt || Item.second.ended();
+    return !Item.second.AcceptedAt || Item.second.settled();
   });
 }
 
 void soak_checker::checkEnds() {
   for (const auto &[Path, Job] : Jobs)
-    if (Job.AcceptedAt && !Job.ended())
+    if (Job.AcceptedAt && !Job.settled())
       violation("not ended: " + Path + ", state " + Job.State);
 }
 
@@ -203,6 +202,13 @@
   }
 }
 
+bool soak_checker::hasLastingJobs() const {
+  return std::any_of(Jobs.begin(), Jobs.end(), [](const auto &Item) {
+    return Item.second.AcceptedAt && Item.second.Lasting &&
+           !Item.second.CancelRequested;
+  });
+}
+
 std::string soak_checker::summary() const {
   std::size_t Accepted = 0;
   std::size_t Refused = 0;
--- a/src/daemon/tests/soak/soakchecker.h
+++ b/src/daemon/tests/soak/soakchecker.h
@@ -14,6 +14,7 @@
   std::string Path;
   std::string Body;
   bool MustFail = false; ///< its task always fails
+  bool Lasting = false;  ///< runs until it is cancelled
   bool MaybeStored = false;
   bool CancelRequested = false;
   bool SubmissionOpen = false; ///< a submission has no response yet
@@ -25,6 +26,8 @@
   bool ended() const {
     return State == "completed" || State == "failed" || State == "cancelled";
   }
+  /// Nothing more is expected to happen to it.
+  bool settled() const { return ended() || (Lasting && !CancelRequested); }
 };
 
 /// One call of a caller.
@@ -74,7 +77,8 @@
   void checkEnds();
   /// \param Tasks the tasks that were started, with the failed runs of each.
   void checkStarted(const std::map<std::string, unsigned> &Tasks);
-  bool allEnded() const;
+  bool allSettled() const;
+  bool hasLastingJobs() const;
 
   /// Records a violation; it is printed at once.
   void violation(const std::string &What);
--- a/src/daemon/tests/soak/soakrun.cpp
+++ b/src/daemon/tests/soak/soakrun.cpp
@@ -20,6 +20,8 @@
 /// Every accepted job must have ended within this time after the last fault.
 constexpr duration SettleTimeout = 60s;
 constexpr duration SnapshotInterval = 200ms;
+/// Lasting jobs are watched for this time; longer than they may stand still.
+constexpr duration LastingJobsWatch = 4s;
 /// Jobs are submitted for this time after the last fault.
 constexpr duration TrafficAfterFaults = 3s;
 
@@ -66,10 +68,16 @@
 
 void soak_run::finish() {
   soak_checker &Checker = Site.checker();
-  Site.runUntil([&] { return Checker.allEnded(); }, FinishTime);
+  const bool Lasting = Checker.hasLastingJobs();
+  Site.runUntil([&] { return Checker.allSettled() && !Lasting; }, FinishTime);
   askForEachJob();
   const time_point End = Site.cluster().loop().now() + SettleTimeout;
-  while (!Checker.allEnded() && Site.cluster().loop().now() < End) {
+  while (!Checker.allSettled() && Site.cluster().loop().now() < End) {
+    Checker.onSnapshot(snapshot());
+    Site.runFor(SnapshotInterval);
+  }
+  for (duration Watched{}; Lasting && Watched < LastingJobsWatch;
+       Watched += SnapshotInterval) {
     Checker.onSnapshot(snapshot());
     Site.runFor(SnapshotInterval);
   }
--- a/src/daemon/tests/soak/soaktest.cpp
+++ b/src/daemon/tests/soak/soaktest.cpp
@@ -22,7 +22,10 @@
 namespace {
 
 /// Seeds that run in CI. Every seed that has failed is added with the cause.
-constexpr std::array<unsigned, 1> RegressionSeeds{20261204}; // initial seed
+constexpr std::array<unsigned, 2> RegressionSeeds{
+    20261204, // initial seed, planned work
+    29,       // orders that an agent drops after its lease (issue 30)
+};
 
 std::string environment(const char *Name, const char *Default) {
   const char *Text = std::getenv(Name);
