--- a/src/daemon/tests/soak/soakchecker.h
+++ b/src/daemon/tests/soak/soakchecker.h
@@ -17,7 +17,8 @@
   bool Lasting = false;  ///< runs until it is cancelled
   bool MaybeStored = false;
   bool CancelRequested = false;
-  bool SubmissionOpen = false; ///< a submission has no response yet
+  bool ReportedUnknown = false; ///< its 410 has been reported
+  bool SubmissionOpen = false;  ///< a submission has no response yet
   std::optional<time_point> AcceptedAt;
   std::string State; ///< as last shown; empty: not shown yet
 
@@ -80,7 +81,7 @@
   bool allSettled() const;
   bool hasLastingJobs() const;
 
-  /// Records a violation; it is printed at once.
+  /// Records a violation; the first ones are printed at once.
   void violation(const std::string &What);
   const std::vector<std::string> &violations() const { return Violations; }
   const std::vector<std::string> &actions() const { return Actions; }
