--- a/src/daemon/tests/soak/soakchecker.cpp
+++ b/src/daemon/tests/soak/soakchecker.cpp
@@ -103,6 +103,9 @@
     return;
   if (Call.Method == "POST")
     onSubmitted(Found->second, Result);
+  else if (Call.Method == "DELETE")
+    Found->second.CancelAcknowledged |=
+        Result.Outcome == exchange_outcome::Answered && Result.Code == Success;
   else if (Call.Method == "GET")
     onState(Found->second, Call, Result);
 }
--- a/src/daemon/tests/soak/soakchecker.h
+++ b/src/daemon/tests/soak/soakchecker.h
@@ -17,6 +17,7 @@
   bool Lasting = false;  ///< runs until it is cancelled
   bool MaybeStored = false;
   bool CancelRequested = false;
+  bool CancelAcknowledged = false;
   bool ReportedUnknown = false; ///< its 410 has been reported
   bool SubmissionOpen = false;  ///< a submission has no response yet
   std::optional<time_point> AcceptedAt;
@@ -28,7 +29,7 @@
     return State == "completed" || State == "failed" || State == "cancelled";
   }
   /// Nothing more is expected to happen to it.
-  bool settled() const { return ended() || (Lasting && !CancelRequested); }
+  bool settled() const { return ended() || (Lasting && !CancelAcknowledged); }
 };
 
 /// One call of a caller.
--- a/src/daemon/tests/soak/soakrun.cpp
+++ b/src/daemon/tests/soak/soakrun.cpp
@@ -101,8 +101,11 @@
     const int Expected = Job.AcceptedAt ? 200 : 410;
     if (Result.Code != Expected)
       Site.checker().violation(
-          Path + " is answered " + std::to_string(Result.Code) + " by " +
-          Entry + " after the end, expected " + std::to_string(Expected));
+          std::string(Path)
+              .append(" is answered ")
+              .append(std::to_string(Result.Code))
+              .append(" by " + Entry + " after the end, expected ")
+              .append(std::to_string(Expected)));
   }
 }
 
