Unknown fields that nest deeply are ignored; garbage deregisters no worker

Two faults at the agent's control address:

- rejected a message for a deeply nested part, also in a field that is not known.
New fields have to be ignored: JobAgent.AHeartbeatWithADeeplyNestedUnknownFieldNamesItsWorker failed on it (expected 200, was 400).
Parts deeper than 64 levels are left out now.
- A deregistration whose body can't be read, or whose start time is no whole number, counted as one without a start time: the known worker was taken for leaving.
It is rejected with 400 and logged.
Before: AnUnreadableDeregistrationNamesNoWorker, expected <400> but was <0> (no answer yet: the worker was asked for its last ends).

A running row without a name makes the listing unusable, too.

--- a/src/jobagent/internal/jobagentrole.cpp
+++ b/src/jobagent/internal/jobagentrole.cpp
@@ -90,8 +90,16 @@
 void job_agent_role::handleShutdown(
     std::string_view Worker, std::string_view Body,
     const std::shared_ptr<ihttp_responder> &Responder) {
+  std::optional<std::uint64_t> StartTimeMs;
+  try {
+    StartTimeMs = decodeDeregistration(Body);
+  } catch (const malformed_message_error &Problem) {
+    Log.warningEvent("deregistration_unreadable",
+                     {{"worker", Worker}, {"problem", Problem.what()}});
+    Responder->respond(encodeError(BadRequest, "malformed", Problem.what()));
+    return;
+  }
   const auto Found = Sessions.find(worker_id(Worker));
-  const auto StartTimeMs = decodeStartTimeMs(Body);
   const bool Known =
       Found != Sessions.end() &&
       (!StartTimeMs || Found->second->instance().StartTimeMs == *StartTimeMs);
--- a/src/platform/internal/jsonfields.cpp
+++ b/src/platform/internal/jsonfields.cpp
@@ -10,8 +10,9 @@
 /// 2^53: a double represents all integers up to this one exactly.
 constexpr double MaxExactInteger = 9007199254740992.0;
 
-/// The messages of the platform nest 5 levels. Copying and printing a document
-/// recurse, so the depth is limited before it is built.
+/// The messages of the platform nest 5 levels. Deeper parts belong to fields
+/// that aren't known; each of their levels would take ten times its size in
+/// memory.
 constexpr std::size_t MaxNesting = 64;
 
 bool nestsTooDeeply(std::string_view Text) {
@@ -36,9 +37,12 @@
 } // namespace
 
 std::optional<json> parseObject(std::string_view Text) {
+  json::parser_callback_t DropDeepParts;
   if (nestsTooDeeply(Text))
-    return std::nullopt;
-  json Document = json::parse(Text, nullptr, false);
+    DropDeepParts = [](int Depth, json::parse_event_t, json &) {
+      return std::cmp_less_equal(Depth, MaxNesting);
+    };
+  json Document = json::parse(Text, DropDeepParts, false);
   if (!Document.is_object())
     return std::nullopt;
   return Document;
--- a/src/platform/internal/jsonfields.h
+++ b/src/platform/internal/jsonfields.h
@@ -11,7 +11,8 @@
 
 using json = nlohmann::json;
 
-/// Parses \p Text; nothing if it is not a JSON object or nests too deeply.
+/// Parses \p Text; nothing if it is not a JSON object. Parts that nest very
+/// deeply are left out.
 std::optional<json> parseObject(std::string_view Text);
 
 /// \p Document as JSON; nothing if it contains a text that is not valid UTF-8.
--- a/src/platform/internal/platformdecode.cpp
+++ b/src/platform/internal/platformdecode.cpp
@@ -230,13 +230,13 @@
   return Spec;
 }
 
-std::optional<std::uint64_t> decodeStartTimeMs(std::string_view Body) {
-  const auto Object = parseObject(Body);
-  const json *Value = Object ? member(*Object, "born") : nullptr;
-  const auto StartTimeMs = Value ? asWholeNumber(*Value) : std::nullopt;
-  if (!StartTimeMs || *StartTimeMs < 0)
+std::optional<std::uint64_t> decodeDeregistration(std::string_view Body) {
+  if (Body.empty())
     return std::nullopt;
-  return static_cast<std::uint64_t>(*StartTimeMs);
+  const json Object = parseBody(Body);
+  if (!Object.contains("born"))
+    return std::nullopt;
+  return readTimeMs(Object, "born");
 }
 
 worker_request parseWorkerRequest(std::string_view Method,
--- a/src/platform/internal/taskworkerclient.cpp
+++ b/src/platform/internal/taskworkerclient.cpp
@@ -63,10 +63,8 @@
   }
 }
 
-std::optional<work::task_ref> parseTask(const json &Row, std::size_t Column) {
-  const bool Named =
-      Row.is_array() && Row.size() > Column && Row[Column].is_string();
-  return Named ? parseTaskName(Row[Column].get<std::string>()) : std::nullopt;
+bool hasText(const json &Row, std::size_t Column) {
+  return Row.is_array() && Row.size() > Column && Row[Column].is_string();
 }
 
 template <typename Number>
@@ -93,13 +91,15 @@
                                Percent, std::int64_t{0}, MaxPercent))};
 }
 
-/// Rows that name no task are skipped. Nothing if a row that names one can't be
-/// read: the run would be taken for ended.
+/// Rows of names that no task has are skipped. Nothing if any other row can't
+/// be read: its run would be taken for ended.
 std::optional<std::vector<work::running_run>>
 parseRunningRuns(const json &Rows) {
   std::vector<work::running_run> Runs;
   for (const json &Row : Rows) {
-    const auto Task = parseTask(Row, 0);
+    if (!hasText(Row, 0))
+      return std::nullopt;
+    const auto Task = parseTaskName(Row[0].get<std::string>());
     if (!Task)
       continue;
     auto Run = parseRunningRun(*Task, Row);
@@ -119,13 +119,13 @@
 }
 
 std::optional<work::finished_run> parseFinishedRun(const json &Row) {
-  const auto Task = parseTask(Row, 1);
-  if (!Task || Row.size() < 4 || !Row[3].is_string())
+  if (!hasText(Row, 1) || !hasText(Row, 3))
     return std::nullopt;
+  const auto Task = parseTaskName(Row[1].get<std::string>());
   const auto Number = parseNumber<std::uint64_t>(Row[0]);
   const auto Run = parseNumber<std::uint32_t>(Row[2]);
   const auto EndReason = parseRunEnd(Row[3].get<std::string>());
-  if (!Number || !Run || !EndReason)
+  if (!Task || !Number || !Run || !EndReason)
     return std::nullopt;
   const bool HasCheckpoint = Row.size() > 4 && Row[4].is_string();
   return work::finished_run{.Number = *Number,
--- a/src/platform/platformdecode.h
+++ b/src/platform/platformdecode.h
@@ -37,9 +37,10 @@
   worker_request_kind Kind = worker_request_kind::Other;
   std::string_view Worker;
 };
-/// Start time of the worker instance that sent the message; nothing if the
-/// message doesn't contain it.
-std::optional<std::uint64_t> decodeStartTimeMs(std::string_view Body);
+/// Start time of the worker instance that deregisters; nothing if the message
+/// doesn't contain it.
+/// \throws malformed_message_error if it contains anything else in its place.
+std::optional<std::uint64_t> decodeDeregistration(std::string_view Body);
 worker_request parseWorkerRequest(std::string_view Method,
                                   std::string_view Path);
 
