Simulate pauses of the scheduler and of agents

The random scenarios of ClusterSimulationProperties now pause the scheduler or an agent for 1 s to 8 s. What was sent to it meanwhile arrives in a burst, mixed with the timers that have passed; answers to its own calls show the time at which they were sent. HoldWithAnswersFromBeforeAPause also sends a tenth of the answers to reports up to 6 s after they were computed.

--- a/src/core/workhost/tests/clustersimulation.cpp
+++ b/src/core/workhost/tests/clustersimulation.cpp
@@ -92,6 +92,7 @@
 
 void cluster_simulation::takeOver() {
   ++Term;
+  SchedulerPausedUntil = {};
   Scheduler = std::make_unique<work_scheduler>(Term, scheduler_limits{},
                                                Registry, Queues, present());
   feedScheduler(scheduler_timer_expired{});
@@ -103,7 +104,26 @@
   feedScheduler(Ended);
 }
 
+void cluster_simulation::pauseScheduler(duration For) {
+  SchedulerPausedUntil = Now + For;
+}
+
+bool cluster_simulation::deferUntilSchedulerResumes(
+    std::function<void()> Action) {
+  if (SchedulerPausedUntil <= Now)
+    return false;
+  // Timers may expire before, between or after the messages are read.
+  schedule(SchedulerPausedUntil - Now + delay(),
+           [this, PausedTerm = Term, Action = std::move(Action)] {
+             if (Term == PausedTerm)
+               Action();
+           });
+  return true;
+}
+
 void cluster_simulation::feedScheduler(const scheduler_event &Event) {
+  if (deferUntilSchedulerResumes([this, Event] { feedScheduler(Event); }))
+    return;
   const auto Commands = Scheduler->handle(Event, present());
   std::vector<scheduler_command> Copy(Commands.begin(), Commands.end());
   SchedulerTimerAt = time_point::max();
@@ -159,7 +179,7 @@
 
 void cluster_simulation::sendHeartbeat(int Worker) {
   const agent &Agent = Agents[static_cast<std::size_t>(Worker)];
-  if (Agent.CutUntil > Now) {
+  if (Agent.CutUntil > Now || Agent.PausedUntil > Now) {
     schedule(HeartbeatInterval, [this, Worker] { sendHeartbeat(Worker); });
     return;
   }
@@ -219,8 +239,19 @@
   Agents[static_cast<std::size_t>(Worker)].DisconnectedUntil = Now + For;
 }
 
+void cluster_simulation::pauseAgent(int Worker, duration For) {
+  Agents[static_cast<std::size_t>(Worker)].PausedUntil = Now + For;
+}
+
 void cluster_simulation::feedAgent(int Worker, const reconciler_event &Event) {
   agent &Agent = Agents[static_cast<std::size_t>(Worker)];
+  if (Agent.PausedUntil > Now) {
+    schedule(Agent.PausedUntil - Now + delay(),
+             [this, Worker, Session = Agent.Session, Event] {
+               answer(Worker, Session, Event);
+             });
+    return;
+  }
   const auto Commands = Agent.Reconciler->handle(Event, Now);
   const std::vector<reconciler_command> Copy(Commands.begin(), Commands.end());
   Agent.TimerAt = time_point::max();
@@ -349,19 +380,28 @@
   if (Agent.DisconnectedUntil > Now || chance(Faults.LostReports))
     return;
   const worker_report Report = Agent.Reconciler->report();
+  const std::uint64_t Session = Agent.Session;
+  schedule(delay(), [=, this] { handleReport(Worker, Session, Report); });
+}
+
+void cluster_simulation::handleReport(int Worker, std::uint64_t Session,
+                                      const worker_report &Report) {
+  if (deferUntilSchedulerResumes(
+          [=, this] { handleReport(Worker, Session, Report); }))
+    return;
+  feedScheduler(worker_reported{Report});
+  const auto Orders = Scheduler->orders(Report.Description.Instance);
+  if (!Orders || chance(Faults.LostReports))
+    return;
   const auto Clock =
       Report.Listing ? std::optional(Report.Listing->ClockMs) : std::nullopt;
-  const std::uint64_t Session = Agent.Session;
-  schedule(delay(), [=, this] {
-    feedScheduler(worker_reported{Report});
-    const auto Orders = Scheduler->orders(Report.Description.Instance);
-    if (!Orders || chance(Faults.LostReports))
-      return;
-    schedule(delay(), [=, this] {
-      agent &Current = Agents[static_cast<std::size_t>(Worker)];
-      if (Current.Session == Session && Current.DisconnectedUntil <= Now)
-        feedAgent(Worker, orders_received{*Orders, Clock});
-    });
+  // An answer may have been computed before a pause and be sent after it.
+  const duration Held =
+      chance(Faults.HeldAnswers) ? 1ms * (Random() % 6000) : duration{};
+  schedule(Held + delay(), [=, this] {
+    agent &Current = Agents[static_cast<std::size_t>(Worker)];
+    if (Current.Session == Session && Current.DisconnectedUntil <= Now)
+      feedAgent(Worker, orders_received{*Orders, Clock});
   });
 }
 
@@ -379,7 +419,7 @@
   });
   for (const delayed &Each : Due)
     Each.Action();
-  if (SchedulerTimerAt <= Now)
+  if (SchedulerTimerAt <= Now && SchedulerPausedUntil <= Now)
     feedScheduler(scheduler_timer_expired{});
   for (int Worker = 0; Worker < static_cast<int>(Agents.size()); ++Worker) {
     agent &Agent = Agents[static_cast<std::size_t>(Worker)];
@@ -389,6 +429,8 @@
         Random() % 3 == 0;
     if (Agent.ListAt && (*Agent.ListAt <= Now || Ends))
       answerListing(Worker);
+    if (Agent.PausedUntil > Now)
+      continue;
     if (Agent.TimerAt <= Now)
       feedAgent(Worker, reconciler_timer_expired{});
     // Frequent reports stand for a report that the scheduler keeps open until
--- a/src/core/workhost/tests/clustersimulation.h
+++ b/src/core/workhost/tests/clustersimulation.h
@@ -23,6 +23,7 @@
   int LostOrders = 0;  ///< starts and stops executed, but not answered
   int LateOrders = 0;  ///< starts executed seconds later
   int SlowAppends = 0; ///< appends that take up to 2 s
+  int HeldAnswers = 0; ///< answers to reports that are sent up to 6 s late
   /// Starts reach whichever instance runs under the worker's id, as if they
   /// were not bound to the connection of an instance.
   bool UnboundStarts = false;
@@ -41,6 +42,11 @@
   void takeOver();
   /// As above, but the old scheduler passes on the leases that it granted.
   void handOver();
+  /// The scheduler does nothing for a time, then gets all that was sent to it.
+  void pauseScheduler(duration For);
+  /// As above, for an agent. Answers to its calls show what was the case when
+  /// they were sent.
+  void pauseAgent(int Worker, duration For);
   /// Restarts the agent process while its worker keeps running.
   void restartAgent(int Worker);
   /// The worker crashes and starts again under its id. Its agent hears of it
@@ -80,6 +86,7 @@
     time_point LastReport{};
     std::optional<time_point> ListAt; ///< answer time of the open listing
     time_point CutUntil{};            ///< the worker is unreachable until then
+    time_point PausedUntil{};
   };
   struct delayed {
     time_point At;
@@ -92,6 +99,11 @@
   present_time present() const;
   worker_id workerId(int Worker) const;
   void feedScheduler(const scheduler_event &Event);
+  /// Repeats \p Action of the scheduler's process when its pause is over.
+  /// \returns false if it is not paused.
+  bool deferUntilSchedulerResumes(std::function<void()> Action);
+  void handleReport(int Worker, std::uint64_t Session,
+                    const worker_report &Report);
   void append(append_progress Command, std::uint64_t Term);
   /// Begins a session of the agent with the present instance of its worker.
   void beginSession(int Worker);
@@ -110,7 +122,6 @@
   void list(int Worker, const list_runs &Command);
   void answerListing(int Worker);
   void sendReport(int Worker);
-  void answerReport(int Worker, std::optional<std::int64_t> Clock);
   void tick();
 
   std::mt19937 Random;
@@ -125,6 +136,7 @@
   std::uint64_t Appends = 0;
   std::unique_ptr<work_scheduler> Scheduler;
   time_point SchedulerTimerAt = time_point::max();
+  time_point SchedulerPausedUntil{};
   std::vector<agent> Agents;
   std::set<int> ExitedWorkers; ///< that have shut down
   std::deque<delayed> Queue;
--- a/src/core/workhost/tests/clustersimulationtest.cpp
+++ b/src/core/workhost/tests/clustersimulationtest.cpp
@@ -296,9 +296,12 @@
              << ',' << Step.WaitMs << '}';
 }
 
+/// Number of kinds of steps.
+constexpr int Kinds = 13;
+
 rc::Gen<simulation_step> anyStep() {
   return rc::gen::build<simulation_step>(
-      rc::gen::set(&simulation_step::Kind, rc::gen::inRange(0, 11)),
+      rc::gen::set(&simulation_step::Kind, rc::gen::inRange(0, Kinds)),
       rc::gen::set(&simulation_step::Target, rc::gen::inRange(0, Workers)),
       rc::gen::set(&simulation_step::Amount, rc::gen::inRange(1, 9)),
       rc::gen::set(&simulation_step::WaitMs, rc::gen::inRange(0, 3000)));
@@ -312,12 +315,14 @@
   void apply(const simulation_step &Step) {
     using action = void (random_scenario::*)(const simulation_step &);
     static constexpr action Actions[] = {
-        &random_scenario::submit,          &random_scenario::submit,
-        &random_scenario::submitGang,      &random_scenario::urgent,
-        &random_scenario::cancel,          &random_scenario::takeOver,
-        &random_scenario::restartAgent,    &random_scenario::restartWorker,
-        &random_scenario::disconnect,      &random_scenario::cutWorker,
-        &random_scenario::restartCutWorker};
+        &random_scenario::submit,           &random_scenario::submit,
+        &random_scenario::submitGang,       &random_scenario::urgent,
+        &random_scenario::cancel,           &random_scenario::takeOver,
+        &random_scenario::restartAgent,     &random_scenario::restartWorker,
+        &random_scenario::disconnect,       &random_scenario::cutWorker,
+        &random_scenario::restartCutWorker, &random_scenario::pauseScheduler,
+        &random_scenario::pauseAgent};
+    static_assert(std::size(Actions) == Kinds);
     (this->*Actions[Step.Kind])(Step);
     Simulation.runFor(1ms * Step.WaitMs);
   }
@@ -357,6 +362,12 @@
     else
       Simulation.handOver();
   }
+  void pauseScheduler(const simulation_step &Step) {
+    Simulation.pauseScheduler(1s * Step.Amount);
+  }
+  void pauseAgent(const simulation_step &Step) {
+    Simulation.pauseAgent(Step.Target, 1s * Step.Amount);
+  }
   void restartAgent(const simulation_step &Step) {
     Simulation.restartAgent(Step.Target);
   }
@@ -416,6 +427,10 @@
   CHECK(invariantsHold({.LostOrders = 20, .UnboundStarts = true}));
 }
 
+TEST(ClusterSimulationProperties, HoldWithAnswersFromBeforeAPause) {
+  CHECK(invariantsHold({.LostOrders = 5, .HeldAnswers = 10}));
+}
+
 TEST(ClusterSimulationProperties, HoldWithASlowLog) {
   CHECK(invariantsHold({.LostReports = 5, .LostOrders = 5, .SlowAppends = 50}));
 }
