--- a/src/platform/internal/jsonfields.cpp
+++ b/src/platform/internal/jsonfields.cpp
@@ -10,12 +10,13 @@
 /// 2^53: a double represents all integers up to this one exactly.
 constexpr double MaxExactInteger = 9007199254740992.0;
 
-/// The messages of the platform nest 5 levels. Copying and printing a document
-/// recurse, so deeper parts are left out when it is built.
-constexpr int MaxNesting = 64;
+/// The messages of the platform nest 5 levels. Deeper parts belong to fields
+/// that aren't known; each of their levels would take ten times its size in
+/// memory.
+constexpr std::size_t MaxNesting = 64;
 
 bool nestsTooDeeply(std::string_view Text) {
-  int Depth = 0;
+  std::size_t Depth = 0;
   bool InString = false;
   for (std::size_t I = 0; I < Text.size(); ++I) {
     const char Each = Text[I];
@@ -36,12 +37,12 @@
 } // namespace
 
 std::optional<json> parseObject(std::string_view Text) {
-  json::parser_callback_t LeaveOutDeepParts;
+  json::parser_callback_t DropDeepParts;
   if (nestsTooDeeply(Text))
-    LeaveOutDeepParts = [](int Depth, json::parse_event_t, const json &) {
-      return Depth <= MaxNesting;
+    DropDeepParts = [](int Depth, json::parse_event_t, json &) {
+      return std::cmp_less_equal(Depth, MaxNesting);
     };
-  json Document = json::parse(Text, LeaveOutDeepParts, false);
+  json Document = json::parse(Text, DropDeepParts, false);
   if (!Document.is_object())
     return std::nullopt;
   return Document;
