Read again from the log what an old page of a topic may lack

Found by a reviewer: if a later page of a topic shows an earlier state than the first one, a record that it lacks was never read, and the entry said 410 for its job once it had caught up with the log's end.

Change: the log is read from the lowest end of all pages. TopicFollower.APageOfAnEarlierStateIsReadAgainFromTheLog failed before (next read from 100, expected 60).

--- a/src/core/topics/internal/topicfollower.cpp
+++ b/src/core/topics/internal/topicfollower.cpp
@@ -64,9 +64,9 @@
     return;
   Failures = 0;
   LastAnswer = Now;
-  // Records appended while the pages are read are read again from the log.
-  if (FirstPage)
-    Next = Event.End;
+  // Records appended while the pages are read are read again from the log, and
+  // a page may show an earlier state than the one before.
+  Next = FirstPage ? Event.End : std::min(Next, Event.End);
   FirstPage = false;
   for (const keyed_record &Record : Event.Records) {
     SeenKeys.insert(Record.Key);
--- a/src/core/topics/tests/topicfollowertest.cpp
+++ b/src/core/topics/tests/topicfollowertest.cpp
@@ -50,6 +50,16 @@
   LONGS_EQUAL(7, *ReadFrom);
 }
 
+// Otherwise a record that an old page lacks is never read, and its job counts
+// as unknown.
+TEST(TopicFollower, APageOfAnEarlierStateIsReadAgainFromTheLog) {
+  feed(topic_timer_expired{});
+  feed(newest_page{.Records = {record("a", 90)}, .HasMore = true, .End = 100});
+  feed(newest_page{.Records = {record("b", 3)}, .HasMore = false, .End = 60});
+  LONGS_EQUAL(60, *ReadFrom);
+  CHECK(!Follower->reached(100));
+}
+
 // A new scheduler that starts before the last page is there takes tasks that
 // are done for waiting ones.
 TEST(TopicFollower, AnOffsetIsReachedOnlyAfterTheLastPageOfAReload) {
