Reject records with a term that no candidate could exceed

Found by a reviewer: claims are above the highest term that the topics show, so one odd record with a term near the largest number would end all elections. UnusableInput.ARecordWithAnUnreachableTermIsRejected failed before.

--- a/src/workcodec/internal/recordconvert.cpp
+++ b/src/workcodec/internal/recordconvert.cpp
@@ -51,6 +51,15 @@
 
 namespace {
 
+/// Terms stay below it, so that the store and all readers know them exactly.
+constexpr std::uint64_t MaxTerm = std::uint64_t{1} << 53;
+
+/// \throws malformed_message_error if a candidate could have no higher term.
+void checkTerm(std::uint64_t Term) {
+  if (Term > MaxTerm)
+    throw malformed_message_error("term out of range");
+}
+
 class record_encoder {
 public:
   explicit record_encoder(proto::work::WorkRecord &Message)
@@ -133,8 +142,10 @@
   case proto::work::WorkRecord::kProgressed:
     return decodeProgress(Message.progressed());
   case proto::work::WorkRecord::kEntry:
+    checkTerm(Message.entry().term());
     return decodeEntry(Message.entry());
   case proto::work::WorkRecord::kTerm:
+    checkTerm(Message.term().term());
     return term_leader{Message.term().term(),
                        decodeEntry(Message.term().entry())};
   case proto::work::WorkRecord::RECORD_NOT_SET:
--- a/src/workcodec/tests/unusableinputtest.cpp
+++ b/src/workcodec/tests/unusableinputtest.cpp
@@ -203,6 +203,15 @@
   CHECK_THROWS(malformed_message_error, decodeRecord(encodeRecord(Record)));
 }
 
+// A term near the largest number would keep every candidate from a higher one.
+TEST(UnusableInput, ARecordWithAnUnreachableTermIsRejected) {
+  constexpr std::uint64_t Unreachable = std::uint64_t{1} << 60;
+  const entry_record Entry{.Node = node_id("e1"), .Term = Unreachable};
+  CHECK_THROWS(malformed_message_error, decodeRecord(encodeRecord(Entry)));
+  CHECK_THROWS(malformed_message_error,
+               decodeRecord(encodeRecord(term_leader{Unreachable, {}})));
+}
+
 TEST(UnusableInput, AReportThatNamesNoInstanceIsRejected) {
   proto::work::WorkerReport Report = makeReport();
   Report.mutable_description()->mutable_life()->set_born(0);
