Place a start elsewhere if its worker refuses it as unhealthy

Found by a reviewer: a worker that lists its runs and answers each start with 429 or 503 got the same start again and again, since a refusal counted for nothing and the worker with the least free capacity is taken first.

SchedulerStandstill.AStartThatAWorkerRefusesIsNotRepeatedThere failed before.

--- a/src/core/work/internal/workerreports.cpp
+++ b/src/core/work/internal/workerreports.cpp
@@ -104,8 +104,13 @@
         {NextBatch, Worker.Description.Instance, Worker.LastEndNumber});
   for (const refused_start &Row : Report.Refused) {
     const live_run *Run = Runs.find(Row.Run);
-    if (Run && Run->Worker == Worker.Description.Instance)
-      runLost(Row.Run, decision_kind::RunRefused, name(Row.Reason), Present);
+    if (!Run || Run->Worker != Worker.Description.Instance)
+      continue;
+    const bool WorkerAtFault = Row.Reason == start_refusal::Unhealthy ||
+                               Row.Reason == start_refusal::Invalid;
+    if (WorkerAtFault && !Run->Stopping)
+      countFailure(Worker, Row.Run.Task.Job, Present);
+    runLost(Row.Run, decision_kind::RunRefused, name(Row.Reason), Present);
   }
   endNeverStarted(Worker, Report, Present);
 }
@@ -191,9 +196,15 @@
                          Present.Now - Run.StartedAt);
     return;
   }
-  if (EndReason != run_end_reason::Failed)
-    return;
-  FailedOn[Id].insert(Worker.Description.Instance.Worker);
+  if (EndReason == run_end_reason::Failed)
+    countFailure(Worker, Id, Present);
+}
+
+/// The job avoids the worker from now on, and after several failures in a row
+/// all jobs do for a while.
+void work_scheduler::countFailure(pool_worker &Worker, const job_id &Job,
+                                  const present_time &Present) {
+  FailedOn[Job].insert(Worker.Description.Instance.Worker);
   ++Worker.ConsecutiveFailures;
   if (Worker.OnProbation || Worker.ConsecutiveFailures >= FailuresToSuspect)
     suspect(Worker, "runs_failed", Present);
--- a/src/core/work/tests/schedulerroundtest.cpp
+++ b/src/core/work/tests/schedulerroundtest.cpp
@@ -356,6 +356,41 @@
   LONGS_EQUAL(1, Placed);
 }
 
+// An unhealthy worker may list its runs and refuse every start.
+TEST(SchedulerStandstill, AStartThatAWorkerRefusesIsNotRepeatedThere) {
+  addWorker("w1", "r1");
+  addWorker("w2", "r1");
+  submit(testing::makeJob("j1"));
+  runTimers(100ms);
+  const std::string First = ordered("w1").empty() ? "w2" : "w1";
+  const std::string Other = First == "w1" ? "w2" : "w1";
+  worker_report Refusal = Reports[First];
+  Refusal.Listing->ClockMs = 100;
+  Refusal.Refused = {{ordered(First).front(), start_refusal::Unhealthy}};
+  feed(worker_reported{Refusal});
+  runTimers(100ms);
+  LONGS_EQUAL(0, ordered(First).size());
+  LONGS_EQUAL(1, ordered(Other).size());
+}
+
+// Its other task waits all the time, for another worker.
+TEST(SchedulerStandstill, ATaskThatFailedOnASuspectedWorkerWaitsAnew) {
+  addWorker("w1", "r1", "rare");
+  addWorker("w2", "r1");
+  failRuns("w1", "rare");
+  job_spec Spec = testing::makeJob("j1", 2);
+  Spec.Steps[0].RequiredLabel = "rare";
+  Spec.Steps[0].MaxPerWorker = 1;
+  submit(Spec);
+  wait(Limit);
+  LONGS_EQUAL(1, ordered("w1").size());
+  report("w1", run_end_reason::Failed);
+  wait(1s);
+  LONGS_EQUAL(0, ordered("w1").size());
+  wait(Limit - 1s);
+  LONGS_EQUAL(1, ordered("w1").size());
+}
+
 TEST(SchedulerStandstill, ASuspectedWorkerIsTheLastChoice) {
   addWorker("w1", "r1");
   addWorker("w2", "r1", "rare");
--- a/src/core/work/workscheduler.h
+++ b/src/core/work/workscheduler.h
@@ -130,6 +130,8 @@
                      const present_time &Present);
   void endNeverStarted(pool_worker &Worker, const worker_report &Report,
                        const present_time &Present);
+  void countFailure(pool_worker &Worker, const job_id &Job,
+                    const present_time &Present);
   void recordOutcome(pool_worker &Worker, const live_run &Run,
                      run_end_reason EndReason, const present_time &Present);
   void suspect(pool_worker &Worker, std::string_view Reason,
