Bound what a step that stands still may take

Found by a reviewer. A task that failed on a worker that is set aside went back to it in the next round, as long as another task of its step waited, and used up its attempts within a second: the wait now begins anew with each task that waits. And lasting tasks took capacity that is reserved for guaranteed steps of a busy service: reservations are now ignored only in a service that is half idle.

The reservations have no test of their own.

--- a/src/core/work/internal/livejobs.cpp
+++ b/src/core/work/internal/livejobs.cpp
@@ -87,8 +87,10 @@
 
 void live_job::setWaiting(const task_position &Position) {
   task_progress &Task = mutableTask(Position);
+  const std::size_t Step = stepIndex(Position.Occurrence, Position.Step);
   if (Task.State == task_state::Running)
-    ++WaitingByStep[stepIndex(Position.Occurrence, Position.Step)];
+    ++WaitingByStep[Step];
+  Waits[Step].Since.reset();
   Task.State = task_state::Waiting;
 }
 
--- a/src/core/work/internal/placementround.cpp
+++ b/src/core/work/internal/placementround.cpp
@@ -97,8 +97,9 @@
                                      capacity_view View,
                                      const placement_request &Request) const {
   const bool EndsBefore = Now + Request.ExpectedDuration <= Target.ReservedAt;
-  if (!Target.Reserved || EndsBefore ||
-      Request.Scope != placement_scope::Preferred)
+  const bool Ignored =
+      Request.Scope != placement_scope::Preferred && !Request.KeepsReservations;
+  if (!Target.Reserved || EndsBefore || Ignored)
     return Target.*View;
   return componentwiseMin(Target.*View, Target.Spare);
 }
--- a/src/core/work/internal/scheduledecisions.cpp
+++ b/src/core/work/internal/scheduledecisions.cpp
@@ -125,6 +125,7 @@
   placement_request Request =
       requestFor(Round, Job, Step.Step, Tasks, Siblings);
   Request.Scope = Scope;
+  Request.KeepsReservations = !Round.halfIdle(Request.Service);
   const std::vector<assignment> Placed = Round.place(Request);
   startRuns(Job, Step.Step, Placed, Scope, Present);
   return Placed.size() == Tasks.size();
--- a/src/core/work/placementround.h
+++ b/src/core/work/placementround.h
@@ -48,6 +48,8 @@
   /// Workers to avoid, such as those on which the job failed.
   const std::set<worker_id> *Avoid = nullptr;
   placement_scope Scope = placement_scope::Preferred;
+  /// Capacity that is reserved for other steps is left to them in any scope.
+  bool KeepsReservations = false;
 };
 
 struct assignment {
