Take no answer of the store without the end of the topic for proof

Found by a reviewer: a 200 without End counted as the end 0, which every reader has reached, so an unknown job was denied. StoreClient.MapsAppendAnswersToStatus has the case, which failed before.

--- a/src/platform/internal/storeclient.cpp
+++ b/src/platform/internal/storeclient.cpp
@@ -75,6 +75,9 @@
   append_outcome Outcome{.Code = Reply.Code};
   const auto Body = parseObject(Reply.Body);
   if (Reply.Status == call_status::Completed && Reply.Code == Ok && Body) {
+    // An answer without the end of the topic proves nothing about it.
+    if (!member(*Body, "End"))
+      return Outcome;
     Outcome.Status = store_append_status::Stored;
     Outcome.Offset = countField(*Body, "Offset");
     Outcome.End = countField(*Body, "End");
@@ -98,7 +101,7 @@
     return Outcome;
   const auto Body = parseObject(Reply.Body);
   const json *Items = Body ? arrayField(*Body, "items") : nullptr;
-  if (!Items)
+  if (!Items || !member(*Body, "End"))
     return Outcome;
   Outcome.Ok = true;
   Outcome.Page.HasMore = boolField(*Body, "HasMore").value_or(false);
