Log what a candidate for the scheduler waits for

When no scheduler is in office, the logs showed only that the state of the last leader had changed, not why no candidate claims. leader_state_changed now has the known term, the age of the leader's last append and of its election, the agents there and here, and whether the other entries answer. While the leader is not at work, the assigned candidate logs the same as leader_not_at_work, once a second at most.

--- a/src/jobentry/electiondriver.h
+++ b/src/jobentry/electiondriver.h
@@ -56,14 +56,17 @@
   void execute(const leadership_acquired &Command);
   void execute(const leadership_lost &Command);
   void execute(const set_election_timer &Command);
+  void logLeader(const leader_status &Leader);
 
   ievent_loop &Loop;
   istore &Store;
   const std::string Member;
   ielection_delegate &Delegate;
+  const election_limits Limits;
   leader_election Election;
   time_point LastStored{};
   leader_status LastLeader; ///< as of the last query
+  time_point LeaderLoggedAt{};
   timer ElectionTimer;
   logger Log{"office"};
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/src/jobentry/internal/electiondriver.cpp
+++ b/src/jobentry/internal/electiondriver.cpp
@@ -14,6 +14,8 @@
 /// Timeout of one call to the group and of one claim.
 constexpr duration CallTimeout = std::chrono::milliseconds(700);
 
+constexpr duration LeaderLogInterval = std::chrono::seconds(1);
+
 /// Name for logs.
 std::string_view name(leader_status::leader_state State) {
   static constexpr std::array<std::string_view, 4> Names{
@@ -29,7 +31,7 @@
                                  std::uint64_t Incarnation,
                                  ielection_delegate &Delegate)
     : Loop(Loop), Store(Store), Member(std::move(Member)), Delegate(Delegate),
-      Election(Limits, Incarnation), ElectionTimer(Loop) {}
+      Limits(Limits), Election(Limits, Incarnation), ElectionTimer(Loop) {}
 
 void election_driver::feed(const election_event &Event) {
   const auto Commands = Election.handle(Event, Loop.now());
@@ -61,13 +63,31 @@
   Delegate.queryLeader([this, Alive = Alive](const leader_status &Leader) {
     if (!*Alive)
       return;
-    if (Leader.State != LastLeader.State)
-      Log.event("leader_state_changed", {{"holder", name(Leader.State)}});
+    logLeader(Leader);
     LastLeader = Leader;
     feed(Leader);
   });
 }
 
+/// Logs each change, and what a claim waits for at a bounded rate.
+void election_driver::logLeader(const leader_status &Leader) {
+  const time_point Now = Loop.now();
+  const bool Changed = Leader.State != LastLeader.State;
+  const bool AtWork = Leader.State == leader_status::leader_state::Leading &&
+                      Leader.SinceLastAppend <= Limits.MaxAppendAge;
+  if (!Changed && (AtWork || Now - LeaderLoggedAt < LeaderLogInterval))
+    return;
+  LeaderLoggedAt = Now;
+  Log.event(Changed ? "leader_state_changed" : "leader_not_at_work",
+            {{"holder", name(Leader.State)},
+             {"term", Leader.Term},
+             {"stored_ms_ago", millisecondsOf(Leader.SinceLastAppend)},
+             {"elected_ms_ago", millisecondsOf(Leader.SinceElected)},
+             {"agents", Leader.Agents},
+             {"agents_here", Leader.CandidateAgents},
+             {"others_answer", Leader.OthersReachable}});
+}
+
 void election_driver::execute(const send_claim &Command) {
   const std::uint64_t Term = Command.Term;
   const time_point Sent = Loop.now();
