Place a run elsewhere if its worker does not start it

A run on a worker that answers listings but starts nothing stayed there; refused runs, and gangs of which a member did not start, went back to the same worker.

Cause: listings renew the lease, whatever became of the start, and nothing made placement choose another worker after a refusal or an incomplete gang.

Change: a run that a new listing lacks 2 s after its order is stopped; the job avoids a worker that did not start a run of it, or refused it for a reason that depends on the worker, as it avoids those where it failed.

A task does not run twice: the run keeps it until its end is listed or the agent has barred it. A worker without a new listing is left alone.

Evidence: SchedulerStandstill.ARunThatItsWorkerDoesNotStartRunsElsewhere, .AGangRunsWithoutAWorkerThatDoesNotStartItsMember and .ARunThatIsRefusedIsPlacedOnAnotherWorker failed on the code before and pass now; .ARunOfAWorkerThatIsSilentForAWhileIsNotStopped passed before and after.

--- a/src/core/work/internal/scheduledecisions.cpp
+++ b/src/core/work/internal/scheduledecisions.cpp
@@ -318,8 +318,10 @@
       ++It;
       continue;
     }
-    if (Missing)
+    if (Missing) {
+      FailedOn[Step.Job].insert(Missing->Worker.Worker);
       stopGang(Missing->Run, "gang_incomplete");
+    }
     It = StartingGangs.erase(It);
   }
 }
--- a/src/core/work/internal/workerreports.cpp
+++ b/src/core/work/internal/workerreports.cpp
@@ -16,6 +16,16 @@
 /// fraction of its expected duration if that is longer.
 constexpr duration StallLimit = std::chrono::milliseconds(2500);
 constexpr int StallDivisor = 10;
+/// A run that its worker does not list this long after the order is placed
+/// elsewhere; a start takes a fraction of a second.
+constexpr duration StartLimit = std::chrono::seconds(2);
+
+/// Whether another worker may well start the run.
+bool dependsOnWorker(start_refusal Refusal) {
+  return Refusal == start_refusal::Late ||
+         Refusal == start_refusal::NoCapacity ||
+         Refusal == start_refusal::Unhealthy;
+}
 
 } // namespace
 
@@ -44,9 +54,14 @@
     logDecision(decision_kind::WorkerKnown, {}, Instance,
                 Report.Description.Rack);
   const bool UsableBefore = Existing && Existing->usable(Present.Now);
+  const std::optional<std::int64_t> ListedBefore =
+      Existing ? std::optional(Existing->ListedClockMs) : std::nullopt;
   pool_worker &Worker = Pool.applyReport(Report, Present.Now);
-  if (Report.Listing && Report.Listing->ClockMs >= Worker.ListedClockMs)
+  if (Report.Listing && Report.Listing->ClockMs >= Worker.ListedClockMs) {
     applyListing(Worker, Report, Present);
+    if (Worker.ListedClockMs != ListedBefore)
+      stopUnstarted(Worker, Present);
+  }
   if (Worker.usable(Present.Now) != UsableBefore) {
     RoundNeeded = true;
     NextExpiry = Present.Now;
@@ -104,8 +119,11 @@
         {NextBatch, Worker.Description.Instance, Worker.LastEndNumber});
   for (const refused_start &Row : Report.Refused) {
     const live_run *Run = Runs.find(Row.Run);
-    if (Run && Run->Worker == Worker.Description.Instance)
-      runLost(Row.Run, decision_kind::RunRefused, name(Row.Reason), Present);
+    if (!Run || Run->Worker != Worker.Description.Instance)
+      continue;
+    if (dependsOnWorker(Row.Reason) && findJob(Row.Run.Task.Job))
+      FailedOn[Row.Run.Task.Job].insert(Worker.Description.Instance.Worker);
+    runLost(Row.Run, decision_kind::RunRefused, name(Row.Reason), Present);
   }
   endNeverStarted(Worker, Report, Present);
 }
@@ -214,6 +232,21 @@
               Reason);
 }
 
+/// Stops runs that the worker still does not list, so that they run elsewhere.
+/// Gangs have a limit of their own.
+void work_scheduler::stopUnstarted(pool_worker &Worker,
+                                   const present_time &Present) {
+  std::vector<run_ref> Unstarted;
+  for (const live_run *Run : Worker.Runs)
+    if (Run->Ordered && !Run->Started && !Run->Stopping && Run->GangSize == 1 &&
+        Present.Now - Run->PlacedAt >= StartLimit)
+      Unstarted.push_back(Run->Run);
+  for (const run_ref &Run : Unstarted) {
+    FailedOn[Run.Task.Job].insert(Worker.Description.Instance.Worker);
+    stopRun(Run, "not_started");
+  }
+}
+
 /// Ends stopping runs that the worker lists neither as running nor as ended:
 /// they never started there, and the agent has barred them.
 void work_scheduler::endNeverStarted(pool_worker &Worker,
--- a/src/core/work/tests/schedulerroundtest.cpp
+++ b/src/core/work/tests/schedulerroundtest.cpp
@@ -3,7 +3,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 using namespace geraniumpaddle;
@@ -259,7 +261,8 @@
     Listing.ClockMs = millisecondsOf(Present.Now.time_since_epoch());
     Listing.Running.clear();
     for (const run_ref &Run : ordered(Id))
-      Listing.Running.push_back({.Run = Run});
+      if (!NotStarting.contains(Id))
+        Listing.Running.push_back({.Run = Run});
     if (EndReason) {
       CHECK(!Listing.Running.empty());
       Listing.Finished = {{.Number = ++LastEnd,
@@ -298,6 +301,7 @@
   /// Ends of runs are numbered in the whole test, which workers may do as well.
   std::uint64_t LastEnd = 0;
   std::map<std::string, worker_report> Reports;
+  std::set<std::string> NotStarting; ///< workers that start nothing
 };
 
 TEST(SchedulerStandstill, ASameRackStepDoesNotWaitForABusyRack) {
@@ -475,3 +479,56 @@
   wait(Limit);
   LONGS_EQUAL(1, Placed);
 }
+
+TEST(SchedulerStandstill, ARunThatItsWorkerDoesNotStartRunsElsewhere) {
+  addWorker("w1", "r1");
+  addWorker("w2", "r1");
+  NotStarting = {"w1", "w2"};
+  submit(testing::makeJob("j1"));
+  wait(1s);
+  LONGS_EQUAL(1, Placed);
+  const std::string Next = ordered("w1").empty() ? "w1" : "w2";
+  NotStarting.erase(Next);
+  wait(1500ms);
+  LONGS_EQUAL(2, Placed);
+  LONGS_EQUAL(1, ordered(Next).size());
+}
+
+TEST(SchedulerStandstill, AGangRunsWithoutAWorkerThatDoesNotStartItsMember) {
+  for (const char *Id : {"w1", "w2", "w3"})
+    addWorker(Id, "r1");
+  NotStarting = {"w1"};
+  job_spec Gang = testing::makeJob("gang", 2, 8);
+  Gang.Steps[0].Gang = true;
+  submit(Gang);
+  wait(100ms);
+  LONGS_EQUAL(1, ordered("w1").size());
+  wait(Limit);
+  LONGS_EQUAL(4, Placed);
+  CHECK(ordered("w1").empty());
+}
+
+TEST(SchedulerStandstill, ARunThatIsRefusedIsPlacedOnAnotherWorker) {
+  addWorker("w1", "r1");
+  addWorker("w2", "r1");
+  submit(testing::makeJob("j1"));
+  runTimers(100ms);
+  const std::string First = ordered("w1").empty() ? "w2" : "w1";
+  NotStarting = {First};
+  Reports[First].Refused = {{ordered(First).front(), start_refusal::Unhealthy}};
+  report(First);
+  runTimers(100ms);
+  LONGS_EQUAL(2, Placed);
+  CHECK(ordered(First).empty());
+}
+
+// Without a listing nothing is known of the run; it may be at work.
+TEST(SchedulerStandstill, ARunOfAWorkerThatIsSilentForAWhileIsNotStopped) {
+  addWorker("w1", "r1");
+  submit(testing::makeJob("j1"));
+  runTimers(4s);
+  report("w1");
+  wait(1s);
+  LONGS_EQUAL(0, Stopped);
+  LONGS_EQUAL(1, Placed);
+}
--- a/src/core/work/workscheduler.h
+++ b/src/core/work/workscheduler.h
@@ -128,6 +128,7 @@
                       const present_time &Present);
   void applyFinished(pool_worker &Worker, const finished_run &Row,
                      const present_time &Present);
+  void stopUnstarted(pool_worker &Worker, const present_time &Present);
   void endNeverStarted(pool_worker &Worker, const worker_report &Report,
                        const present_time &Present);
   void recordOutcome(pool_worker &Worker, const live_run &Run,
@@ -192,6 +193,7 @@
   std::unordered_map<job_id, live_job> Jobs;
   std::unordered_set<job_id> EndedJobs; ///< in this term
   std::set<job_id> Waiting;             ///< jobs with waiting tasks
+  /// Workers on which runs of a job failed or did not start.
   std::unordered_map<job_id, std::set<worker_id>> FailedOn;
   run_table Runs;
   worker_pool Pool;
