--- a/src/core/work/workscheduler.h
+++ b/src/core/work/workscheduler.h
@@ -128,10 +128,9 @@
                       const present_time &Present);
   void applyFinished(pool_worker &Worker, const finished_run &Row,
                      const present_time &Present);
+  void stopUnstarted(pool_worker &Worker, const present_time &Present);
   void endNeverStarted(pool_worker &Worker, const worker_report &Report,
                        const present_time &Present);
-  void countFailure(pool_worker &Worker, const job_id &Job,
-                    const present_time &Present);
   void recordOutcome(pool_worker &Worker, const live_run &Run,
                      run_end_reason EndReason, const present_time &Present);
   void suspect(pool_worker &Worker, std::string_view Reason,
@@ -194,6 +193,7 @@
   std::unordered_map<job_id, live_job> Jobs;
   std::unordered_set<job_id> EndedJobs; ///< in this term
   std::set<job_id> Waiting;             ///< jobs with waiting tasks
+  /// Workers on which runs of a job failed or did not start.
   std::unordered_map<job_id, std::set<worker_id>> FailedOn;
   run_table Runs;
   worker_pool Pool;
