--- a/src/daemon/tests/processcluster.cpp
+++ b/src/daemon/tests/processcluster.cpp
@@ -38,7 +38,7 @@
   // Random, since several test programs may run at the same time.
   static std::random_device Random;
   for (int Attempt = 0; Attempt < PortCount; ++Attempt) {
-    const std::string Address =
+    std::string Address =
         "127.0.0.1:" + std::to_string(FirstPort + Random() % PortCount);
     try {
       event_loop Loop;
