--- a/src/daemon/tests/soak/soakactions.cpp
+++ b/src/daemon/tests/soak/soakactions.cpp
@@ -37,15 +37,16 @@
       &soak_actions::suspendAgent,      &soak_actions::suspendAgent,
       &soak_actions::killAgent,         &soak_actions::terminateAgent,
   };
-  static constexpr std::array<action, 12> ProcessTrouble{
+  static constexpr std::array<action, 13> ProcessTrouble{
       &soak_actions::killEntry,        &soak_actions::killAgent,
       &soak_actions::killAll,          &soak_actions::pauseProcess,
       &soak_actions::pauseProcess,     &soak_actions::disturbPeerLink,
       &soak_actions::disturbStoreLink, &soak_actions::breakPeerConnections,
       &soak_actions::disturbStore,     &soak_actions::breakStoreConnections,
       &soak_actions::compactStore,     &soak_actions::terminateAgent,
+      &soak_actions::holdAllPeerLinks,
   };
-  static constexpr std::array<action, 20> Everything{
+  static constexpr std::array<action, 21> Everything{
       &soak_actions::terminateEntry,
       &soak_actions::terminateEntryTwice,
       &soak_actions::terminateAgent,
@@ -66,6 +67,7 @@
       &soak_actions::disturbStore,
       &soak_actions::breakStoreConnections,
       &soak_actions::compactStore,
+      &soak_actions::holdAllPeerLinks,
   };
   switch (Mix) {
   case soak_mix::PlannedWork:
@@ -289,6 +291,20 @@
   disturbLink(Site.peerProxy(Entry), Entry, "link of agents to " + Entry);
 }
 
+void soak_actions::holdAllPeerLinks() {
+  const duration Time = randomTime(1s, LongestFault);
+  record("links to all entries hold for " +
+         std::to_string(millisecondsOf(Time)) + " ms");
+  const std::size_t Trouble = Site.checker().beginTrouble("");
+  for (const std::string &Entry : Site.entries())
+    Site.peerProxy(Entry).setFault(network_fault::Hold);
+  Site.after(Time, [this, Trouble] {
+    for (const std::string &Entry : Site.entries())
+      Site.peerProxy(Entry).setFault(network_fault::None);
+    Site.checker().endTrouble(Trouble);
+  });
+}
+
 void soak_actions::breakPeerConnections() {
   const std::string &Entry = randomEntry();
   breakConnections(Site.peerProxy(Entry), Entry, "link of agents to " + Entry);
--- a/src/daemon/tests/soak/soakactions.h
+++ b/src/daemon/tests/soak/soakactions.h
@@ -67,6 +67,7 @@
   void disturbWorkerLink();
   void breakWorkerConnections();
   void disturbPeerLink();
+  void holdAllPeerLinks();
   void breakPeerConnections();
   void disturbStoreLink();
   void breakStoreConnections();
