--- a/src/daemon/tests/soak/soakactions.cpp
+++ b/src/daemon/tests/soak/soakactions.cpp
@@ -44,7 +44,7 @@
       &soak_actions::disturbStoreLink, &soak_actions::breakPeerConnections,
       &soak_actions::disturbStore,     &soak_actions::breakStoreConnections,
       &soak_actions::compactStore,     &soak_actions::terminateAgent,
-      &soak_actions::holdAllPeerLinks,
+      &soak_actions::isolateEntry,
   };
   static constexpr std::array<action, 21> Everything{
       &soak_actions::terminateEntry,
@@ -67,7 +67,7 @@
       &soak_actions::disturbStore,
       &soak_actions::breakStoreConnections,
       &soak_actions::compactStore,
-      &soak_actions::holdAllPeerLinks,
+      &soak_actions::isolateEntry,
   };
   switch (Mix) {
   case soak_mix::PlannedWork:
@@ -291,16 +291,20 @@
   disturbLink(Site.peerProxy(Entry), Entry, "link of agents to " + Entry);
 }
 
-void soak_actions::holdAllPeerLinks() {
+void soak_actions::isolateEntry() {
+  const std::string &Isolated = randomEntry();
   const duration Time = randomTime(1s, LongestFault);
-  record("links to all entries hold for " +
+  record("links to all entries and of " + Isolated + " to store hold for " +
          std::to_string(millisecondsOf(Time)) + " ms");
   const std::size_t Trouble = Site.checker().beginTrouble("");
-  for (const std::string &Entry : Site.entries())
-    Site.peerProxy(Entry).setFault(network_fault::Hold);
-  Site.after(Time, [this, Trouble] {
+  const auto SetFault = [this, Isolated](network_fault Fault) {
     for (const std::string &Entry : Site.entries())
-      Site.peerProxy(Entry).setFault(network_fault::None);
+      Site.peerProxy(Entry).setFault(Fault);
+    Site.storeProxy(Isolated).setFault(Fault);
+  };
+  SetFault(network_fault::Hold);
+  Site.after(Time, [this, Trouble, SetFault] {
+    SetFault(network_fault::None);
     Site.checker().endTrouble(Trouble);
   });
 }
--- a/src/daemon/tests/soak/soakactions.h
+++ b/src/daemon/tests/soak/soakactions.h
@@ -67,7 +67,9 @@
   void disturbWorkerLink();
   void breakWorkerConnections();
   void disturbPeerLink();
-  void holdAllPeerLinks();
+  /// Cuts an entry off from the store and all processes of ours, but not from
+  /// its callers; the other processes reach each other through the store only.
+  void isolateEntry();
   void breakPeerConnections();
   void disturbStoreLink();
   void breakStoreConnections();
