End the probation of a worker that keeps a lasting task at work

A job whose label only one worker has was not started within 17 s beside a lasting task, with seven of eight accelerators free.

Cause: probation ends with a run that is done, and a worker on probation takes one task at a time. A lasting task has no such end.

Change: a lasting task that was started after the suspicion and has been at work for 4 s ends the probation. A run started after the suspicion that succeeds ends the suspicion too.

Evidence: SchedulerStandstill.ALastingTaskAtWorkEndsTheProbationOfItsWorker failed on the code before ("expected <4>, but was <1>" runs placed at once) and passes now. gp_work_tests and gp_workhost_tests pass.

--- a/src/core/work/internal/workerreports.cpp
+++ b/src/core/work/internal/workerreports.cpp
@@ -16,6 +16,10 @@
 /// fraction of its expected duration if that is longer.
 constexpr duration StallLimit = std::chrono::milliseconds(2500);
 constexpr int StallDivisor = 10;
+/// A task that lasts and has been at work for this long shows that its worker
+/// is sound. Such a task is at work at 100%.
+constexpr duration ProvenAfter = std::chrono::seconds(4);
+constexpr std::int32_t AtWorkPercent = 100;
 /// A run that its worker does not list this long after the order is placed
 /// elsewhere; a start takes a fraction of a second.
 constexpr duration StartLimit = std::chrono::seconds(2);
@@ -153,6 +157,11 @@
     Job->setCheckpoint(Position, Row.Checkpoint);
   const duration Stall =
       std::max(StallLimit, Run->ExpectedDuration / StallDivisor);
+  const bool Proven = Run->LongRunning && Run->Percent >= AtWorkPercent &&
+                      Run->StartedAt >= Worker.SuspectedAt &&
+                      Present.Now - Run->PercentAt >= ProvenAfter;
+  if (Proven && Worker.OnProbation)
+    restoreTrust(Worker, *Run, Present);
   const bool Stalled = !Run->LongRunning && !Run->Stopping && Current &&
                        Present.Now - Run->PercentAt > Stall;
   if (Stalled) {
@@ -201,9 +210,7 @@
   const job_id &Id = Run.Run.Task.Job;
   const live_job *Job = findJob(Id);
   if (EndReason == run_end_reason::Done) {
-    Worker.ConsecutiveFailures = 0;
-    Worker.ConsecutiveSuspicions = 0;
-    Worker.OnProbation = false;
+    restoreTrust(Worker, Run, Present);
     if (Job && Run.Started)
       Forecast.recordRun(policyOf(*Job), Job->step(Run.Run.Task.Position.Step),
                          Present.Now - Run.StartedAt);
@@ -217,10 +224,22 @@
     suspect(Worker, "runs_failed", Present);
 }
 
+/// \p Run shows that its worker is sound.
+void work_scheduler::restoreTrust(pool_worker &Worker, const live_run &Run,
+                                  const present_time &Present) {
+  Worker.ConsecutiveFailures = 0;
+  Worker.ConsecutiveSuspicions = 0;
+  Worker.OnProbation = false;
+  if (Run.StartedAt >= Worker.SuspectedAt)
+    Worker.SuspectUntil = std::min(Worker.SuspectUntil, Present.Now);
+  RoundNeeded = true;
+}
+
 void work_scheduler::suspect(pool_worker &Worker, std::string_view Reason,
                              const present_time &Present) {
   if (Worker.SuspectUntil > Present.Now)
     return;
+  Worker.SuspectedAt = Present.Now;
   Worker.SuspectUntil =
       Present.Now + InitialSuspicion * (1 << Worker.ConsecutiveSuspicions);
   Worker.ConsecutiveSuspicions =
--- a/src/core/work/tests/schedulerroundtest.cpp
+++ b/src/core/work/tests/schedulerroundtest.cpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 using namespace geraniumpaddle;
 using namespace geraniumpaddle::work;
@@ -262,7 +263,7 @@
     Listing.Running.clear();
     for (const run_ref &Run : ordered(Id))
       if (!NotStarting.contains(Id))
-        Listing.Running.push_back({.Run = Run});
+        Listing.Running.push_back({.Run = Run, .Percent = Percent});
     if (EndReason) {
       CHECK(!Listing.Running.empty());
       Listing.Finished = {{.Number = ++LastEnd,
@@ -302,6 +303,7 @@
   std::uint64_t LastEnd = 0;
   std::map<std::string, worker_report> Reports;
   std::set<std::string> NotStarting; ///< workers that start nothing
+  std::int32_t Percent = 0;          ///< progress of all runs
 };
 
 TEST(SchedulerStandstill, ASameRackStepDoesNotWaitForABusyRack) {
@@ -532,3 +534,26 @@
   LONGS_EQUAL(0, Stopped);
   LONGS_EQUAL(1, Placed);
 }
+
+// A worker that keeps lasting tasks at work is sound, though no run of it ends.
+TEST(SchedulerStandstill, ALastingTaskAtWorkEndsTheProbationOfItsWorker) {
+  addWorker("w1", "r1");
+  addWorker("rare", "r1", "rare");
+  failRuns("rare", "rare");
+  wait(4s);
+  job_spec Lasting = testing::makeJob("lasting");
+  Lasting.Steps[0].RequiredLabel = "rare";
+  Lasting.Steps[0].LongRunning = true;
+  submit(Lasting);
+  wait(1s); // it only starts
+  Percent = 100;
+  wait(3s);
+  CHECK(!Scheduler->workers().all().at(worker_id("rare")).reliable());
+  wait(2s);
+  LONGS_EQUAL(1, Placed);
+  job_spec Spec = testing::makeJob("j1", 3);
+  Spec.Steps[0].RequiredLabel = "rare";
+  submit(Spec);
+  wait(100ms);
+  LONGS_EQUAL(4, Placed);
+}
--- a/src/core/work/workerpool.h
+++ b/src/core/work/workerpool.h
@@ -27,6 +27,7 @@
   std::uint64_t OrdersNumber = 0;    ///< see worker_pool::numberOrders
   int ConsecutiveFailures = 0;   ///< failed runs since a success or suspicion
   bool OnProbation = false;      ///< suspected, and no run has succeeded since
+  time_point SuspectedAt{};      ///< last time
   time_point SuspectUntil{};     ///< gets no tasks until then
   int ConsecutiveSuspicions = 0; ///< since the last successful run
 
--- a/src/core/work/workscheduler.h
+++ b/src/core/work/workscheduler.h
@@ -133,6 +133,8 @@
                        const present_time &Present);
   void recordOutcome(pool_worker &Worker, const live_run &Run,
                      run_end_reason EndReason, const present_time &Present);
+  void restoreTrust(pool_worker &Worker, const live_run &Run,
+                    const present_time &Present);
   void suspect(pool_worker &Worker, std::string_view Reason,
                const present_time &Present);
   void finishRun(const live_run &Run, run_end_reason EndReason,
