Tests: logged waits, attempts, and steps that fit nowhere for a while

SchedulerStandstill.ALongWaitIsLoggedOnceWithItsReason, .OnlyFailedRunsUseUpTheAttemptsOfATask and .AStepThatFitsNowhereForAWhileIsKept. They found nothing: only failed runs of the task's current run count, and nothing but a cancel, the last done task and the attempts ends a job.

--- a/src/core/work/tests/schedulerroundtest.cpp
+++ b/src/core/work/tests/schedulerroundtest.cpp
@@ -21,6 +21,7 @@
   int Stopped = 0;
   int Placed = 0;
   int Ended = 0;
+  std::vector<std::string> LoggedWaits;
   time_point TimerAt = time_point::max();
 
   void setup() override {
@@ -41,6 +42,8 @@
       const auto *Decision = std::get_if<logged_decision>(&Each);
       Stopped += Decision && Decision->Kind == decision_kind::RunStopped;
       Ended += Decision && Decision->Kind == decision_kind::RunEnded;
+      if (Decision && Decision->Kind == decision_kind::StepWaiting)
+        LoggedWaits.emplace_back(Decision->Detail);
       Placed += Decision && Decision->Kind == decision_kind::RunPlaced;
     }
     for (const std::uint64_t Batch : Batches)
@@ -557,3 +560,54 @@
   wait(100ms);
   LONGS_EQUAL(4, Placed);
 }
+
+TEST(SchedulerStandstill, ALongWaitIsLoggedOnceWithItsReason) {
+  submit(testing::makeJob("j1"));
+  wait(900ms);
+  CHECK(LoggedWaits.empty());
+  wait(3s);
+  CHECK(LoggedWaits == std::vector<std::string>{"no_worker"});
+  addWorker("w1", "r1");
+  wait(100ms);
+  LONGS_EQUAL(1, Placed);
+  job_spec Labelled = testing::makeJob("labelled");
+  Labelled.Steps[0].RequiredLabel = "none";
+  submit(Labelled);
+  submit(testing::makeJob("large", 1, 9));
+  wait(3s);
+  CHECK(LoggedWaits ==
+        (std::vector<std::string>{"no_worker", "label", "no_room"}));
+}
+
+TEST(SchedulerStandstill, OnlyFailedRunsUseUpTheAttemptsOfATask) {
+  addWorker("w1", "r1");
+  submit(testing::makeJob("j1"));
+  wait(100ms);
+  for (const auto EndReason :
+       {run_end_reason::Stopped, run_end_reason::LeaseExpired,
+        run_end_reason::GangMemberEnded, run_end_reason::GangIncomplete})
+    for (int I = 0; I < 3; ++I) {
+      report("w1", EndReason);
+      wait(100ms);
+    }
+  LONGS_EQUAL(1, ordered("w1").size());
+  report("w1", run_end_reason::Failed);
+  wait(100ms);
+  LONGS_EQUAL(1, Scheduler->openJobs());
+  report("w1", run_end_reason::Failed);
+  wait(100ms);
+  LONGS_EQUAL(0, Scheduler->openJobs());
+}
+
+TEST(SchedulerStandstill, AStepThatFitsNowhereForAWhileIsKept) {
+  addWorker("w1", "r1");
+  job_spec Spec = testing::makeJob("j1");
+  Spec.Steps[0].RequiredLabel = "r2";
+  submit(Spec);
+  Reports.clear(); // w1 is lost
+  runTimers(60s);
+  LONGS_EQUAL(1, Scheduler->openJobs());
+  addWorker("w2", "r2");
+  wait(100ms);
+  LONGS_EQUAL(1, Placed);
+}
