Place nothing on an instance of a worker that has been replaced

While a worker that has started again could not be listed, jobs were placed on its former instance and had nothing running.

Cause: a report of the new instance without a listing was ignored as a whole.

Change: it makes the former instance unusable. Its runs keep their tasks until the new instance is listed, so that nothing runs twice.

--- a/src/core/work/internal/workerreports.cpp
+++ b/src/core/work/internal/workerreports.cpp
@@ -45,8 +45,10 @@
       Existing->Description.Instance.StartTimeMs < Instance.StartTimeMs) {
     // Until its runs are known, the task of a start that reached the new
     // instance cannot be told from a lost one.
-    if (!Report.Listing && !Report.Left)
+    if (!Report.Listing && !Report.Left) {
+      Existing->Reachable = false; // it exists no longer
       return;
+    }
     replaceInstance(*Existing, Report, Present);
   }
   if (Report.Left) {
--- a/src/core/work/tests/schedulerroundtest.cpp
+++ b/src/core/work/tests/schedulerroundtest.cpp
@@ -611,3 +611,13 @@
   wait(100ms);
   LONGS_EQUAL(1, Placed);
 }
+
+TEST(SchedulerStandstill, NothingIsPlacedOnAnInstanceThatHasASuccessor) {
+  addWorker("w1", "r1");
+  addWorker("w2", "r1");
+  feed(worker_reported{
+      {.Description = testing::makeWorker("w1", "r1", 2)}}); // not listed yet
+  submit(testing::makeJob("j1"));
+  wait(100ms);
+  LONGS_EQUAL(1, ordered("w2").size());
+}
