Restart a lasting task before work that came later

Some time after the submission of its job, each restart of a lasting task waited behind all jobs that could still be in time.

Change: once the job has started, the age of a lasting step counts from the time since which its tasks wait; a first start counts as before (RECLAIM).

Evidence: SchedulerStandstill.ALastingTaskIsRestartedBeforeJobsThatCameLater failed on the code before (the later job was placed) and passes now.

--- a/src/core/work/internal/scheduledecisions.cpp
+++ b/src/core/work/internal/scheduledecisions.cpp
@@ -348,12 +348,18 @@
 
 work_scheduler::candidate
 work_scheduler::candidateFor(const live_job &Job, const step_ref &Step,
+                             time_point WaitingSince,
                              const present_time &Present) const {
   const job_spec &Spec = Job.spec();
   const duration Objective = Forecast.objective(Spec);
   const wall_time Since =
       Spec.Scheduled ? Job.dueAt(Step.Occurrence) : Spec.SubmittedAt;
-  const duration Age = std::max(duration(Present.Wall - Since), duration{});
+  const duration SinceDue =
+      std::max(duration(Present.Wall - Since), duration{});
+  // A task that lasts is due again with the end of each run.
+  const bool Restarted = Job.step(Step.Step).LongRunning &&
+                         Job.progress().State != job_state::Queued;
+  const duration Age = Restarted ? Present.Now - WaitingSince : SinceDue;
   const duration Remaining =
       Forecast.expectedDuration(policyOf(Job), Job.step(Step.Step));
   const bool FirstStep = Job.step(Step.Step).After.empty();
@@ -364,7 +370,8 @@
           .LatestStart = Present.Now + (Objective - Age - Remaining),
           .PastObjective = Age + Remaining > Objective,
           .ReclaimBy = Present.Now +
-                       (Limits.Reclaim - Age - Limits.Stop - ReclaimMargin)};
+                       (Limits.Reclaim - Age - Limits.Stop - ReclaimMargin),
+          .WaitingSince = WaitingSince};
 }
 
 std::vector<work_scheduler::candidate>
@@ -392,8 +399,8 @@
           !Job.step(Step.Step).Gang || Count == Job.step(Step.Step).Count;
       if (!AllMembersWaiting || !Job.ready(Step, Present.Wall))
         continue;
-      candidate Each = candidateFor(Job, Step, Present);
-      Each.WaitingSince = Job.noteWaiting(Step, Present.Now);
+      candidate Each =
+          candidateFor(Job, Step, Job.noteWaiting(Step, Present.Now), Present);
       for (const duration Limit : {WaitLogLimit, StandstillLimit})
         if (Each.WaitingSince + Limit > Present.Now)
           NextReview = std::min(NextReview, Each.WaitingSince + Limit);
--- a/src/core/work/tests/schedulerroundtest.cpp
+++ b/src/core/work/tests/schedulerroundtest.cpp
@@ -621,3 +621,23 @@
   wait(100ms);
   LONGS_EQUAL(1, ordered("w2").size());
 }
+
+// Its deadline counts from the end of its last run, not from its submission.
+TEST(SchedulerStandstill, ALastingTaskIsRestartedBeforeJobsThatCameLater) {
+  addWorker("w1", "r1");
+  job_spec Lasting = testing::makeJob("lasting", 1, 8);
+  Lasting.Steps[0].LongRunning = true;
+  submit(Lasting);
+  wait(60s);
+  submit(testing::makeJob("first", 1, 8));
+  wait(100ms);
+  report("w1", run_end_reason::Failed);
+  wait(100ms);
+  LONGS_EQUAL(2, Placed);
+  submit(testing::makeJob("later", 1, 8));
+  wait(100ms);
+  report("w1", run_end_reason::Done);
+  wait(100ms);
+  LONGS_EQUAL(3, Placed);
+  CHECK(ordered("w1").front().Task.Job == job_id("lasting"));
+}
--- a/src/core/work/workscheduler.h
+++ b/src/core/work/workscheduler.h
@@ -168,6 +168,7 @@
   void evacuateDraining(const pool_worker &Worker, const present_time &Present);
   std::vector<candidate> readySteps(const present_time &Present);
   candidate candidateFor(const live_job &Job, const step_ref &Step,
+                         time_point WaitingSince,
                          const present_time &Present) const;
   std::set<customer_id> guaranteedCustomers() const;
   bool isLastAttempt(const live_job &Job,
