--- a/src/core/work/tests/schedulerroundtest.cpp
+++ b/src/core/work/tests/schedulerroundtest.cpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 using namespace geraniumpaddle;
 using namespace geraniumpaddle::work;
@@ -20,6 +21,7 @@
   int Stopped = 0;
   int Placed = 0;
   int Ended = 0;
+  std::vector<std::string> LoggedWaits;
   time_point TimerAt = time_point::max();
 
   void setup() override {
@@ -40,6 +42,8 @@
       const auto *Decision = std::get_if<logged_decision>(&Each);
       Stopped += Decision && Decision->Kind == decision_kind::RunStopped;
       Ended += Decision && Decision->Kind == decision_kind::RunEnded;
+      if (Decision && Decision->Kind == decision_kind::StepWaiting)
+        LoggedWaits.emplace_back(Decision->Detail);
       Placed += Decision && Decision->Kind == decision_kind::RunPlaced;
     }
     for (const std::uint64_t Batch : Batches)
@@ -262,7 +266,7 @@
     Listing.Running.clear();
     for (const run_ref &Run : ordered(Id))
       if (!NotStarting.contains(Id))
-        Listing.Running.push_back({.Run = Run});
+        Listing.Running.push_back({.Run = Run, .Percent = Percent});
     if (EndReason) {
       CHECK(!Listing.Running.empty());
       Listing.Finished = {{.Number = ++LastEnd,
@@ -302,6 +306,7 @@
   std::uint64_t LastEnd = 0;
   std::map<std::string, worker_report> Reports;
   std::set<std::string> NotStarting; ///< workers that start nothing
+  std::int32_t Percent = 0;          ///< progress of all runs
 };
 
 TEST(SchedulerStandstill, ASameRackStepDoesNotWaitForABusyRack) {
@@ -567,3 +572,107 @@
   LONGS_EQUAL(0, Stopped);
   LONGS_EQUAL(1, Placed);
 }
+
+// A worker that keeps lasting tasks at work is sound, though no run of it ends.
+TEST(SchedulerStandstill, ALastingTaskAtWorkEndsTheProbationOfItsWorker) {
+  addWorker("w1", "r1");
+  addWorker("rare", "r1", "rare");
+  failRuns("rare", "rare");
+  wait(4s);
+  job_spec Lasting = testing::makeJob("lasting");
+  Lasting.Steps[0].RequiredLabel = "rare";
+  Lasting.Steps[0].LongRunning = true;
+  submit(Lasting);
+  wait(1s); // it only starts
+  Percent = 100;
+  wait(3s);
+  CHECK(!Scheduler->workers().all().at(worker_id("rare")).reliable());
+  wait(2s);
+  LONGS_EQUAL(1, Placed);
+  job_spec Spec = testing::makeJob("j1", 3);
+  Spec.Steps[0].RequiredLabel = "rare";
+  submit(Spec);
+  wait(100ms);
+  LONGS_EQUAL(4, Placed);
+}
+
+TEST(SchedulerStandstill, ALongWaitIsLoggedOnceWithItsReason) {
+  submit(testing::makeJob("j1"));
+  wait(900ms);
+  CHECK(LoggedWaits.empty());
+  wait(3s);
+  CHECK(LoggedWaits == std::vector<std::string>{"no_worker"});
+  addWorker("w1", "r1");
+  wait(100ms);
+  LONGS_EQUAL(1, Placed);
+  job_spec Labelled = testing::makeJob("labelled");
+  Labelled.Steps[0].RequiredLabel = "none";
+  submit(Labelled);
+  submit(testing::makeJob("large", 1, 9));
+  wait(3s);
+  CHECK(LoggedWaits ==
+        (std::vector<std::string>{"no_worker", "label", "no_room"}));
+}
+
+TEST(SchedulerStandstill, OnlyFailedRunsUseUpTheAttemptsOfATask) {
+  addWorker("w1", "r1");
+  submit(testing::makeJob("j1"));
+  wait(100ms);
+  for (const auto EndReason :
+       {run_end_reason::Stopped, run_end_reason::LeaseExpired,
+        run_end_reason::GangMemberEnded, run_end_reason::GangIncomplete})
+    for (int I = 0; I < 3; ++I) {
+      report("w1", EndReason);
+      wait(100ms);
+    }
+  LONGS_EQUAL(1, ordered("w1").size());
+  report("w1", run_end_reason::Failed);
+  wait(100ms);
+  LONGS_EQUAL(1, Scheduler->openJobs());
+  report("w1", run_end_reason::Failed);
+  wait(100ms);
+  LONGS_EQUAL(0, Scheduler->openJobs());
+}
+
+TEST(SchedulerStandstill, AStepThatFitsNowhereForAWhileIsKept) {
+  addWorker("w1", "r1");
+  job_spec Spec = testing::makeJob("j1");
+  Spec.Steps[0].RequiredLabel = "r2";
+  submit(Spec);
+  Reports.clear(); // w1 is lost
+  runTimers(60s);
+  LONGS_EQUAL(1, Scheduler->openJobs());
+  addWorker("w2", "r2");
+  wait(100ms);
+  LONGS_EQUAL(1, Placed);
+}
+
+TEST(SchedulerStandstill, NothingIsPlacedOnAnInstanceThatHasASuccessor) {
+  addWorker("w1", "r1");
+  addWorker("w2", "r1");
+  feed(worker_reported{
+      {.Description = testing::makeWorker("w1", "r1", 2)}}); // not listed yet
+  submit(testing::makeJob("j1"));
+  wait(100ms);
+  LONGS_EQUAL(1, ordered("w2").size());
+}
+
+// Its deadline counts from the end of its last run, not from its submission.
+TEST(SchedulerStandstill, ALastingTaskIsRestartedBeforeJobsThatCameLater) {
+  addWorker("w1", "r1");
+  job_spec Lasting = testing::makeJob("lasting", 1, 8);
+  Lasting.Steps[0].LongRunning = true;
+  submit(Lasting);
+  wait(60s);
+  submit(testing::makeJob("first", 1, 8));
+  wait(100ms);
+  report("w1", run_end_reason::Failed);
+  wait(100ms);
+  LONGS_EQUAL(2, Placed);
+  submit(testing::makeJob("later", 1, 8));
+  wait(100ms);
+  report("w1", run_end_reason::Done);
+  wait(100ms);
+  LONGS_EQUAL(3, Placed);
+  CHECK(ordered("w1").front().Task.Job == job_id("lasting"));
+}
--- a/src/core/work/workscheduler.h
+++ b/src/core/work/workscheduler.h
@@ -133,6 +133,8 @@
                        const present_time &Present);
   void recordOutcome(pool_worker &Worker, const live_run &Run,
                      run_end_reason EndReason, const present_time &Present);
+  void restoreTrust(pool_worker &Worker, const live_run &Run,
+                    const present_time &Present);
   void suspect(pool_worker &Worker, std::string_view Reason,
                const present_time &Present);
   void finishRun(const live_run &Run, run_end_reason EndReason,
@@ -166,6 +168,7 @@
   void evacuateDraining(const pool_worker &Worker, const present_time &Present);
   std::vector<candidate> readySteps(const present_time &Present);
   candidate candidateFor(const live_job &Job, const step_ref &Step,
+                         time_point WaitingSince,
                          const present_time &Present) const;
   std::set<customer_id> guaranteedCustomers() const;
   bool isLastAttempt(const live_job &Job,
