--- a/src/core/workhost/tests/standstillmonitor.cpp
+++ b/src/core/workhost/tests/standstillmonitor.cpp
@@ -115,7 +115,8 @@
 }
 
 bool standstill_monitor::fitsTwice(const step_spec &Step) const {
-  return countFitting(Step) >= 2 * (Step.Gang ? Step.Count : 1);
+  const std::size_t Once = Step.Gang ? Step.Count : 1;
+  return countFitting(Step) >= 2 * Once;
 }
 
 std::size_t standstill_monitor::countFitting(const step_spec &Step) const {
