Tests: a stand-in that is started again is found at its new port

The port file of the earlier process of that name was read before the new one had written its own and printed the addresses of its workers. The file is removed first now.

--- a/src/daemon/tests/processcluster.cpp
+++ b/src/daemon/tests/processcluster.cpp
@@ -91,6 +91,8 @@
 
 void process_cluster::startStandin(const std::string &Name,
                                    std::vector<std::string> Command) {
+  // An earlier process of this name has left its port there.
+  std::filesystem::remove(filePrefix(Name) + ".port");
   Command.push_back("--port_file=" + filePrefix(Name) + ".port");
   Processes[Name] = std::make_unique<child_process>(Command, filePrefix(Name));
   std::string Port;
