Let a new term wait for no append before it begins

Found by a reviewer: since the end of the log is read by an append, a new leader waited in the store's queue of appends (up to 2 s) with a limit of 0.6 s, and repeated it; leases lapse meanwhile. A submission that a read of an earlier state misses reaches the scheduler when it is read, so the leader reads again as it did before. Only the denial of a job needs the end as an append returns it.

No test shows the delay.

--- a/src/jobentry/internal/jobentryleadership.cpp
+++ b/src/jobentry/internal/jobentryleadership.cpp
@@ -56,8 +56,9 @@
                          [this, Begin, Alive = Alive](bool Reached) {
                            if (!*Alive)
                              return;
+                           // Submissions that this misses arrive later.
                            if (Reached)
-                             Jobs.catchUp(CatchUpTimeout, Begin);
+                             Jobs.readToEnd(CatchUpTimeout, Begin);
                            else
                              Begin(false);
                          });
--- a/src/jobentry/internal/topicreader.cpp
+++ b/src/jobentry/internal/topicreader.cpp
@@ -86,6 +86,19 @@
                });
 }
 
+void topic_reader::readToEnd(duration Timeout, std::function<void(bool)> Done) {
+  Store.read(Topic, Follower.next(), duration{},
+             [this, Timeout, Alive = Alive,
+              Done = std::move(Done)](const read_outcome &Outcome) {
+               if (!*Alive)
+                 return;
+               if (Outcome.Ok)
+                 waitForOffset(Outcome.Batch.End, Timeout, Done);
+               else
+                 Done(false);
+             });
+}
+
 void topic_reader::waitForOffset(std::uint64_t End, duration Timeout,
                                  std::function<void(bool)> Done) {
   Waiters.push_back({End, Loop.now() + Timeout, std::move(Done)});
--- a/src/jobentry/topicreader.h
+++ b/src/jobentry/topicreader.h
@@ -41,9 +41,12 @@
   time_point lastAnswer() const { return Follower.lastAnswer(); }
 
   /// Calls \p Done with true once every record that is in the topic now has
-  /// been delivered, with false if the store can't be read or \p Timeout
-  /// expires.
+  /// been delivered, with false if the store does not return the end of the
+  /// topic or \p Timeout expires.
   void catchUp(duration Timeout, std::function<void(bool)> Done);
+  /// Like catchUp(), but the end may be that of an earlier state. Waits for no
+  /// append, which the store may queue for seconds.
+  void readToEnd(duration Timeout, std::function<void(bool)> Done);
   /// Like catchUp(), for the records before offset \p End.
   void waitForOffset(std::uint64_t End, duration Timeout,
                      std::function<void(bool)> Done);
