Tests: each test program has ports of its own

All test programs drew from the same 20,000 ports, also while a daemon of another one was down; that one of them had it then is inferred.

Change: a program draws from a block of 100 that follows from its process id.

--- a/src/daemon/tests/processcluster.cpp
+++ b/src/daemon/tests/processcluster.cpp
@@ -13,7 +13,7 @@
 #include <fstream>
 #include <google/protobuf/struct.pb.h>
 #include <optional>
-#include <random>
+#include <unistd.h>
 #include <utility>
 
 namespace geraniumpaddle::tests {
@@ -31,15 +31,18 @@
 }
 
 /// An address with a port that is free now and below the range from which the
-/// kernel chooses the ports of outgoing connections.
+/// kernel chooses the ports of outgoing connections. Each test program has
+/// ports of its own, so that no other one takes the port of a daemon that is
+/// down.
 std::string findFreeAddress() {
   constexpr int FirstPort = 10000;
-  constexpr int PortCount = 20000;
-  // Random, since several test programs may run at the same time.
-  static std::random_device Random;
-  for (int Attempt = 0; Attempt < PortCount; ++Attempt) {
+  constexpr int PortsPerProgram = 100;
+  constexpr int Blocks = 200;
+  const int First = FirstPort + getpid() % Blocks * PortsPerProgram;
+  static int Next = 0;
+  for (int Attempt = 0; Attempt < PortsPerProgram; ++Attempt) {
     std::string Address =
-        "127.0.0.1:" + std::to_string(FirstPort + Random() % PortCount);
+        "127.0.0.1:" + std::to_string(First + Next++ % PortsPerProgram);
     try {
       event_loop Loop;
       const http_server Probe(Loop, Address, http_server_limits{}, {});
