--- a/src/core/work/internal/scheduledecisions.cpp
+++ b/src/core/work/internal/scheduledecisions.cpp
@@ -104,31 +104,47 @@
   }
   // Capacity that urgent steps without a plan wait for stays free.
   const bool HeldBack = Deferrable && Use.Plans > MaxPlans;
-  if (!HeldBack && placeTasks(Round, Step, placement_scope::Preferred, Present))
+  waiting_step Waiting{.Step = Step};
+  if (!HeldBack &&
+      placeTasks(Round, Waiting, placement_scope::Preferred, Present))
     return;
-  logWait(Round, Use, Step, Present);
+  logWait(Round, Use, Waiting, Present);
   for (const auto Scope : {placement_scope::Trusted, placement_scope::All})
     if (standsStill(Round, Step, Present) &&
-        placeTasks(Round, Step, Scope, Present))
+        placeTasks(Round, Waiting, Scope, Present))
       return;
   if (!HeldBack)
-    planFor(Round, Use, Step, Present);
+    planFor(Round, Use, Waiting, Present);
 }
 
-/// \returns true if no task of \p Step waits any more.
-bool work_scheduler::placeTasks(placement_round &Round, const candidate &Step,
+/// The request for the tasks that wait, built again only after some of them
+/// were placed.
+const placement_request &
+work_scheduler::currentRequest(placement_round &Round,
+                               waiting_step &Waiting) const {
+  if (!Waiting.Request) {
+    const step_ref &Step = Waiting.Step.Step;
+    const live_job &Job = *findJob(Step.Job);
+    Waiting.Tasks = Job.waiting(Step);
+    Waiting.Request =
+        requestFor(Round, Job, Step, Waiting.Tasks, Waiting.Siblings);
+  }
+  return *Waiting.Request;
+}
+
+/// \returns true if no task of the step waits any more.
+bool work_scheduler::placeTasks(placement_round &Round, waiting_step &Waiting,
                                 placement_scope Scope,
                                 const present_time &Present) {
-  live_job &Job = *findJob(Step.Step.Job);
-  const std::vector<task_position> Tasks = Job.waiting(Step.Step);
-  std::vector<const live_run *> Siblings;
-  placement_request Request =
-      requestFor(Round, Job, Step.Step, Tasks, Siblings);
+  placement_request Request = currentRequest(Round, Waiting);
   Request.Scope = Scope;
   Request.KeepsReservations = !Round.halfIdle(Request.Service);
   const std::vector<assignment> Placed = Round.place(Request);
-  startRuns(Job, Step.Step, Placed, Scope, Present);
-  return Placed.size() == Tasks.size();
+  const step_ref &Step = Waiting.Step.Step;
+  startRuns(*findJob(Step.Job), Step, Placed, Scope, Present);
+  if (!Placed.empty())
+    Waiting.Request.reset();
+  return Placed.size() == Request.Tasks.size();
 }
 
 /// True if \p Step has waited so long that its preferences no longer count:
@@ -144,21 +160,18 @@
           Round.halfIdle(policyOf(Job).Service));
 }
 
-/// Reserves capacity for the tasks of \p Step that still wait, or preempts.
+/// Reserves capacity for the tasks that still wait, or preempts.
 void work_scheduler::planFor(placement_round &Round, round_use &Use,
-                             const candidate &Step,
+                             waiting_step &Waiting,
                              const present_time &Present) {
-  const live_job &Job = *findJob(Step.Step.Job);
-  const std::vector<task_position> Tasks = Job.waiting(Step.Step);
-  std::vector<const live_run *> Siblings;
-  const placement_request Request =
-      requestFor(Round, Job, Step.Step, Tasks, Siblings);
+  const placement_request &Request = currentRequest(Round, Waiting);
+  const candidate &Step = Waiting.Step;
   const bool Urgent = Step.Guaranteed || Step.Priority == 0;
   if (Urgent && !Step.PastDeadline) {
     // Runs that were stopped for it may free the capacity soon.
     if (!Round.reserveFreed(Request) && ++Use.Plans <= MaxPlans)
       reserveOrPreempt(Round, Step, Request, Present);
-  } else if (Job.step(Step.Step.Step).Gang && !Step.PastDeadline &&
+  } else if (Request.Step->Gang && !Step.PastDeadline &&
              Use.Reservations++ < MaxReservations) {
     if (const auto At = Round.earliestFit(Request))
       Round.reserveAt(Request, *At);
@@ -167,8 +180,9 @@
 
 /// Logs once for each wait of a step why it waits.
 void work_scheduler::logWait(placement_round &Round, round_use &Use,
-                             const candidate &Step,
+                             waiting_step &Waiting,
                              const present_time &Present) {
+  const candidate &Step = Waiting.Step;
   if (Present.Now - Step.WaitingSince < WaitLogLimit ||
       Use.LoggedWaits >= MaxLoggedWaits)
     return;
@@ -176,12 +190,10 @@
   if (!Job.noteWaitLogged(Step.Step))
     return;
   ++Use.LoggedWaits;
-  const std::vector<task_position> Tasks = Job.waiting(Step.Step);
-  std::vector<const live_run *> Siblings;
   const placement_obstacle Obstacle =
-      Round.obstacle(requestFor(Round, Job, Step.Step, Tasks, Siblings));
-  logDecision(decision_kind::StepWaiting, {{Step.Step.Job, Tasks.front()}, 0},
-              {}, name(Obstacle));
+      Round.obstacle(currentRequest(Round, Waiting));
+  logDecision(decision_kind::StepWaiting,
+              {{Step.Step.Job, Waiting.Tasks.front()}, 0}, {}, name(Obstacle));
 }
 
 void work_scheduler::reserveForUrgent(placement_round &Round,
--- a/src/core/work/workscheduler.h
+++ b/src/core/work/workscheduler.h
@@ -74,6 +74,14 @@
     }
   };
 
+  /// A step that a round places, and the request for its tasks.
+  struct waiting_step {
+    const candidate &Step;
+    std::vector<task_position> Tasks;
+    std::vector<const live_run *> Siblings;
+    std::optional<placement_request> Request; ///< refers to the two above
+  };
+
   /// What the steps of one round have used up of its limits.
   struct round_use {
     int Reservations = 0;
@@ -155,13 +163,15 @@
   std::size_t placeAll(const present_time &Present);
   void placeStep(placement_round &Round, round_use &Use, const candidate &Step,
                  const present_time &Present);
-  bool placeTasks(placement_round &Round, const candidate &Step,
+  const placement_request &currentRequest(placement_round &Round,
+                                          waiting_step &Waiting) const;
+  bool placeTasks(placement_round &Round, waiting_step &Waiting,
                   placement_scope Scope, const present_time &Present);
   bool standsStill(placement_round &Round, const candidate &Step,
                    const present_time &Present) const;
-  void planFor(placement_round &Round, round_use &Use, const candidate &Step,
+  void planFor(placement_round &Round, round_use &Use, waiting_step &Waiting,
                const present_time &Present);
-  void logWait(placement_round &Round, round_use &Use, const candidate &Step,
+  void logWait(placement_round &Round, round_use &Use, waiting_step &Waiting,
                const present_time &Present);
   void expireWorkers(const present_time &Present);
   void expireGangs(const present_time &Present);
