One percent-encoding for the tool and the store client

The store client had its own copy of urlEscape, which the tool had. It stands in gp_transport now, which both use. The copy left '~' as it is; urlEscape encodes it, which means the same to a server, and keys hold none.

--- a/src/cli/internal/jobcommands.cpp
+++ b/src/cli/internal/jobcommands.cpp
@@ -3,6 +3,7 @@
 #include "cli/exitcodes.h"
 #include "cli/internal/textformat.h"
 #include "cli/tableprinter.h"
+#include "transport/urlescape.h"
 
 #include "api.pb.h"
 
--- a/src/cli/internal/textformat.cpp
+++ b/src/cli/internal/textformat.cpp
@@ -1,7 +1,6 @@
 #include "cli/internal/textformat.h"
 
 #include <array>
-#include <cctype>
 #include <ctime>
 
 namespace geraniumpaddle {
@@ -17,19 +16,4 @@
   return std::string(Text.data()) + '.' + Fraction.substr(1);
 }
 
-std::string urlEscape(std::string_view Text) {
-  static constexpr std::string_view Digits = "0123456789ABCDEF";
-  std::string Escaped;
-  for (unsigned char C : Text) {
-    if (std::isalnum(C) || C == '-' || C == '_' || C == '.') {
-      Escaped += static_cast<char>(C);
-    } else {
-      Escaped += '%';
-      Escaped += Digits[C >> 4U];
-      Escaped += Digits[C & 15U];
-    }
-  }
-  return Escaped;
-}
-
 } // namespace geraniumpaddle
--- a/src/platform/internal/storeclient.cpp
+++ b/src/platform/internal/storeclient.cpp
@@ -2,10 +2,10 @@
 
 #include "platform/internal/jsonfields.h"
 #include "platform/internal/storeframes.h"
+#include "transport/urlescape.h"
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 #include <utility>
 
 namespace geraniumpaddle {
@@ -34,25 +34,6 @@
       .append(Partition);
 }
 
-/// Percent-encodes \p Value for a query: a key may contain any byte.
-std::string queryValue(std::string_view Value) {
-  constexpr std::string_view Digits = "0123456789ABCDEF";
-  constexpr std::string_view Unreserved = "-._~";
-  constexpr unsigned DigitBits = 4;
-  std::string Out;
-  for (const char Each : Value) {
-    const auto Byte = static_cast<unsigned char>(Each);
-    if (std::isalnum(Byte) != 0 || Unreserved.find(Each) != Unreserved.npos) {
-      Out += Each;
-      continue;
-    }
-    Out += '%';
-    Out += Digits[Byte >> DigitBits];
-    Out += Digits[Byte % Digits.size()];
-  }
-  return Out;
-}
-
 /// A number of \p Object that counts from 0; 0 if it is anything else.
 std::uint64_t countField(const json &Object, const char *Name) {
   return static_cast<std::uint64_t>(
@@ -207,7 +188,7 @@
                         .Target = topicQuery("/api/log-newest", Topic),
                         .Timeout = ReadGrace};
   if (!After.empty())
-    Request.Target.append("&After=").append(queryValue(After));
+    Request.Target.append("&After=").append(urlEscape(After));
   Transport.call(std::move(Request),
                  [Done = std::move(Done)](const store_reply &Reply) {
                    Done(toNewestOutcome(Reply));
