--- a/src/transport/internal/eventloop.cpp
+++ b/src/transport/internal/eventloop.cpp
@@ -35,15 +35,20 @@
   }
 }
 
-} // namespace
-
-void holdSignals(std::span<const int> Signals) {
+/// \param How SIG_BLOCK or SIG_UNBLOCK.
+void changeSignalMask(int How, std::span<const int> Signals) {
   sigset_t Set{};
   sigemptyset(&Set);
   for (const int Signal : Signals) {
     sigaddset(&Set, Signal);
   }
-  pthread_sigmask(SIG_BLOCK, &Set, nullptr);
+  pthread_sigmask(How, &Set, nullptr);
+}
+
+} // namespace
+
+void holdSignals(std::span<const int> Signals) {
+  changeSignalMask(SIG_BLOCK, Signals);
 }
 
 struct event_loop::timer_entry {
@@ -160,10 +165,7 @@
     throw unavailable_error("cannot install a signal handler");
   }
   Signals[Signal] = std::move(Entry);
-  sigset_t Set{};
-  sigemptyset(&Set);
-  sigaddset(&Set, Signal);
-  pthread_sigmask(SIG_UNBLOCK, &Set, nullptr);
+  changeSignalMask(SIG_UNBLOCK, {&Signal, 1});
 }
 
 void event_loop::onSignalEvent(int, short, void *Context) {
