--- a/src/daemon/tests/soak/faultproxy.cpp
+++ b/src/daemon/tests/soak/faultproxy.cpp
@@ -1,13 +1,11 @@
 #include "daemon/tests/soak/faultproxy.h"
 
+#include "daemon/tests/soak/socketbuffer.h"
 #include "transport/address.h"
 
 #include <event2/buffer.h>
-#include <event2/bufferevent.h>
 #include <event2/listener.h>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -21,19 +19,6 @@
 /// Time for held data to be written before an ended connection is closed.
 constexpr duration ReleaseTime = std::chrono::milliseconds(100);
 
-sockaddr_in socketAddress(const socket_address &Address) {
-  sockaddr_in Raw{};
-  Raw.sin_family = AF_INET;
-  Raw.sin_port = htons(Address.Port);
-  inet_pton(AF_INET, Address.Ip.c_str(), &Raw.sin_addr);
-  return Raw;
-}
-
-struct bufferevent_deleter {
-  void operator()(bufferevent *Buffer) const { bufferevent_free(Buffer); }
-};
-using bufferevent_ptr = std::unique_ptr<bufferevent, bufferevent_deleter>;
-
 struct listener_deleter {
   void operator()(evconnlistener *Raw) const { evconnlistener_free(Raw); }
 };
--- a/src/daemon/tests/soak/keptconnection.cpp
+++ b/src/daemon/tests/soak/keptconnection.cpp
@@ -1,13 +1,8 @@
 #include "daemon/tests/soak/keptconnection.h"
 
-#include "transport/address.h"
-
 #include <event2/buffer.h>
 #include <event2/event.h>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-
 #include <cstdlib>
 #include <string_view>
 #include <utility>
@@ -17,11 +12,7 @@
 kept_connection::kept_connection(event_loop &Loop, const std::string &Address)
     : Loop(Loop),
       Buffer(bufferevent_socket_new(Loop.base(), -1, BEV_OPT_CLOSE_ON_FREE)) {
-  const socket_address Target = parseAddress(Address);
-  sockaddr_in Raw{};
-  Raw.sin_family = AF_INET;
-  Raw.sin_port = htons(Target.Port);
-  inet_pton(AF_INET, Target.Ip.c_str(), &Raw.sin_addr);
+  const sockaddr_in Target = socketAddress(parseAddress(Address));
   bufferevent_setcb(
       Buffer.get(),
       [](bufferevent *, void *Self) {
@@ -36,7 +27,7 @@
       },
       this);
   bufferevent_socket_connect(
-      Buffer.get(), reinterpret_cast<const sockaddr *>(&Raw), sizeof Raw);
+      Buffer.get(), reinterpret_cast<const sockaddr *>(&Target), sizeof Target);
   bufferevent_enable(Buffer.get(), EV_READ | EV_WRITE);
 }
 
--- a/src/daemon/tests/soak/keptconnection.h
+++ b/src/daemon/tests/soak/keptconnection.h
@@ -1,12 +1,10 @@
 #pragma once
 
+#include "daemon/tests/soak/socketbuffer.h"
 #include "transport/eventloop.h"
 
-#include <event2/bufferevent.h>
-
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <optional>
 #include <string>
 
@@ -47,17 +45,13 @@
   void send(const std::string &Request, duration Timeout, result_handler Done);
 
 private:
-  struct buffer_deleter {
-    void operator()(bufferevent *Raw) const { bufferevent_free(Raw); }
-  };
-
   void onWritten();
   void onReadable();
   void onEnd();
   void finish(exchange_result Result);
 
   event_loop &Loop;
-  std::unique_ptr<bufferevent, buffer_deleter> Buffer;
+  bufferevent_ptr Buffer;
   bool Usable = true;
   std::string Received;
   std::optional<time_point> SentAt;
