Tests: one test for a start that an unhealthy worker refuses

The assertion that the other worker has the run moves into ARunThatIsRefusedIsPlacedOnAnotherWorker; the rest was there.

--- a/src/core/work/tests/schedulerroundtest.cpp
+++ b/src/core/work/tests/schedulerroundtest.cpp
@@ -365,23 +365,6 @@
   LONGS_EQUAL(1, Placed);
 }
 
-// An unhealthy worker may list its runs and refuse every start.
-TEST(SchedulerStandstill, AStartThatAWorkerRefusesIsNotRepeatedThere) {
-  addWorker("w1", "r1");
-  addWorker("w2", "r1");
-  submit(testing::makeJob("j1"));
-  runTimers(100ms);
-  const std::string First = ordered("w1").empty() ? "w2" : "w1";
-  const std::string Other = First == "w1" ? "w2" : "w1";
-  worker_report Refusal = Reports[First];
-  Refusal.Listing->ClockMs = 100;
-  Refusal.Refused = {{ordered(First).front(), start_refusal::Unhealthy}};
-  feed(worker_reported{Refusal});
-  runTimers(100ms);
-  LONGS_EQUAL(0, ordered(First).size());
-  LONGS_EQUAL(1, ordered(Other).size());
-}
-
 // Its other task waits all the time, for another worker.
 TEST(SchedulerStandstill, ATaskThatFailedOnASuspectedWorkerWaitsAnew) {
   addWorker("w1", "r1", "rare");
@@ -548,18 +531,21 @@
   CHECK(ordered("w1").empty());
 }
 
+// An unhealthy worker may list its runs and refuse every start.
 TEST(SchedulerStandstill, ARunThatIsRefusedIsPlacedOnAnotherWorker) {
   addWorker("w1", "r1");
   addWorker("w2", "r1");
   submit(testing::makeJob("j1"));
   runTimers(100ms);
   const std::string First = ordered("w1").empty() ? "w2" : "w1";
+  const std::string Other = First == "w1" ? "w2" : "w1";
   NotStarting = {First};
   Reports[First].Refused = {{ordered(First).front(), start_refusal::Unhealthy}};
   report(First);
   runTimers(100ms);
   LONGS_EQUAL(2, Placed);
   CHECK(ordered(First).empty());
+  LONGS_EQUAL(1, ordered(Other).size());
 }
 
 // Without a listing nothing is known of the run; it may be at work.
