--- a/review/common-2/childprocess.cc
+++ b/review/common-2/childprocess.cc
@@ -31,11 +31,6 @@
   _exit(127);
 }
 
-void child_process::signal(int Signal) const {
-  if (Pid > 0)
-    ::kill(Pid, Signal);
-}
-
 bool child_process::running() {
   int Status = 0;
   if (Pid > 0 && waitpid(Pid, &Status, WNOHANG) == Pid)
--- a/review/common-2/childprocess.hh
+++ b/review/common-2/childprocess.hh
@@ -16,7 +16,6 @@
   child_process(const child_process &) = delete;
   child_process &operator=(const child_process &) = delete;
 
-  void signal(int Signal) const;
   bool running();
   /// Sends SIGKILL and waits for the end.
   void kill();
--- a/review/common-2/deployment.hh
+++ b/review/common-2/deployment.hh
@@ -47,7 +47,6 @@
   run_history &history() { return History; }
   worker_machine &worker(int I) { return *Workers.at(I); }
   store_proxy &entryStore(int I) { return *Proxies.at(I); }
-  child_process &entry(int I) { return *Processes.at(entryName(I)); }
   /// Sends a consumer's call to the front of entry \p I and writes it and its
   /// answer into the record.
   void call(int I, const std::string &Method, const std::string &Path,
--- a/review/common-2/workermachine.hh
+++ b/review/common-2/workermachine.hh
@@ -71,7 +71,6 @@
   /// It runs the next start of a task whose name begins with \p Prefix, and the
   /// answer is lost.
   void loseAnswer(const std::string &Prefix) { LoseAnswerTo = Prefix; }
-  bool lostAnswer() const { return !Unanswered.empty(); }
   /// It says that it is draining, and leaves after \p Remaining.
   void drain(duration Remaining);
   bool draining() const { return DrainsUntil != time_point::max(); }
@@ -81,7 +80,6 @@
   }
   const worker_options &options() const { return Options; }
   std::size_t shed() const { return ShedStarts; }
-  std::size_t runningTasks() const { return Runs.size(); }
 
 private:
   struct active_run {
