Keep a refused run until its worker has stopped it

Cause: a refusal was reported once its stop had been answered and a later listing had come, even if that listing had the run as running. The scheduler took each refusal for the end of the run.

Now a refused run is over when a listing that was requested after the refusal was certain does not have it as running. The scheduler ignores a refusal of a run that the same report lists, and waits for its end.

Why no property showed it: simulated workers stopped within 200 ms, less than a listing, a report and a start take. A stop now takes 900 ms in a property that replaces workers while answers are lost.

--- a/src/core/work/internal/workerreports.cpp
+++ b/src/core/work/internal/workerreports.cpp
@@ -128,6 +128,8 @@
     const live_run *Run = Runs.find(Row.Run);
     if (!Run || Run->Worker != Worker.Description.Instance)
       continue;
+    if (Run->Listed)
+      continue; // it is being stopped, and ends with its end in a listing
     if (dependsOnWorker(Row.Reason) && findJob(Row.Run.Task.Job))
       FailedOn[Row.Run.Task.Job].insert(Worker.Description.Instance.Worker);
     runLost(Row.Run, decision_kind::RunRefused, name(Row.Reason), Present);
--- a/src/core/workhost/internal/runreconciler.cpp
+++ b/src/core/workhost/internal/runreconciler.cpp
@@ -191,6 +191,13 @@
                      [&](const auto &Row) { return Row.Run == Run; });
 }
 
+/// Whether a refused run neither runs nor can start any more. A run that was
+/// started before its refusal occupies the worker until its stop has ended.
+bool run_reconciler::isOver(const run_ref &Run, const refusal &Refusal) const {
+  return !UnconfirmedStarts.contains(Run) &&
+         Refusal.ReportWith <= LastReceived && !isListed(Run);
+}
+
 void run_reconciler::refuse(const run_ref &Run, start_refusal Reason) {
   const bool IsNew =
       Refused.try_emplace(Run, refusal{Reason, RequestedListings + 1}).second;
@@ -304,7 +311,7 @@
     for (const run_ref &Run : Started)
       Report.Listing->Running.push_back({.Run = Run});
   for (const auto &[Run, Refusal] : Refused)
-    if (!UnconfirmedStarts.contains(Run) && Refusal.ReportWith <= LastReceived)
+    if (isOver(Run, Refusal))
       Report.Refused.push_back({Run, Refusal.Reason});
   return Report;
 }
--- a/src/core/workhost/runreconciler.h
+++ b/src/core/workhost/runreconciler.h
@@ -15,7 +15,7 @@
 /// Starts and stops are idempotent. A start of unknown outcome is repeated
 /// while the orders contain the run. Once they don't, a stop makes the worker
 /// refuse a start that is still in flight; only then is the run reported as
-/// absent.
+/// absent, with a listing that does not have it as running.
 ///
 /// The worker may restart under its id, and calls name nothing but the id. So a
 /// start is repeated only once this instance has answered another listing.
@@ -63,6 +63,8 @@
   void refuse(const run_ref &Run, start_refusal Reason);
   void requestListing(time_point Now);
   bool ordersApplied() const;
+  struct refusal;
+  bool isOver(const run_ref &Run, const refusal &Refusal) const;
   bool isFinished(const run_ref &Run) const;
   bool isListed(const run_ref &Run) const;
 
--- a/src/core/workhost/tests/clustersimulation.cpp
+++ b/src/core/workhost/tests/clustersimulation.cpp
@@ -40,7 +40,7 @@
 cluster_simulation::cluster_simulation(std::uint32_t Seed, int WorkerCount,
                                        const simulation_faults &Faults)
     : Random(Seed), Faults(Faults),
-      SimulatedWorkers({},
+      SimulatedWorkers({.Stop = Faults.StopTime},
                        [this](const run_ref &Run, std::string_view Payload) {
                          return behaviourOf(Run, Payload, Specs);
                        }) {
@@ -232,6 +232,11 @@
   feedAgent(Worker, description_received{Description});
 }
 
+void cluster_simulation::replaceWorker(int Worker, duration DrainTime) {
+  drainWorker(Worker, DrainTime);
+  schedule(DrainTime, [this, Worker] { restartWorker(Worker); });
+}
+
 bool cluster_simulation::runsOn(int Worker) const {
   return !SimulatedWorkers.listing(workerId(Worker), Now).Running.empty();
 }
--- a/src/core/workhost/tests/clustersimulation.h
+++ b/src/core/workhost/tests/clustersimulation.h
@@ -27,6 +27,8 @@
   /// Starts reach whichever instance runs under the worker's id, as if they
   /// were not bound to the connection of an instance.
   bool UnboundStarts = false;
+  /// Time that a worker needs to stop a run.
+  duration StopTime = std::chrono::milliseconds(200);
 };
 
 /// Simulation of scheduler, agents, workers and log without sockets: the core
@@ -57,6 +59,8 @@
   /// The worker announces its shutdown, is listed once more, and exits.
   void shutDownWorker(int Worker);
   void drainWorker(int Worker, duration Remaining);
+  /// The worker drains for \p DrainTime, then its next instance replaces it.
+  void replaceWorker(int Worker, duration DrainTime);
   bool runsOn(int Worker) const;
   /// Disconnects the agent from the scheduler for a time.
   void disconnectAgent(int Worker, duration For);
--- a/src/core/workhost/tests/clustersimulationtest.cpp
+++ b/src/core/workhost/tests/clustersimulationtest.cpp
@@ -332,16 +332,29 @@
 }
 
 /// Number of kinds of steps.
-constexpr int Kinds = 13;
+constexpr int Kinds = 14;
+constexpr int Submit = 0;
+constexpr int SubmitGang = 2;
+constexpr int ReplaceWorker = 13;
 
-rc::Gen<simulation_step> anyStep() {
+rc::Gen<simulation_step> stepOfKind(rc::Gen<int> Kind) {
   return rc::gen::build<simulation_step>(
-      rc::gen::set(&simulation_step::Kind, rc::gen::inRange(0, Kinds)),
+      rc::gen::set(&simulation_step::Kind, std::move(Kind)),
       rc::gen::set(&simulation_step::Target, rc::gen::inRange(0, Workers)),
       rc::gen::set(&simulation_step::Amount, rc::gen::inRange(1, 9)),
       rc::gen::set(&simulation_step::WaitMs, rc::gen::inRange(0, 3000)));
 }
 
+rc::Gen<simulation_step> anyStep() {
+  return stepOfKind(rc::gen::inRange(0, ReplaceWorker));
+}
+
+/// Mostly jobs, on workers that are drained and replaced one after the other.
+rc::Gen<simulation_step> stepOfARollingReplacement() {
+  return stepOfKind(
+      rc::gen::element(Submit, Submit, SubmitGang, ReplaceWorker));
+}
+
 class random_scenario {
 public:
   random_scenario(std::uint32_t Seed, const simulation_faults &Faults,
@@ -357,7 +370,7 @@
         &random_scenario::restartAgent,     &random_scenario::restartWorker,
         &random_scenario::disconnect,       &random_scenario::cutWorker,
         &random_scenario::restartCutWorker, &random_scenario::pauseScheduler,
-        &random_scenario::pauseAgent};
+        &random_scenario::pauseAgent,       &random_scenario::replaceWorker};
     static_assert(std::size(Actions) == Kinds);
     constexpr int FirstDisturbance = 5; // takeOver
     (this->*Actions[Step.Kind])(Step);
@@ -451,6 +464,9 @@
   void restartWorker(const simulation_step &Step) {
     Simulation.restartWorker(Step.Target);
   }
+  void replaceWorker(const simulation_step &Step) {
+    Simulation.replaceWorker(Step.Target, 500ms * Step.Amount);
+  }
   void disconnect(const simulation_step &Step) {
     Simulation.disconnectAgent(Step.Target, 1s * Step.Amount);
   }
@@ -468,11 +484,11 @@
   time_point DisturbedUntil{};
 };
 
-bool invariantsHold(const simulation_faults &Faults) {
+bool invariantsHold(const simulation_faults &Faults,
+                    const rc::Gen<simulation_step> &Step = anyStep()) {
   return rc::check([&] {
     const auto Seed = *rc::gen::arbitrary<std::uint32_t>();
-    const auto Steps =
-        *rc::gen::container<std::vector<simulation_step>>(anyStep());
+    const auto Steps = *rc::gen::container<std::vector<simulation_step>>(Step);
     random_scenario Scenario(Seed, Faults);
     for (const simulation_step &Step : Steps)
       Scenario.apply(Step);
@@ -541,6 +557,12 @@
   CHECK(invariantsHold({.LostOrders = 20, .LateOrders = 10}));
 }
 
+// Starts whose answer was lost are taken back when their worker drains.
+TEST(ClusterSimulationProperties, HoldWhileWorkersAreReplaced) {
+  CHECK(invariantsHold({.LostOrders = 20, .StopTime = 900ms},
+                       stepOfARollingReplacement()));
+}
+
 TEST(ClusterSimulationProperties, HoldWithStartsThatReachTheNextInstance) {
   CHECK(invariantsHold({.LostOrders = 20, .UnboundStarts = true}));
 }
--- a/src/core/workhost/tests/runreconcilertest.cpp
+++ b/src/core/workhost/tests/runreconcilertest.cpp
@@ -202,6 +202,31 @@
   CHECK(Reconciler.report().Refused[0].Reason == start_refusal::Draining);
 }
 
+// A start whose answer was lost is taken back when the worker drains. Until its
+// stop has ended, the task would run twice if the run were reported as refused.
+TEST(RunReconciler, DoesNotReportARefusalWhileTheRunIsStillBeingStopped) {
+  begin();
+  feed(start_answered{Run, worker_call_result::Unknown});
+  worker_description Draining = Reconciler.description();
+  Draining.Draining = true;
+  ++Draining.Sequence;
+  feed(description_received{Draining});
+  CHECK(Stop == Run);
+  feed(stop_answered{Run, worker_call_result::Done});
+  const worker_listing StillRunning{.Running = {{.Run = Run}}};
+  for (int I = 0; I < 4; ++I) {
+    listing(StillRunning);
+    CHECK(Reconciler.report().Refused.empty());
+    Now += 200ms;
+    feed(reconciler_timer_expired{});
+  }
+  listing(
+      {.Finished = {
+           {.Number = 1, .Run = Run, .EndReason = run_end_reason::Stopped}}});
+  LONGS_EQUAL(1, Reconciler.report().Refused.size());
+  LONGS_EQUAL(1, Reconciler.report().Listing->Finished.size());
+}
+
 TEST(RunReconciler, IgnoresAnOutdatedHeartbeat) {
   worker_description Draining = work::testing::makeWorker("w1");
   Draining.Draining = true;
