Keep runs of an earlier instance while a later one holds a lease

A new scheduler gave up the runs that the log has on an earlier instance of a worker as soon as its predecessor handed over a lease of the later instance only. The predecessor may have known from a listing that such a run is on the later instance and is being stopped there.

The lease of a later instance now counts until the worker is reported.

TheLeaseOfALaterInstanceKeepsRunsOfTheEarlierOne failed before.

--- a/src/core/work/internal/workscheduler.cpp
+++ b/src/core/work/internal/workscheduler.cpp
@@ -86,10 +86,11 @@
   for (auto &[Id, Worker] : Pool.all()) {
     if (Worker.HasReported)
       continue; // it has reported in this term
-    const worker_instance &Instance = Worker.Description.Instance;
+    // Also the lease of a later instance: the previous term may have known that
+    // a run recorded for the earlier one is on the later.
     const auto Found = std::find_if(Event.Leases.begin(), Event.Leases.end(),
-                                    [&Instance](const outstanding_lease &Each) {
-                                      return Each.Instance == Instance;
+                                    [&Id](const outstanding_lease &Each) {
+                                      return Each.Instance.Worker == Id;
                                     });
     const time_point End =
         Found == Event.Leases.end() ? Present.Now : Found->End;
