Report runs that the worker may have although no listing shows them

Cause: once its stop was answered, a run was neither in the last listing nor among the confirmed starts; starts of unknown outcome were never reported. A scheduler that does not know the run from the log counted it as gone.

Reports now name such runs, and a scheduler that does not know one counts it as stopping until orders without it are applied. A listing that has a run settles its start of unknown outcome; otherwise the agent would stop, and report as unlisted, runs that have ended.

Both new tests need the new field, so they do not compile on the code before.

--- a/src/core/work/internal/workerreports.cpp
+++ b/src/core/work/internal/workerreports.cpp
@@ -135,13 +135,15 @@
     runLost(Row.Run, decision_kind::RunRefused, name(Row.Reason), Present);
   }
   endNeverStarted(Worker, Report, Present);
+  for (const run_ref &Run : Report.Unlisted)
+    addUnwantedRun(Worker, Run, false, Present);
 }
 
 void work_scheduler::applyRunning(pool_worker &Worker, const running_run &Row,
                                   const present_time &Present) {
   live_run *Run = Runs.find(Row.Run);
   if (!Run || Run->Worker != Worker.Description.Instance) {
-    addUnwantedRun(Worker, Row, Present);
+    addUnwantedRun(Worker, Row.Run, true, Present);
     return;
   }
   if (!Run->Started)
@@ -177,22 +179,22 @@
 
 /// Tracks a run that should not exist: its agent stops it, but until then it
 /// occupies capacity.
-void work_scheduler::addUnwantedRun(pool_worker &Worker, const running_run &Row,
-                                    const present_time &Present) {
-  if (Runs.find(Row.Run))
+void work_scheduler::addUnwantedRun(pool_worker &Worker, const run_ref &Run,
+                                    bool Listed, const present_time &Present) {
+  if (Runs.find(Run))
     return; // recorded on another worker; the agent stops this copy
-  const registered_job *Job = Registry.find(Row.Run.Task.Job);
+  const registered_job *Job = Registry.find(Run.Task.Job);
   resources Need;
-  if (Job && task_layout(*Job->Spec).contains(Row.Run.Task.Position))
-    Need = reservedResources(Job->Spec->Steps[Row.Run.Task.Position.Step]);
-  addRun({.Run = Row.Run,
+  if (Job && task_layout(*Job->Spec).contains(Run.Task.Position))
+    Need = reservedResources(Job->Spec->Steps[Run.Task.Position.Step]);
+  addRun({.Run = Run,
           .Worker = Worker.Description.Instance,
           .Need = Need,
           .PlacedAt = Present.Now,
           .StopOrdersNumber = Worker.OrdersNumber,
           .Ordered = true,
-          .Started = true,
-          .Listed = true,
+          .Started = Listed,
+          .Listed = Listed,
           .Stopping = true});
   ordersChanged(Worker);
 }
--- a/src/core/work/tests/schedulertakeovertest.cpp
+++ b/src/core/work/tests/schedulertakeovertest.cpp
@@ -3,6 +3,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <memory>
 #include <optional>
 
 using namespace geraniumpaddle;
@@ -62,3 +63,34 @@
   feed(previous_term_ended{});
   LONGS_EQUAL(0, Scheduler->runningRuns());
 }
+
+// The run of a cancelled job is still being stopped when the term begins, and
+// the worker's listing is older than its start.
+TEST(SchedulerTakeover, AnUnlistedRunOccupiesItsWorkerUntilItIsOver) {
+  const worker_instance Instance{worker_id("w1"), 1};
+  const job_spec Cancelled = testing::makeJob("old", 1, 8);
+  Registry.apply({submissionKey(Cancelled.Id), 0}, job_submitted{Cancelled});
+  Registry.apply({progressKey(Cancelled.Id), 0},
+                 job_progressed{Cancelled.Id, {.State = job_state::Cancelled}});
+  takeOver();
+  const auto Report = [&](std::int64_t ClockMs, std::vector<run_ref> Unlisted,
+                          orders_version Applied) {
+    feed(worker_reported{
+        {.Description = testing::makeWorker("w1"),
+         .Listing = worker_listing{.StartTimeMs = 1, .ClockMs = ClockMs},
+         .Unlisted = std::move(Unlisted),
+         .Applied = Applied}});
+  };
+  const auto Job =
+      std::make_shared<const job_spec>(testing::makeJob("j", 1, 8));
+  Report(1000, {{{Cancelled.Id, {}}, 1}}, {1, 7});
+  feed(job_arrived{Job});
+  feed(scheduler_timer_expired{});
+  const auto &Runs = Scheduler->workers().all().at(Instance.Worker).Runs;
+  LONGS_EQUAL(1, Runs.size());
+  CHECK(Runs.front()->Run.Task.Job == Cancelled.Id);
+  Report(2000, {}, Scheduler->orders(Instance)->Version);
+  feed(scheduler_timer_expired{});
+  LONGS_EQUAL(1, Runs.size());
+  CHECK(Runs.front()->Run.Task.Job == Job->Id);
+}
--- a/src/core/work/types/worker.h
+++ b/src/core/work/types/worker.h
@@ -90,9 +90,13 @@
   worker_description Description;
   std::optional<worker_listing> Listing; ///< empty while it cannot be read
   std::vector<refused_start> Refused;    ///< starts that will not happen
-  orders_version Applied;                ///< orders that the listing reflects
-  bool Reachable = true;                 ///< the worker answers its agent
-  bool Left = false; ///< the worker is gone with all its runs
+  /// Runs that may be on the worker although the listing lacks them: their
+  /// start has no answer, or their stop was answered after the listing was
+  /// requested.
+  std::vector<run_ref> Unlisted;
+  orders_version Applied; ///< orders that the listing reflects
+  bool Reachable = true;  ///< the worker answers its agent
+  bool Left = false;      ///< the worker is gone with all its runs
 };
 
 /// A run that a worker should have. Payload and checkpoint are left out once
--- a/src/core/work/workscheduler.h
+++ b/src/core/work/workscheduler.h
@@ -132,7 +132,7 @@
                     const present_time &Present);
   void applyRunning(pool_worker &Worker, const running_run &Row,
                     const present_time &Present);
-  void addUnwantedRun(pool_worker &Worker, const running_run &Row,
+  void addUnwantedRun(pool_worker &Worker, const run_ref &Run, bool Listed,
                       const present_time &Present);
   void applyFinished(pool_worker &Worker, const finished_run &Row,
                      const present_time &Present);
--- a/src/core/workhost/internal/runreconciler.cpp
+++ b/src/core/workhost/internal/runreconciler.cpp
@@ -121,7 +121,7 @@
   UnconfirmedStarts.erase(Event.Run);
   Started.erase(Event.Run);
   RetryAt.erase(Event.Run);
-  Stopped.insert(Event.Run);
+  Stopped.insert_or_assign(Event.Run, RequestedListings + 1);
   const auto Refusal = Refused.find(Event.Run);
   if (Refusal != Refused.end())
     Refusal->second.ReportWith = RequestedListings + 1;
@@ -142,10 +142,15 @@
       !Ends.empty() && Ends.back().Number > Orders.AcknowledgedEnds;
   Listing = Event.Listing;
   Applied = PendingVersion;
-  std::erase_if(Started, [&](const run_ref &Run) {
+  // A start that is repeated after the run has ended does nothing.
+  const auto IsShown = [&](const run_ref &Run) {
     return isListed(Run) || isFinished(Run);
+  };
+  std::erase_if(Started, IsShown);
+  std::erase_if(UnconfirmedStarts, IsShown);
+  std::erase_if(Stopped, [&](const auto &Each) {
+    return Each.second <= LastReceived && !isListed(Each.first);
   });
-  std::erase_if(Stopped, [&](const run_ref &Run) { return !isListed(Run); });
   // Every listing is reported, since the lease counts from it.
   Commands.emplace_back(send_report{});
   if (UnacknowledgedEnds)
@@ -299,6 +304,17 @@
                 .Wait = MayWait ? Limits.ListingWait : duration{}});
 }
 
+std::vector<run_ref> run_reconciler::unlistedRuns() const {
+  std::set<run_ref> Runs = StartsInFlight;
+  Runs.insert(UnconfirmedStarts.begin(), UnconfirmedStarts.end());
+  for (const auto &[Run, ConfirmedWith] : Stopped)
+    Runs.insert(Run);
+  std::erase_if(Runs, [&](const run_ref &Run) {
+    return isListed(Run) || isFinished(Run);
+  });
+  return {Runs.begin(), Runs.end()};
+}
+
 worker_report run_reconciler::report() const {
   const bool Reachable = FailedListings < UnreachableAfter;
   worker_report Report{.Description = Description,
@@ -310,6 +326,7 @@
   if (Report.Listing)
     for (const run_ref &Run : Started)
       Report.Listing->Running.push_back({.Run = Run});
+  Report.Unlisted = unlistedRuns();
   for (const auto &[Run, Refusal] : Refused)
     if (isOver(Run, Refusal))
       Report.Refused.push_back({Run, Refusal.Reason});
--- a/src/core/workhost/runreconciler.h
+++ b/src/core/workhost/runreconciler.h
@@ -67,6 +67,7 @@
   bool isOver(const run_ref &Run, const refusal &Refusal) const;
   bool isFinished(const run_ref &Run) const;
   bool isListed(const run_ref &Run) const;
+  std::vector<run_ref> unlistedRuns() const;
 
   const reconciler_limits Limits;
   worker_description Description;
@@ -77,7 +78,9 @@
   std::set<run_ref> StopsInFlight;
   std::set<run_ref> UnconfirmedStarts; ///< of unknown outcome
   std::set<run_ref> Started;           ///< confirmed, not listed yet
-  std::set<run_ref> Stopped;           ///< confirmed, maybe still listed
+  /// Confirmed stops, until a listing that was requested later lacks the run;
+  /// with the number of the first such listing.
+  std::map<run_ref, std::uint64_t> Stopped;
   /// A start that will not happen. It is reported together with a listing that
   /// was requested after the refusal was certain, since the run may have
   /// started and finished before.
--- a/src/core/workhost/tests/runreconcilertest.cpp
+++ b/src/core/workhost/tests/runreconcilertest.cpp
@@ -227,6 +227,27 @@
   LONGS_EQUAL(1, Reconciler.report().Listing->Finished.size());
 }
 
+// Between the answer to a stop and the next listing, a new scheduler would
+// otherwise take the run's capacity for free.
+TEST(RunReconciler, ReportsRunsThatTheListingDoesNotShowYet) {
+  const auto Unlisted = [this] { return Reconciler.report().Unlisted; };
+  begin();
+  CHECK(Unlisted() == std::vector{Run}); // its start is in flight
+  feed(start_answered{Run, worker_call_result::Unknown});
+  CHECK(Unlisted() == std::vector{Run});
+  Now += 200ms;
+  orders(2, false);
+  CHECK(Stop == Run);
+  feed(stop_answered{Run, worker_call_result::Done});
+  CHECK(Unlisted() == std::vector{Run});
+  listing(); // requested before the stop was answered
+  CHECK(Unlisted() == std::vector{Run});
+  listing({.Running = {{.Run = Run}}});
+  CHECK(Unlisted().empty()); // listed as running
+  listing();
+  CHECK(Unlisted().empty());
+}
+
 TEST(RunReconciler, IgnoresAnOutdatedHeartbeat) {
   worker_description Draining = work::testing::makeWorker("w1");
   Draining.Draining = true;
--- a/src/workcodec/internal/peerconvert.cpp
+++ b/src/workcodec/internal/peerconvert.cpp
@@ -89,6 +89,8 @@
     toProto(Each.Run, *Refused.mutable_run());
     Refused.set_reason(static_cast<std::uint32_t>(Each.Reason));
   }
+  for (const run_ref &Run : Report.Unlisted)
+    toProto(Run, *Message.add_unlisted());
   Message.set_applied_term(Report.Applied.Term);
   Message.set_applied_number(Report.Applied.Number);
   Message.set_reachable(Report.Reachable);
@@ -111,6 +113,8 @@
     Report.Refused.push_back(
         {fromProto(Each.run()),
          checkedEnum(Each.reason(), start_refusal::Draining, "refusal")});
+  for (const proto::work::RunRef &Run : Message.unlisted())
+    Report.Unlisted.push_back(fromProto(Run));
   return Report;
 }
 
--- a/src/workcodec/tests/workcodectest.cpp
+++ b/src/workcodec/tests/workcodectest.cpp
@@ -96,6 +96,7 @@
   const run_ref Run{{job_id("j"), {1, 2, 3}}, 4};
   worker_report Sent{.Description = work::testing::makeWorker("w1"),
                      .Refused = {{Run, start_refusal::NoCapacity}},
+                     .Unlisted = {{{job_id("k"), {0, 1, 2}}, 3}},
                      .Applied = {5, 6},
                      .Reachable = false,
                      .Left = true};
@@ -115,6 +116,7 @@
   CHECK(Read.Left);
   CHECK(Read.Refused[0].Run == Run);
   CHECK(Read.Refused[0].Reason == start_refusal::NoCapacity);
+  CHECK(Read.Unlisted == Sent.Unlisted);
   LONGS_EQUAL(41, Read.Listing->Running[0].Percent);
   CHECK(Read.Listing->Finished[0].EndReason == run_end_reason::GangMemberEnded);
 }
