Conclude nothing from a listing that lacks ended runs

Cause: a worker lists 500 ends at a time. The agent took a run that was in neither list for one that the worker doesn't have, started it again and reported it as refused; the scheduler gave its task a new run.

A listing with as many ends as the platform lists is now marked as incomplete. From such a listing the agent starts and refuses nothing, and the scheduler ends no stopped run, stops no unstarted one and finds none stalled. A run that is in neither list has thus an unknown state until its end is listed.

Why no property showed it: simulated workers listed all ends. They now list a page, and a property has two ends a page beside slow appends.

--- a/src/core/work/internal/workerreports.cpp
+++ b/src/core/work/internal/workerreports.cpp
@@ -110,6 +110,7 @@
                                   const worker_report &Report,
                                   const present_time &Present) {
   Worker.HasListing = true;
+  Worker.EndsComplete = Report.Listing->EndsComplete;
   for (live_run *Run : Worker.Runs)
     Run->Listed = false;
   for (const running_run &Row : Report.Listing->Running)
@@ -169,7 +170,9 @@
                       Present.Now - Run->PercentAt >= ProvenAfter;
   if (Proven && Worker.OnProbation)
     restoreTrust(Worker, *Run, Present);
-  const bool Stalled = !Run->LongRunning && !Run->Stopping && Current &&
+  // A run that was started since the last listing may have ended already.
+  const bool Stalled = Worker.EndsComplete && !Run->LongRunning &&
+                       !Run->Stopping && Current &&
                        Present.Now - Run->PercentAt > Stall;
   if (Stalled) {
     suspect(Worker, "task_stalled", Present);
@@ -262,6 +265,8 @@
 /// Gangs have a limit of their own.
 void work_scheduler::stopUnstarted(pool_worker &Worker,
                                    const present_time &Present) {
+  if (!Worker.EndsComplete)
+    return; // the run may have started and ended
   std::vector<run_ref> Unstarted;
   for (const live_run *Run : Worker.Runs)
     if (Run->Ordered && !Run->Started && !Run->Stopping && Run->GangSize == 1 &&
@@ -278,7 +283,7 @@
 void work_scheduler::endNeverStarted(pool_worker &Worker,
                                      const worker_report &Report,
                                      const present_time &Present) {
-  if (Report.Applied.Term != Term)
+  if (Report.Applied.Term != Term || !Worker.EndsComplete)
     return;
   std::vector<run_ref> NeverStarted;
   for (const live_run *Run : Worker.Runs)
--- a/src/core/work/types/worker.h
+++ b/src/core/work/types/worker.h
@@ -57,6 +57,9 @@
   std::int64_t ClockMs = 0; ///< the worker's monotonic clock
   std::vector<running_run> Running;
   std::vector<finished_run> Finished;
+  /// False if the worker may remember more ended runs than Finished has. Then
+  /// nothing follows from a run that is in neither list.
+  bool EndsComplete = true;
 };
 
 enum class start_refusal : std::uint8_t {
--- a/src/core/work/workerpool.h
+++ b/src/core/work/workerpool.h
@@ -14,6 +14,7 @@
   worker_description Description;
   bool HasReported = false; ///< false: known only from runs in the log
   bool HasListing = false;  ///< its runs were listed at least once
+  bool EndsComplete = true; ///< its last listing had all its ended runs
   bool Reachable = false;
   resources Used;    ///< by runs that have not ended, stopping ones too
   resources Freeing; ///< part of Used that stopping runs occupy
--- a/src/core/workhost/internal/runreconciler.cpp
+++ b/src/core/workhost/internal/runreconciler.cpp
@@ -197,10 +197,12 @@
 }
 
 /// Whether a refused run neither runs nor can start any more. A run that was
-/// started before its refusal occupies the worker until its stop has ended.
+/// started before its refusal occupies the worker until its stop has ended, and
+/// its end may be missing from an incomplete listing.
 bool run_reconciler::isOver(const run_ref &Run, const refusal &Refusal) const {
   return !UnconfirmedStarts.contains(Run) &&
-         Refusal.ReportWith <= LastReceived && !isListed(Run);
+         Refusal.ReportWith <= LastReceived && !isListed(Run) &&
+         Listing->EndsComplete;
 }
 
 void run_reconciler::refuse(const run_ref &Run, start_refusal Reason) {
@@ -214,8 +216,10 @@
 void run_reconciler::reconcile(time_point Now) {
   if (!Listing)
     return;
-  for (const auto &[Key, Desired] : DesiredRuns)
-    startMissing(Desired, Now);
+  // A run that an incomplete listing lacks may have ended.
+  if (Listing->EndsComplete)
+    for (const auto &[Key, Desired] : DesiredRuns)
+      startMissing(Desired, Now);
   stopUnwanted(Now);
 }
 
--- a/src/core/workhost/tests/clustersimulation.h
+++ b/src/core/workhost/tests/clustersimulation.h
@@ -29,6 +29,8 @@
   bool UnboundStarts = false;
   /// Time that a worker needs to stop a run.
   duration StopTime = std::chrono::milliseconds(200);
+  /// Ended runs that a worker lists at a time.
+  std::size_t EndsPerListing = 500;
 };
 
 /// Simulation of scheduler, agents, workers and log without sockets: the core
--- a/src/core/workhost/tests/clustersimulationtest.cpp
+++ b/src/core/workhost/tests/clustersimulationtest.cpp
@@ -573,6 +573,11 @@
   CHECK(invariantsHold({.LostOrders = 5, .HeldAnswers = 10}));
 }
 
+// Ends pile up while their records are not stored.
+TEST(ClusterSimulationProperties, HoldWhileListingsLackEnds) {
+  CHECK(invariantsHold({.SlowAppends = 80, .EndsPerListing = 2}));
+}
+
 TEST(ClusterSimulationProperties, HoldWithASlowLog) {
   CHECK(invariantsHold({.LostReports = 5, .LostOrders = 5, .SlowAppends = 50}));
 }
--- a/src/core/workhost/tests/runreconcilertest.cpp
+++ b/src/core/workhost/tests/runreconcilertest.cpp
@@ -248,6 +248,33 @@
   CHECK(Unlisted().empty());
 }
 
+// While the store is down, a worker has more ended runs than one listing shows.
+// A run that ended must not count as one that the worker does not have.
+TEST(RunReconciler, ConcludesNothingFromAListingThatLacksEnds) {
+  begin();
+  feed(start_answered{Run, worker_call_result::Done});
+  listing({.Running = {{.Run = Run}}});
+  worker_orders Orders{.Version = {1, 2},
+                       .Instance = Reconciler.description().Instance};
+  const run_ref Other{{job_id("j2"), {}}, 1};
+  Orders.Runs = {{.Run = Run}, {.Run = Other, .HasBody = true}};
+  const worker_listing Incomplete{
+      .Finished = {{.Number = 1, .Run = {{job_id("j3"), {}}, 1}}},
+      .EndsComplete = false};
+  listing(Incomplete);
+  feed(orders_received{Orders, 1000});
+  for (int I = 0; I < 4; ++I) {
+    Now += 400ms;
+    feed(reconciler_timer_expired{});
+    CHECK(!Start);
+    listing(Incomplete);
+    CHECK(Reconciler.report().Refused.empty());
+  }
+  listing({.Finished = {{.Number = 2, .Run = Run}}});
+  CHECK(Start && Start->Run.Run == Other);
+  CHECK(Reconciler.report().Refused.empty());
+}
+
 TEST(RunReconciler, IgnoresAnOutdatedHeartbeat) {
   worker_description Draining = work::testing::makeWorker("w1");
   Draining.Draining = true;
--- a/src/platform/internal/taskworkerclient.cpp
+++ b/src/platform/internal/taskworkerclient.cpp
@@ -63,6 +63,9 @@
   }
 }
 
+/// The platform lists at most this many ended runs at a time.
+constexpr std::size_t MaxListedEnds = 500;
+
 bool hasText(const json &Row, std::size_t Column) {
   return Row.is_array() && Row.size() > Column && Row[Column].is_string();
 }
@@ -149,7 +152,9 @@
     return std::nullopt;
   work::worker_listing Listing{.StartTimeMs = *StartTimeMs,
                                .ClockMs = *Clock,
-                               .Running = std::move(*Runs)};
+                               .Running = std::move(*Runs),
+                               .EndsComplete =
+                                   Finished->size() < MaxListedEnds};
   for (const json &Row : *Finished)
     if (auto Run = parseFinishedRun(Row))
       Listing.Finished.push_back(std::move(*Run));
--- a/src/platform/tests/taskworkerclienttest.cpp
+++ b/src/platform/tests/taskworkerclienttest.cpp
@@ -233,6 +233,23 @@
   CHECK(Outcome.Listing->Finished[0].EndReason == work::run_end_reason::Done);
 }
 
+// With as many ends as the platform lists at a time, there may be more.
+TEST(TaskWorkerClient, AFullListOfEndsIsIncomplete) {
+  const auto ListingOf = [this](int Ends) {
+    std::string Rows;
+    for (int I = 1; I <= Ends; ++I)
+      Rows += (I > 1 ? ",[" : "[") + std::to_string(I) +
+              R"(,"5c0e7a21d94b36f8.0.0.)" + std::to_string(I) +
+              R"(",1,"done",""])";
+    const std::string Body =
+        R"({"ClockMs":1,"born":77,"Running":[],"Finished":[)" + Rows + "]}";
+    return list(Body.c_str());
+  };
+  CHECK(ListingOf(0).Listing->EndsComplete);
+  CHECK(ListingOf(499).Listing->EndsComplete);
+  CHECK(!ListingOf(500).Listing->EndsComplete);
+}
+
 TEST(TaskWorkerClient, ReportsWhyAListingFailed) {
   CHECK(list("", 421).WrongWorker);
   CHECK(list(R"({"Reason":"fence"})", 409).Fenced);
--- a/src/workcodec/internal/peerconvert.cpp
+++ b/src/workcodec/internal/peerconvert.cpp
@@ -61,11 +61,13 @@
     Run.set_how(static_cast<std::uint32_t>(Row.EndReason));
     Run.set_checkpoint(Row.Checkpoint);
   }
+  Message.set_ends_incomplete(!Listing.EndsComplete);
 }
 
 worker_listing fromProto(const proto::work::WorkerListing &Message) {
   worker_listing Listing{.StartTimeMs = Message.born(),
-                         .ClockMs = Message.clock_ms()};
+                         .ClockMs = Message.clock_ms(),
+                         .EndsComplete = !Message.ends_incomplete()};
   for (const proto::work::RunningRun &Row : Message.running())
     Listing.Running.push_back(
         {fromProto(Row.run()), Row.checkpoint(), Row.percent()});
--- a/standins/taskworkers/workersimulation.cpp
+++ b/standins/taskworkers/workersimulation.cpp
@@ -184,7 +184,9 @@
          .Checkpoint = checkpoint(Run),
          .Percent = static_cast<std::int32_t>(
              100 * Run.Progress / std::max(Run.Behaviour.Work, duration(1)))});
+  Listing.EndsComplete = Worker.Ends.size() < Limits.EndsPerListing;
   Listing.Finished = Worker.Ends;
+  Listing.Finished.resize(std::min(Worker.Ends.size(), Limits.EndsPerListing));
   return Listing;
 }
 
--- a/standins/taskworkers/workersimulation.h
+++ b/standins/taskworkers/workersimulation.h
@@ -31,6 +31,7 @@
   duration GangWait = std::chrono::seconds(3);
   duration LongestLease = std::chrono::seconds(6);
   duration CheckpointEvery = std::chrono::milliseconds(500);
+  std::size_t EndsPerListing = 500;
 };
 
 /// Result of an order to a worker.
