Record the cancellation of an unknown job before answering 410

Cause: the entry concluded from the log's end that the job would never be there, and recorded nothing.

Now the cancellation is appended first. Its key differs from that of the submission, so the job is cancelled whichever the log has first. The scheduler ends a job that arrives after its cancellation, so that its records expire; only a filter in the adapter kept it from starting before. Cancellations of jobs that never come are kept as long as ended jobs, at most 4096 at a time, and are no jobs to callers.

Why no property showed it: the simulated log stored submissions at once, and job_api had no tests of its own.

--- a/src/core/work/internal/jobregistry.cpp
+++ b/src/core/work/internal/jobregistry.cpp
@@ -59,8 +59,9 @@
     const auto Found = Jobs.find(job_id(Key.substr(SubmissionPrefix.size())));
     if (Found == Jobs.end())
       return;
-    adjustPending(Found->second, -1);
+    adjustCounts(Found->second, -1);
     Found->second.Spec.reset();
+    adjustCounts(Found->second, 1);
     eraseIfEmpty(Found->first);
   } else if (Key.starts_with(CancellationPrefix)) {
     forgetLeftover(job_id(Key.substr(CancellationPrefix.size())),
@@ -80,7 +81,9 @@
   const auto Found = Jobs.find(Job);
   if (Found == Jobs.end() || Found->second.Spec)
     return;
+  adjustCounts(Found->second, -1);
   Apply(Found->second);
+  adjustCounts(Found->second, 1);
   eraseIfEmpty(Job);
 }
 
@@ -95,12 +98,14 @@
 template <typename Change>
 void job_registry::changeJob(const job_id &Job, const Change &Apply) {
   registered_job &Entry = Jobs[Job];
-  adjustPending(Entry, -1);
+  adjustCounts(Entry, -1);
   Apply(Entry);
-  adjustPending(Entry, 1);
+  adjustCounts(Entry, 1);
 }
 
-void job_registry::adjustPending(const registered_job &Entry, int Delta) {
+void job_registry::adjustCounts(const registered_job &Entry, int Delta) {
+  if (Entry.cancelledUnknown())
+    UnknownCancellations += static_cast<std::size_t>(Delta);
   if (!Entry.Spec || Entry.state() != job_state::Queued)
     return;
   Pending[Entry.Spec->Policy.Queue] += static_cast<std::size_t>(Delta);
@@ -115,7 +120,10 @@
 }
 
 void job_registry::applyRecord(const job_cancelled &Record) {
-  changeJob(Record.Job, [](registered_job &Entry) { Entry.Cancelled = true; });
+  changeJob(Record.Job, [&](registered_job &Entry) {
+    Entry.Cancelled = true;
+    Entry.CancelledAt = Record.RequestedAt;
+  });
 }
 
 void job_registry::applyRecord(const job_progressed &Record) {
@@ -137,6 +145,11 @@
   return Found == Jobs.end() || !Found->second.Spec ? nullptr : &Found->second;
 }
 
+bool job_registry::isCancelled(const job_id &Job) const {
+  const auto Found = Jobs.find(Job);
+  return Found != Jobs.end() && Found->second.Cancelled;
+}
+
 std::size_t job_registry::pending(std::string_view Queue) const {
   const auto Found = Pending.find(Queue);
   return Found == Pending.end() ? 0 : Found->second;
--- a/src/core/work/internal/workscheduler.cpp
+++ b/src/core/work/internal/workscheduler.cpp
@@ -180,6 +180,9 @@
     Urgent.recordArrival(*Event.Spec, Present.Now);
   logDecision(decision_kind::JobArrived, {{Id, {}}, 0}, {},
               Event.Spec->Policy.Queue);
+  // Its cancellation was stored before its submission.
+  if (Recorded && Recorded->Cancelled)
+    endJob(Id, job_state::Cancelled, Present);
 }
 
 void work_scheduler::onCancelRequested(const job_cancel_requested &Event,
--- a/src/core/work/jobregistry.h
+++ b/src/core/work/jobregistry.h
@@ -15,13 +15,23 @@
 struct registered_job {
   std::shared_ptr<const job_spec> Spec;
   bool Cancelled = false;
+  wall_time CancelledAt{};
   job_progress Progress;
 
   /// State shown to callers: a cancelled job that had not ended is Cancelled.
   job_state state() const;
   bool started() const { return Progress.State != job_state::Queued; }
+  /// Cancelled without being known. If its submission is stored later, the job
+  /// must not run.
+  bool cancelledUnknown() const {
+    return Cancelled && !Spec && !ended(Progress.State);
+  }
 };
 
+/// Cancellations of unknown jobs that are kept at a time, so that calls with
+/// arbitrary job ids cannot fill the store.
+constexpr std::size_t MaxUnknownCancellations = 4096;
+
 /// State built from the records of the log: all retained jobs and the entries.
 class job_registry {
 public:
@@ -40,6 +50,11 @@
   const term_leader &lastTerm() const { return LastTerm; }
   /// Accepted jobs of \p Queue of which no task has started.
   std::size_t pending(std::string_view Queue) const;
+  /// Whether a cancellation of \p Job is recorded, also if the job is unknown.
+  bool isCancelled(const job_id &Job) const;
+  bool acceptsUnknownCancellation() const {
+    return UnknownCancellations < MaxUnknownCancellations;
+  }
 
 private:
   void applyRecord(const job_submitted &Record);
@@ -53,11 +68,12 @@
   template <typename Change>
   void forgetLeftover(const job_id &Job, const Change &Apply);
   void eraseIfEmpty(const job_id &Job);
-  void adjustPending(const registered_job &Entry, int Delta);
+  void adjustCounts(const registered_job &Entry, int Delta);
 
   std::unordered_map<std::string, std::uint64_t> Offsets;
   std::unordered_map<job_id, registered_job> Jobs;
   std::map<std::string, std::size_t, std::less<>> Pending;
+  std::size_t UnknownCancellations = 0;
   std::map<node_id, entry_record> Entries;
   term_leader LastTerm;
 };
--- a/src/core/work/tests/jobregistrytest.cpp
+++ b/src/core/work/tests/jobregistrytest.cpp
@@ -121,6 +121,43 @@
   LONGS_EQUAL(0, Registry.jobs().size());
 }
 
+// The cancellation has to outlast appends that are carried out late, but not
+// for good, since the submission may never be stored.
+TEST(JobRegistry, ACancellationWithoutAJobExpires) {
+  const wall_time Requested{std::chrono::seconds(100)};
+  constexpr duration RetentionPeriod = std::chrono::seconds(120);
+  Registry.apply({Cancellation, 0}, job_cancelled{Job, Requested});
+  CHECK(Registry.find(Job) == nullptr);
+  CHECK(Registry.isCancelled(Job));
+  const auto ExpiredAfter = [&](std::chrono::seconds Time) {
+    return findExpired(Registry, Requested + Time, RetentionPeriod, 9)
+        .WithoutSubmission;
+  };
+  CHECK(ExpiredAfter(std::chrono::seconds(120)).empty());
+  CHECK(ExpiredAfter(std::chrono::seconds(121)) == std::vector{Job});
+  submit(1); // stored late: the job ends as cancelled, and expires as such
+  CHECK(Registry.find(Job)->state() == job_state::Cancelled);
+  CHECK(ExpiredAfter(std::chrono::seconds(121)).empty());
+  Registry.forget({Submission, 2});
+  Registry.forget({Cancellation, 3});
+  LONGS_EQUAL(0, Registry.jobs().size());
+  CHECK(!Registry.isCancelled(Job));
+}
+
+TEST(JobRegistry, CountsCancellationsWithoutAJob) {
+  for (std::size_t I = 0; I < MaxUnknownCancellations; ++I) {
+    const job_id Unknown("x" + std::to_string(I));
+    CHECK(Registry.acceptsUnknownCancellation());
+    Registry.apply({cancellationKey(Unknown), I}, job_cancelled{Unknown});
+  }
+  CHECK(!Registry.acceptsUnknownCancellation());
+  Registry.forget({cancellationKey(job_id("x7")), MaxUnknownCancellations});
+  CHECK(Registry.acceptsUnknownCancellation());
+  submit(0);
+  Registry.apply({Cancellation, 1}, job_cancelled{Job}); // of a known job
+  CHECK(Registry.acceptsUnknownCancellation());
+}
+
 TEST(JobRegistry, ARunningJobNeverExpires) {
   submit(0);
   progress(0, job_state::Running);
--- a/src/core/work/types/records.h
+++ b/src/core/work/types/records.h
@@ -30,8 +30,10 @@
   job_spec Spec;
 };
 
+/// Holds whether it is stored before or after the submission of its job.
 struct job_cancelled {
   job_id Job;
+  wall_time RequestedAt{};
 };
 
 struct job_progressed {
--- a/src/core/workhost/tests/clustersimulation.cpp
+++ b/src/core/workhost/tests/clustersimulation.cpp
@@ -92,6 +92,13 @@
   schedule(delay(), [this, Job] { feedScheduler(job_cancel_requested{Job}); });
 }
 
+void cluster_simulation::cancelBeforeSubmission(const job_spec &Spec,
+                                                duration Later) {
+  Specs[Spec.Id] = Spec;
+  cancel(Spec.Id);
+  schedule(Later, [this, Spec] { submit(Spec); });
+}
+
 void cluster_simulation::takeOver() {
   ++Term;
   SchedulerPausedUntil = {};
--- a/src/core/workhost/tests/clustersimulation.h
+++ b/src/core/workhost/tests/clustersimulation.h
@@ -42,6 +42,8 @@
 
   void submit(const job_spec &Spec);
   void cancel(const job_id &Job);
+  /// Cancels a job whose submission is stored only after \p Later.
+  void cancelBeforeSubmission(const job_spec &Spec, duration Later);
   /// Another scheduler takes over; appends of the old one are refused.
   void takeOver();
   /// As above, but the old scheduler passes on the leases that it granted.
--- a/src/core/workhost/tests/clustersimulationtest.cpp
+++ b/src/core/workhost/tests/clustersimulationtest.cpp
@@ -109,6 +109,21 @@
   }
 }
 
+// The append of its submission was carried out late.
+TEST(ClusterSimulation, AJobThatWasCancelledBeforeItsSubmissionNeverRuns) {
+  for (const bool TakeOver : {false, true}) {
+    cluster_simulation Each{1, Workers, {}};
+    Each.cancelBeforeSubmission(jobOf("j1", 2, "500"), 1s);
+    Each.runFor(900ms);
+    if (TakeOver)
+      Each.takeOver();
+    Each.runFor(6s);
+    CHECK(Each.simulatedWorkers().failedRuns().empty()); // nothing started
+    CHECK(ended(Each.progress(Job).State)); // recorded, so that it expires
+    checkNoViolation(Each);
+  }
+}
+
 TEST(ClusterSimulation, ALastingTaskIsNotRestartedByATakeover) {
   job_spec Spec = jobOf("j1", 2, "60000");
   Spec.Steps[0].LongRunning = true;
--- a/src/jobentry/internal/jobapi.cpp
+++ b/src/jobentry/internal/jobapi.cpp
@@ -202,43 +202,81 @@
 
 void job_api::getState(job_call Call, const work::resolved_call &,
                        const http_request_view &) {
-  withKnownJob(std::move(Call), [this](const job_call &Known) {
-    respond(Known, encodeJobState(Registry.find(Known.Job)->state()), "shown");
-  });
+  lookUp(
+      std::move(Call),
+      [this](const job_call &Known) {
+        respond(Known, encodeJobState(Registry.find(Known.Job)->state()),
+                "shown");
+      },
+      [this](const job_call &Unknown) {
+        respondUnknown(Unknown, "unknown_job");
+      });
 }
 
 void job_api::cancel(job_call Call, const work::resolved_call &,
                      const http_request_view &) {
-  withKnownJob(std::move(Call), [this](job_call Known) {
-    const work::registered_job *Entry = Registry.find(Known.Job);
-    if (Entry->Cancelled || ended(Entry->Progress.State)) {
-      respond(Known, encodeEmpty(Success), "ended_before");
-      return;
-    }
-    const std::string Key = work::cancellationKey(Known.Job);
-    const work::job_cancelled Record{Known.Job};
-    appendRecord(std::move(Known),
-                 {.Topic = store_topic::Jobs,
-                  .Records = {{Key, work::encodeRecord(Record)}}});
-  });
+  lookUp(
+      std::move(Call),
+      [this](job_call Known) { cancelKnown(std::move(Known)); },
+      [this](job_call Unknown) { cancelUnknown(std::move(Unknown)); });
 }
 
-void job_api::withKnownJob(job_call Call,
-                           std::function<void(job_call)> OnFound) {
+void job_api::cancelKnown(job_call Call) {
+  const work::registered_job *Entry = Registry.find(Call.Job);
+  if (Entry->Cancelled || ended(Entry->Progress.State))
+    respond(Call, encodeEmpty(Success), "ended_before");
+  else
+    appendCancellation(std::move(Call));
+}
+
+/// A submission may still be on its way to the log: its append may have had no
+/// answer, or its entry may be paused. The cancellation is recorded first, so
+/// that the job does not run whichever of the two the log has first.
+void job_api::cancelUnknown(job_call Call) {
+  if (Registry.isCancelled(Call.Job)) {
+    respondUnknown(Call, "cancelled_before");
+    return;
+  }
+  if (!Registry.acceptsUnknownCancellation()) {
+    respond(Call,
+            encodeError(TooManyRequests, "too_many_unknown_jobs",
+                        "too many unknown jobs were cancelled lately",
+                        StoreRetryAfter),
+            "too_many_unknown_jobs");
+    return;
+  }
+  Call.CancelsUnknown = true;
+  appendCancellation(std::move(Call));
+}
+
+void job_api::appendCancellation(job_call Call) {
+  const std::string Key = work::cancellationKey(Call.Job);
+  const work::job_cancelled Record{Call.Job, Loop.wallNow()};
+  appendRecord(std::move(Call),
+               {.Topic = store_topic::Jobs,
+                .Records = {{Key, work::encodeRecord(Record)}}});
+}
+
+void job_api::respondUnknown(const job_call &Call, std::string_view Reason) {
+  respond(Call, encodeError(Gone, "no_job", "no such job is known"), Reason);
+}
+
+void job_api::lookUp(job_call Call, std::function<void(job_call)> OnFound,
+                     std::function<void(job_call)> OnUnknown) {
   if (Registry.find(Call.Job)) {
     OnFound(std::move(Call));
     return;
   }
   const duration Timeout = Call.Deadline - Loop.now();
   Jobs.catchUp(Timeout, [this, Alive = Alive, Call = std::move(Call),
-                         OnFound = std::move(OnFound)](bool CaughtUp) {
+                         OnFound = std::move(OnFound),
+                         OnUnknown = std::move(OnUnknown)](bool CaughtUp) {
     if (!*Alive)
       return;
     if (Registry.find(Call.Job))
       OnFound(Call);
     else if (CaughtUp)
-      respond(Call, encodeError(Gone, "no_job", "no such job is known"),
-              "unknown_job");
+      OnUnknown(Call);
     else
       respond(Call,
               encodeError(Unavailable, "store_unavailable",
@@ -269,7 +307,10 @@
                          const append_outcome &Outcome) {
   if (Outcome.Status == store_append_status::Stored) {
     StoreFailingSince = {};
-    respond(Call, encodeEmpty(Success), "stored");
+    if (Call.CancelsUnknown)
+      respondUnknown(Call, "cancelled_unknown");
+    else
+      respond(Call, encodeEmpty(Success), "stored");
     const keyed_value &Stored = Append.Records.front();
     OnStored(
         {.Key = Stored.Key, .Value = Stored.Value, .Offset = Outcome.Offset});
--- a/src/jobentry/internal/jobentryrole.cpp
+++ b/src/jobentry/internal/jobentryrole.cpp
@@ -238,7 +238,7 @@
 void job_entry_role::notifyScheduler(const work::work_record &Record) {
   if (const auto *Submitted = std::get_if<work::job_submitted>(&Record)) {
     const work::registered_job *Entry = Registry.find(Submitted->Spec.Id);
-    if (Entry && !ended(Entry->state()))
+    if (Entry && !ended(Entry->Progress.State))
       SchedulerDriver->feed(work::job_arrived{Entry->Spec});
   } else if (const auto *Cancelled =
                  std::get_if<work::job_cancelled>(&Record)) {
--- a/src/jobentry/jobapi.h
+++ b/src/jobentry/jobapi.h
@@ -46,6 +46,9 @@
     std::string Method;  ///< for logs and metrics
     /// An append whose answer was lost may have been stored.
     bool MaybeStored = false;
+    /// Cancels a job that is not in the log, so that it does not run if its
+    /// submission is stored later.
+    bool CancelsUnknown = false;
     time_point RefusedSince{}; ///< first failed append; 0: none
   };
   using call_handler = void (job_api::*)(job_call, const work::resolved_call &,
@@ -62,8 +65,14 @@
   void cancel(job_call Call, const work::resolved_call &Resolved,
               const http_request_view &Request);
   /// Calls \p OnFound if the job is known, after reading the rest of the log if
-  /// necessary; otherwise answers with an error.
-  void withKnownJob(job_call Call, std::function<void(job_call)> OnFound);
+  /// necessary, and \p OnUnknown if the log does not have it. Answers with an
+  /// error if that cannot be found out.
+  void lookUp(job_call Call, std::function<void(job_call)> OnFound,
+              std::function<void(job_call)> OnUnknown);
+  void cancelKnown(job_call Call);
+  void cancelUnknown(job_call Call);
+  void appendCancellation(job_call Call);
+  void respondUnknown(const job_call &Call, std::string_view Reason);
   void appendRecord(job_call Call, append_call Append);
   void onAppended(job_call Call, append_call Append,
                   const append_outcome &Outcome);
--- a/src/workcodec/internal/recordconvert.cpp
+++ b/src/workcodec/internal/recordconvert.cpp
@@ -79,6 +79,8 @@
   }
   void onCancelled(const job_cancelled &Record) const {
     Message.mutable_cancelled()->set_job(Record.Job.str());
+    Message.mutable_cancelled()->set_requested_ms(
+        millisecondsOf(Record.RequestedAt));
   }
   void onProgressed(const job_progressed &Record) const {
     proto::work::JobProgressed &Progressed = *Message.mutable_progressed();
@@ -138,7 +140,8 @@
   case proto::work::WorkRecord::kSubmitted:
     return job_submitted{fromProto(Message.submitted())};
   case proto::work::WorkRecord::kCancelled:
-    return job_cancelled{job_id(Message.cancelled().job())};
+    return job_cancelled{job_id(Message.cancelled().job()),
+                         wallTime(Message.cancelled().requested_ms())};
   case proto::work::WorkRecord::kProgressed:
     return decodeProgress(Message.progressed());
   case proto::work::WorkRecord::kEntry:
--- a/src/workcodec/tests/workcodectest.cpp
+++ b/src/workcodec/tests/workcodectest.cpp
@@ -69,7 +69,10 @@
   const term_leader Leader = roundTrip(term_leader{5, Entry});
   LONGS_EQUAL(5, Leader.Term);
   CHECK(Leader.Entry == Entry);
-  CHECK(roundTrip(job_cancelled{job_id("j")}).Job == job_id("j"));
+  const job_cancelled Cancelled = roundTrip(
+      job_cancelled{job_id("j"), wall_time(std::chrono::milliseconds(17))});
+  CHECK(Cancelled.Job == job_id("j"));
+  CHECK(Cancelled.RequestedAt == wall_time(std::chrono::milliseconds(17)));
 }
 
 TEST(WorkCodec, AForecastKeepsEveryWait) {
