Count a job as started when a worker has started it

Cause: a job became running when its first run was placed, before any worker was asked, and pending jobs are counted by that state.

Now a listing, an answer to a start or an end has to show that a task has started, for a gang all of its members. The state is recorded with the job's progress, so it holds after a takeover; a new scheduler that lacks the record takes it from the first listing.

Why no property showed it: none looked at Pending, and simulated workers refused no starts.

Cost: one more record of a job's progress.

--- a/src/core/work/internal/jobregistry.cpp
+++ b/src/core/work/internal/jobregistry.cpp
@@ -90,8 +90,7 @@
 void job_registry::eraseIfEmpty(const job_id &Job) {
   const auto Found = Jobs.find(Job);
   const registered_job &Entry = Found->second;
-  if (!Entry.Spec && !Entry.Cancelled &&
-      Entry.Progress.State == job_state::Queued)
+  if (!Entry.Spec && !Entry.Cancelled && Entry.Progress == job_progress{})
     Jobs.erase(Found);
 }
 
--- a/src/core/work/internal/scheduledecisions.cpp
+++ b/src/core/work/internal/scheduledecisions.cpp
@@ -500,16 +500,14 @@
     addRun(Run);
     UnstoredRuns.emplace_back(NextBatch, Run.Run);
   }
-  if (Job.progress().State == job_state::Queued)
-    Job.setState(job_state::Running);
   markChanged(Step.Job);
 }
 
 std::string_view name(decision_kind Kind) {
-  static constexpr std::array<std::string_view, 11> Names{
-      "job_arrived", "job_ended",        "run_placed",  "run_stopped",
-      "run_ended",   "run_lost",         "run_refused", "worker_known",
-      "worker_gone", "worker_suspected", "step_waiting"};
+  static constexpr std::array<std::string_view, 12> Names{
+      "job_arrived",  "job_started", "job_ended",        "run_placed",
+      "run_stopped",  "run_ended",   "run_lost",         "run_refused",
+      "worker_known", "worker_gone", "worker_suspected", "step_waiting"};
   return Names.at(static_cast<std::size_t>(Kind));
 }
 
--- a/src/core/work/internal/workerreports.cpp
+++ b/src/core/work/internal/workerreports.cpp
@@ -157,6 +157,8 @@
   live_job *Job = findJob(Row.Run.Task.Job);
   if (!Job)
     return;
+  if (Job->progress().State == job_state::Queued && hasStarted(*Run))
+    jobStarted(*Job);
   const task_position &Position = Row.Run.Task.Position;
   const task_progress &Task = Job->task(Position);
   const bool Current =
@@ -180,6 +182,28 @@
   }
 }
 
+/// A gang has started once all of its members have.
+bool work_scheduler::hasStarted(const live_run &Run) const {
+  if (Run.GangSize <= 1)
+    return Run.Started;
+  const auto Siblings = Runs.ofJob(Run.Run.Task.Job);
+  const auto Members = std::count_if(
+      Siblings.begin(), Siblings.end(), [&Run](const live_run *Each) {
+        return Each->Started && Each->Run.Run == Run.Run.Run &&
+               stepOf(Each->Run) == stepOf(Run.Run);
+      });
+  return Members >= Run.GangSize;
+}
+
+/// A worker has shown that a task of the job has started.
+void work_scheduler::jobStarted(live_job &Job) {
+  if (Job.progress().State != job_state::Queued)
+    return;
+  Job.setState(job_state::Running);
+  markChanged(Job.spec().Id);
+  logDecision(decision_kind::JobStarted, {{Job.spec().Id, {}}, 0}, {});
+}
+
 /// Tracks a run that should not exist: its agent stops it, but until then it
 /// occupies capacity.
 void work_scheduler::addUnwantedRun(pool_worker &Worker, const run_ref &Run,
@@ -211,6 +235,11 @@
   logDecision(decision_kind::RunEnded, Row.Run, Run.Worker,
               name(Row.EndReason));
   recordOutcome(Worker, Run, Row.EndReason, Present);
+  const bool Worked = Run.GangSize <= 1 ||
+                      Row.EndReason == run_end_reason::Done ||
+                      Row.EndReason == run_end_reason::Failed;
+  if (live_job *Job = findJob(Row.Run.Task.Job); Job && Worked)
+    jobStarted(*Job);
   finishRun(Run, Row.EndReason, Row.Checkpoint, Present);
 }
 
--- a/src/core/work/jobregistry.h
+++ b/src/core/work/jobregistry.h
@@ -20,7 +20,6 @@
 
   /// State shown to callers: a cancelled job that had not ended is Cancelled.
   job_state state() const;
-  bool started() const { return Progress.State != job_state::Queued; }
   /// Cancelled without being known. If its submission is stored later, the job
   /// must not run.
   bool cancelledUnknown() const {
--- a/src/core/work/types/progress.h
+++ b/src/core/work/types/progress.h
@@ -7,8 +7,8 @@
 namespace geraniumpaddle::work {
 
 enum class job_state : std::uint8_t {
-  Queued,
-  Running,
+  Queued,  ///< no worker has shown that it started a task
+  Running, ///< a task has started, though none may run at present
   Completed,
   Failed,
   Cancelled,
--- a/src/core/work/types/schedulerevents.h
+++ b/src/core/work/types/schedulerevents.h
@@ -67,6 +67,7 @@
 
 enum class decision_kind : std::uint8_t {
   JobArrived,
+  JobStarted, ///< a worker has started one of its tasks
   JobEnded,
   RunPlaced,
   RunStopped,  ///< ordered to stop
--- a/src/core/work/workscheduler.h
+++ b/src/core/work/workscheduler.h
@@ -132,6 +132,8 @@
                     const present_time &Present);
   void applyRunning(pool_worker &Worker, const running_run &Row,
                     const present_time &Present);
+  bool hasStarted(const live_run &Run) const;
+  void jobStarted(live_job &Job);
   void addUnwantedRun(pool_worker &Worker, const run_ref &Run, bool Listed,
                       const present_time &Present);
   void applyFinished(pool_worker &Worker, const finished_run &Row,
--- a/src/core/workhost/tests/clustersimulation.cpp
+++ b/src/core/workhost/tests/clustersimulation.cpp
@@ -345,6 +345,10 @@
       Answered(worker_call_result::Refused, start_refusal::Stale);
       return;
     }
+    if (Faults.UnhealthyStarts > 0 && chance(Faults.UnhealthyStarts)) {
+      Answered(worker_call_result::Refused, start_refusal::Unhealthy);
+      return;
+    }
     if (Late) {
       // The instance that got the start carries it out, or nobody does.
       const std::uint64_t StartTimeMs = SimulatedWorkers.startTimeMs(Id);
@@ -495,4 +499,11 @@
       [](const auto &Each) { return ended(Each.second.state()); });
 }
 
+bool cluster_simulation::hasStarted(const job_id &Job) const {
+  const auto &Started = SimulatedWorkers.failedRuns();
+  return std::any_of(Started.begin(), Started.end(), [&Job](const auto &Each) {
+    return Each.first.Job == Job;
+  });
+}
+
 } // namespace geraniumpaddle::work::testing
--- a/src/core/workhost/tests/clustersimulation.h
+++ b/src/core/workhost/tests/clustersimulation.h
@@ -27,6 +27,7 @@
   /// Starts reach whichever instance runs under the worker's id, as if they
   /// were not bound to the connection of an instance.
   bool UnboundStarts = false;
+  int UnhealthyStarts = 0; ///< starts refused by an unhealthy worker
   /// Time that a worker needs to stop a run.
   duration StopTime = std::chrono::milliseconds(200);
   /// Ended runs that a worker lists at a time.
@@ -75,6 +76,8 @@
 
   job_state state(const job_id &Job) const;
   bool allEnded() const;
+  /// Whether a worker has started a task of the job.
+  bool hasStarted(const job_id &Job) const;
   time_point now() const { return Now; }
   int workerCount() const { return static_cast<int>(Agents.size()); }
   const worker_description &description(int Worker) const;
--- a/src/core/workhost/tests/clustersimulationtest.cpp
+++ b/src/core/workhost/tests/clustersimulationtest.cpp
@@ -109,6 +109,35 @@
   }
 }
 
+// Its worker refuses all starts, while its status check is good.
+TEST(ClusterSimulation, AJobWhoseStartsAreRefusedIsPending) {
+  cluster_simulation Unhealthy{1, Workers, {.UnhealthyStarts = 100}};
+  for (const bool Gang : {false, true}) {
+    job_spec Spec = jobOf(Gang ? "gang" : "j1", 2, "500");
+    Spec.Steps[0].Gang = Gang;
+    Unhealthy.submit(Spec);
+  }
+  for (int I = 0; I < 50; ++I) {
+    Unhealthy.runFor(100ms);
+    LONGS_EQUAL(2, Unhealthy.registry().pending("batch"));
+    CHECK(Unhealthy.state(Job) == job_state::Queued);
+  }
+  Unhealthy.takeOver();
+  Unhealthy.runFor(1s);
+  LONGS_EQUAL(2, Unhealthy.registry().pending("batch"));
+}
+
+// Also if the term ends before its start is recorded.
+TEST(ClusterSimulation, AJobThatRunsIsNotPending) {
+  Simulation.submit(jobOf("j1", 2, "3000"));
+  CHECK(Simulation.runUntil(
+      [&] { return Simulation.simulatedWorkers().running() == 2; }, 2s));
+  Simulation.takeOver();
+  Simulation.runFor(500ms);
+  LONGS_EQUAL(0, Simulation.registry().pending("batch"));
+  CHECK(Simulation.state(Job) == job_state::Running);
+}
+
 // The append of its submission was carried out late.
 TEST(ClusterSimulation, AJobThatWasCancelledBeforeItsSubmissionNeverRuns) {
   for (const bool TakeOver : {false, true}) {
@@ -516,6 +545,28 @@
   });
 }
 
+/// No job is shown as running, and left out of the pending ones, before a
+/// worker has started one of its tasks.
+bool noJobBeginsBeforeItsTasks(const simulation_faults &Faults) {
+  return rc::check([&] {
+    random_scenario Scenario(*rc::gen::arbitrary<std::uint32_t>(), Faults);
+    const cluster_simulation &Simulation = Scenario.Simulation;
+    for (const simulation_step &Each :
+         *rc::gen::container<std::vector<simulation_step>>(anyStep())) {
+      Scenario.apply(Each);
+      std::size_t NotStarted = 0;
+      for (const auto &[Job, Entry] : Simulation.registry().jobs()) {
+        const bool Started = Simulation.hasStarted(Job);
+        RC_ASSERT(Started || Entry.state() != job_state::Running);
+        NotStarted += !Started && !ended(Entry.state()) ? 1 : 0;
+      }
+      RC_ASSERT(Simulation.registry().pending("batch") +
+                    Simulation.registry().pending("urgent") >=
+                NotStarted);
+    }
+  });
+}
+
 /// Whatever has happened before, no job stands still for long once the machines
 /// are calm, while most of the capacity is idle.
 bool nothingStandsStill(const simulation_faults &Faults) {
@@ -593,6 +644,10 @@
   CHECK(invariantsHold({.SlowAppends = 80, .EndsPerListing = 2}));
 }
 
+TEST(ClusterSimulationProperties, NoJobBeginsBeforeItsTasks) {
+  CHECK(noJobBeginsBeforeItsTasks({.UnhealthyStarts = 50}));
+}
+
 TEST(ClusterSimulationProperties, HoldWithASlowLog) {
   CHECK(invariantsHold({.LostReports = 5, .LostOrders = 5, .SlowAppends = 50}));
 }
