Let a lasting task that stands still use capacity kept for urgent jobs

Cause: capacity of the size of recent urgent jobs stays reserved for 10 s after each, and a step that stands still may use it only while half of its service is idle. For tasks that last the rule holds however full the service is.

On the code before ALastingTaskRunsAgainBetweenUrgentJobs fails. The standstill property no longer asks for an idle half for lasting tasks.

--- a/src/core/work/internal/scheduledecisions.cpp
+++ b/src/core/work/internal/scheduledecisions.cpp
@@ -138,7 +138,10 @@
                                 const present_time &Present) {
   placement_request Request = currentRequest(Round, Waiting);
   Request.Scope = Scope;
-  Request.KeepsReservations = !Round.halfIdle(Request.Service);
+  // A task that lasts can be stopped for an urgent job, but must not wait for
+  // as long as capacity is kept free for such jobs.
+  Request.KeepsReservations =
+      !Request.Step->LongRunning && !Round.halfIdle(Request.Service);
   const std::vector<assignment> Placed = Round.place(Request);
   const step_ref &Step = Waiting.Step.Step;
   startRuns(*findJob(Step.Job), Step, Placed, Scope, Present);
--- a/src/core/workhost/tests/clustersimulationtest.cpp
+++ b/src/core/workhost/tests/clustersimulationtest.cpp
@@ -153,6 +153,38 @@
   }
 }
 
+// Capacity is kept free for urgent jobs like those that came lately. A task
+// that one of them preempted must not wait for as long as they keep coming.
+TEST(ClusterSimulation, ALastingTaskRunsAgainBetweenUrgentJobs) {
+  constexpr int FullWorkers = 7;
+  cluster_simulation Each{1, 11, {}};
+  for (const int Count : {FullWorkers, 1}) {
+    const bool Small = Count == 1;
+    job_spec Lasting =
+        jobOf(Small ? "j1" : "full", static_cast<std::uint32_t>(Count),
+              "600000", Small ? 1 : 8);
+    Lasting.Steps[0].LongRunning = true;
+    if (!Small)
+      Lasting.Steps[0].Need.MilliCores = 64000; // all that a worker has
+    Each.submit(Lasting);
+    Each.runFor(1s);
+  }
+  LONGS_EQUAL(FullWorkers + 1, Each.simulatedWorkers().running());
+  for (const char *Id : {"u1", "u2", "u3"}) {
+    job_spec Urgent = jobOf(Id, 4, "300", 8);
+    Urgent.Policy.Queue = "urgent";
+    Urgent.Policy.Priority = 0;
+    Urgent.Steps[0].Gang = true;
+    Each.submit(Urgent);
+    CHECK(Each.runUntil(
+        [&] { return Each.state(job_id(Id)) == job_state::Completed; }, 3s));
+    Each.runFor(3s);
+    LONGS_EQUAL(FullWorkers + 1, Each.simulatedWorkers().running());
+    Each.runFor(5s);
+  }
+  checkNoViolation(Each);
+}
+
 TEST(ClusterSimulation, ALastingTaskIsNotRestartedByATakeover) {
   job_spec Spec = jobOf("j1", 2, "60000");
   Spec.Steps[0].LongRunning = true;
