Let a lasting task go on waiting when another of its step ends

Cause: after 1.5 s a task is placed without regard to workers that are set aside, but that wait is counted for the whole step and began anew whenever another of its tasks ended.

The wait of a lasting step goes on while any of its tasks waits. Other steps keep the old rule, which is about a job of which nothing runs.

ALastingTaskGoesOnWaitingWhenAnotherOneEnds failed before.

--- a/src/core/work/internal/livejobs.cpp
+++ b/src/core/work/internal/livejobs.cpp
@@ -88,9 +88,12 @@
 void live_job::setWaiting(const task_position &Position) {
   task_progress &Task = mutableTask(Position);
   const std::size_t Step = stepIndex(Position.Occurrence, Position.Step);
+  // Of tasks that last each one counts: when another of them ends, the first
+  // one that waits goes on doing so.
+  if (!step(Position.Step).LongRunning || WaitingByStep[Step] == 0)
+    Waits[Step].Since.reset();
   if (Task.State == task_state::Running)
     ++WaitingByStep[Step];
-  Waits[Step].Since.reset();
   Task.State = task_state::Waiting;
 }
 
--- a/src/core/work/tests/livejobstest.cpp
+++ b/src/core/work/tests/livejobstest.cpp
@@ -72,6 +72,22 @@
   LONGS_EQUAL(2, Job.waitingCount(Step));
 }
 
+// Other tasks of a lasting step that end meanwhile must not prolong the wait of
+// the one that is not placed.
+TEST(LiveJobs, ALastingTaskGoesOnWaitingWhenAnotherOneEnds) {
+  const auto WaitingSince = [this](bool LongRunning) {
+    Spec.Steps[0].LongRunning = LongRunning;
+    live_job Job = make();
+    const step_ref Step{Spec.Id, 0, 0};
+    Job.setRunning({0, 0, 0}, 1, {});
+    Job.noteWaiting(Step, Now);
+    Job.setWaiting({0, 0, 0});
+    return Job.noteWaiting(Step, Now + std::chrono::seconds(1));
+  };
+  CHECK(WaitingSince(true) == Now);
+  CHECK(WaitingSince(false) == Now + std::chrono::seconds(1));
+}
+
 TEST(LiveJobs, AGangCountsOneFailureForEachRun) {
   Spec.Steps[0].Gang = true;
   live_job Job = make();
