--- a/src/core/work/internal/workerreports.cpp
+++ b/src/core/work/internal/workerreports.cpp
@@ -235,6 +235,7 @@
   logDecision(decision_kind::RunEnded, Row.Run, Run.Worker,
               name(Row.EndReason));
   recordOutcome(Worker, Run, Row.EndReason, Present);
+  // Members of a gang that was not complete end without having worked.
   const bool Worked = Run.GangSize <= 1 ||
                       Row.EndReason == run_end_reason::Done ||
                       Row.EndReason == run_end_reason::Failed;
--- a/src/core/work/internal/workscheduler.cpp
+++ b/src/core/work/internal/workscheduler.cpp
@@ -88,10 +88,11 @@
       continue; // it has reported in this term
     // Also the lease of a later instance: the previous term may have known that
     // a run recorded for the earlier one is on the later.
-    const auto Found = std::find_if(Event.Leases.begin(), Event.Leases.end(),
-                                    [&Id](const outstanding_lease &Each) {
-                                      return Each.Instance.Worker == Id;
-                                    });
+    const auto Found =
+        std::find_if(Event.Leases.begin(), Event.Leases.end(),
+                     [&Name = Id](const outstanding_lease &Each) {
+                       return Each.Instance.Worker == Name;
+                     });
     const time_point End =
         Found == Event.Leases.end() ? Present.Now : Found->End;
     Worker.LeaseEnd = std::min(Worker.LeaseEnd, End);
--- a/src/core/workhost/runreconciler.h
+++ b/src/core/workhost/runreconciler.h
@@ -45,6 +45,14 @@
   /// network may refuse connections as well.
   static constexpr int GoneAfterRefusals = 2;
 
+  /// A start that will not happen. It is reported together with a listing that
+  /// was requested after the refusal was certain, since the run may have
+  /// started and finished before.
+  struct refusal {
+    start_refusal Reason = start_refusal::Stale;
+    std::uint64_t ReportWith = 0; ///< number of the listing
+  };
+
   void onDescription(const description_received &Event, const time_point &Now);
   void onOrders(const orders_received &Event, const time_point &Now);
   void onStartAnswered(const start_answered &Event, const time_point &Now);
@@ -63,7 +71,6 @@
   void refuse(const run_ref &Run, start_refusal Reason);
   void requestListing(time_point Now);
   bool ordersApplied() const;
-  struct refusal;
   bool isOver(const run_ref &Run, const refusal &Refusal) const;
   bool isFinished(const run_ref &Run) const;
   bool isListed(const run_ref &Run) const;
@@ -81,13 +88,6 @@
   /// Confirmed stops, until a listing that was requested later lacks the run;
   /// with the number of the first such listing.
   std::map<run_ref, std::uint64_t> Stopped;
-  /// A start that will not happen. It is reported together with a listing that
-  /// was requested after the refusal was certain, since the run may have
-  /// started and finished before.
-  struct refusal {
-    start_refusal Reason = start_refusal::Stale;
-    std::uint64_t ReportWith = 0; ///< number of the listing
-  };
   std::map<run_ref, refusal> Refused;
   std::map<run_ref, time_point> RetryAt;
   std::optional<std::int64_t> LeaseEndMs;
--- a/src/jobentry/tests/jobapitest.cpp
+++ b/src/jobentry/tests/jobapitest.cpp
@@ -53,7 +53,7 @@
   /// \returns where the answer will be.
   std::shared_ptr<testing::fake_responder> call(std::string_view Method,
                                                 std::string_view Job = Id) {
-    const auto Responder = std::make_shared<testing::fake_responder>();
+    auto Responder = std::make_shared<testing::fake_responder>();
     const std::string Path = "/batch/" + std::string(Job);
     const std::vector<http_header> Headers{
         {"Host", "jobs.example"}, {"Authorization", "Bearer key-acme"}};
