--- a/src/core/workhost/tests/clustersimulation.h
+++ b/src/core/workhost/tests/clustersimulation.h
@@ -17,6 +17,15 @@
 
 namespace geraniumpaddle::work::testing {
 
+/// A job of one step. \param Payload run time of a task in milliseconds,
+/// followed by 'f' if it fails.
+inline job_spec jobOf(std::string_view Id, std::uint32_t Count,
+                      std::string Payload, std::int32_t Accelerators = 1) {
+  job_spec Spec = makeJob(Id, Count, Accelerators);
+  Spec.Payload = std::move(Payload);
+  return Spec;
+}
+
 /// Fault rates of messages, in percent.
 struct simulation_faults {
   int LostReports = 0; ///< lost reports, or lost answers to them
