--- a/src/core/work/internal/workerreports.cpp
+++ b/src/core/work/internal/workerreports.cpp
@@ -189,8 +189,7 @@
   const auto Siblings = Runs.ofJob(Run.Run.Task.Job);
   const auto Members = std::count_if(
       Siblings.begin(), Siblings.end(), [&Run](const live_run *Each) {
-        return Each->Started && Each->Run.Run == Run.Run.Run &&
-               stepOf(Each->Run) == stepOf(Run.Run);
+        return Each->Started && sameGangRun(Each->Run, Run.Run);
       });
   return Members >= Run.GangSize;
 }
--- a/src/core/work/internal/workscheduler.cpp
+++ b/src/core/work/internal/workscheduler.cpp
@@ -226,7 +226,7 @@
     return;
   }
   for (const live_run *Run : Runs.ofJob(Member.Task.Job))
-    if (stepOf(Run->Run) == stepOf(Member) && Run->Run.Run == Member.Run)
+    if (sameGangRun(Run->Run, Member))
       stopRun(Run->Run, Reason);
 }
 
--- a/src/core/work/livejobs.h
+++ b/src/core/work/livejobs.h
@@ -24,6 +24,11 @@
   return {Run.Task.Job, At.Occurrence, At.Step};
 }
 
+/// Whether both are runs of the same start of a gang.
+inline bool sameGangRun(const run_ref &A, const run_ref &B) {
+  return A.Run == B.Run && stepOf(A) == stepOf(B);
+}
+
 /// A job that has not ended, with the progress that the scheduler updates.
 class live_job {
 public:
--- a/src/core/workhost/internal/runreconciler.cpp
+++ b/src/core/workhost/internal/runreconciler.cpp
@@ -143,9 +143,7 @@
   Listing = Event.Listing;
   Applied = PendingVersion;
   // A start that is repeated after the run has ended does nothing.
-  const auto IsShown = [&](const run_ref &Run) {
-    return isListed(Run) || isFinished(Run);
-  };
+  const auto IsShown = [this](const run_ref &Run) { return isShown(Run); };
   std::erase_if(Started, IsShown);
   std::erase_if(UnconfirmedStarts, IsShown);
   std::erase_if(Stopped, [&](const auto &Each) {
@@ -225,9 +223,9 @@
 
 void run_reconciler::startMissing(const desired_run &Desired, time_point Now) {
   const run_ref &Run = Desired.Run;
-  const bool AlreadyKnown =
-      isListed(Run) || isFinished(Run) || Started.contains(Run) ||
-      StartsInFlight.contains(Run) || Refused.contains(Run);
+  const bool AlreadyKnown = isShown(Run) || Started.contains(Run) ||
+                            StartsInFlight.contains(Run) ||
+                            Refused.contains(Run);
   if (AlreadyKnown || !LeaseEndMs)
     return;
   if (Description.Draining || !Desired.HasBody) {
@@ -308,14 +306,13 @@
                 .Wait = MayWait ? Limits.ListingWait : duration{}});
 }
 
+/// Runs that may be on the worker although the listing lacks them.
 std::vector<run_ref> run_reconciler::unlistedRuns() const {
   std::set<run_ref> Runs = StartsInFlight;
   Runs.insert(UnconfirmedStarts.begin(), UnconfirmedStarts.end());
   for (const auto &[Run, ConfirmedWith] : Stopped)
     Runs.insert(Run);
-  std::erase_if(Runs, [&](const run_ref &Run) {
-    return isListed(Run) || isFinished(Run);
-  });
+  std::erase_if(Runs, [this](const run_ref &Run) { return isShown(Run); });
   return {Runs.begin(), Runs.end()};
 }
 
--- a/src/core/workhost/runreconciler.h
+++ b/src/core/workhost/runreconciler.h
@@ -74,6 +74,9 @@
   bool isOver(const run_ref &Run, const refusal &Refusal) const;
   bool isFinished(const run_ref &Run) const;
   bool isListed(const run_ref &Run) const;
+  bool isShown(const run_ref &Run) const {
+    return isListed(Run) || isFinished(Run);
+  }
   std::vector<run_ref> unlistedRuns() const;
 
   const reconciler_limits Limits;
