Start nothing in zones that operators have evacuated

Entries follow these records beside the configuration (evacuated_zones). Workers of an evacuated zone are not available to placement, reservations, preemption, forecast and admission. A run that was ordered there and that its worker has not listed is stopped with its gang, by a new scheduler as soon as the worker lists its runs. A term begins only after the operators' topic was read to its end. Running tasks go on.

--- a/src/core/work/internal/workerpool.cpp
+++ b/src/core/work/internal/workerpool.cpp
@@ -56,6 +56,7 @@
   Worker.Description = Report.Description;
   Worker.HasReported = true;
   Worker.Reachable = Report.Reachable;
+  Worker.Evacuated = Evacuated.contains(Report.Description.Zone);
   const bool Answered =
       Report.Listing && Report.Listing->ClockMs > Worker.ListedClockMs;
   if (Answered)
@@ -70,6 +71,11 @@
   return Worker;
 }
 
+void worker_pool::applyEvacuations() {
+  for (auto &[Id, Worker] : Workers)
+    Worker.Evacuated = Evacuated.contains(Worker.Description.Zone);
+}
+
 void worker_pool::allocate(live_run &Run) {
   pool_worker *Worker = find(Run.Worker);
   if (!Worker)
--- a/src/core/work/internal/workerreports.cpp
+++ b/src/core/work/internal/workerreports.cpp
@@ -68,6 +68,7 @@
     applyListing(Worker, Report, Present);
     if (Worker.ListedClockMs != ListedBefore)
       stopUnstarted(Worker, Present);
+    stopEvacuated(Worker);
   }
   if (Worker.usable(Present.Now) != UsableBefore) {
     RoundNeeded = true;
@@ -307,6 +308,27 @@
   }
 }
 
+void work_scheduler::onEvacuationsChanged(const evacuations_changed &,
+                                          const present_time &) {
+  Pool.applyEvacuations();
+  for (const auto &[Id, Worker] : Pool.all())
+    stopEvacuated(Worker);
+  RoundNeeded = true;
+}
+
+/// Stops runs that must not start any more, since the zone of their worker is
+/// evacuated. Runs that the worker has listed go on.
+void work_scheduler::stopEvacuated(const pool_worker &Worker) {
+  if (!Worker.Evacuated || !Worker.HasListing)
+    return;
+  std::vector<run_ref> Unstarted;
+  for (const live_run *Run : Worker.Runs)
+    if (!Run->Started && !Run->Stopping)
+      Unstarted.push_back(Run->Run);
+  for (const run_ref &Run : Unstarted)
+    stopGang(Run, "zone_evacuated");
+}
+
 /// Ends stopping runs that the worker lists neither as running nor as ended:
 /// they never started there, and the agent has barred them.
 void work_scheduler::endNeverStarted(pool_worker &Worker,
--- a/src/core/work/internal/workscheduler.cpp
+++ b/src/core/work/internal/workscheduler.cpp
@@ -11,9 +11,10 @@
                                const scheduler_limits &Limits,
                                const job_registry &Registry,
                                const queue_directory &Queues,
+                               const evacuated_zones &Evacuated,
                                present_time Present)
     : Term(Term), Limits(Limits), Registry(Registry), Queues(Queues),
-      Pool(Limits) {
+      Pool(Limits, Evacuated) {
   recoverJobs(Present);
 }
 
@@ -23,7 +24,8 @@
   using table = member_table<
       &work_scheduler::onJobArrived, &work_scheduler::onCancelRequested,
       &work_scheduler::onWorkerReported, &work_scheduler::onPreviousTermEnded,
-      &work_scheduler::onProgressStored, &work_scheduler::onTimerExpired>;
+      &work_scheduler::onProgressStored, &work_scheduler::onEvacuationsChanged,
+      &work_scheduler::onTimerExpired>;
   table::dispatch(*this, Event, Present);
   decide(Present);
   emitCommands();
--- a/src/core/work/tests/placementtest.cpp
+++ b/src/core/work/tests/placementtest.cpp
@@ -12,7 +12,8 @@
 
 TEST_GROUP(Placement) {
   time_point Now{std::chrono::hours(1)};
-  worker_pool Pool{scheduler_limits{}};
+  evacuated_zones Evacuated;
+  worker_pool Pool{scheduler_limits{}, Evacuated};
   run_table Runs;
   job_spec Spec = testing::makeJob("j1", 2, 8);
   std::vector<task_position> Tasks;
--- a/src/core/work/tests/schedulerroundtest.cpp
+++ b/src/core/work/tests/schedulerroundtest.cpp
@@ -17,6 +17,7 @@
   present_time Present{.Now = time_point(1h), .Wall = wall_time(1h)};
   job_registry Registry;
   queue_directory Queues;
+  evacuated_zones Evacuated;
   std::unique_ptr<work_scheduler> Scheduler;
   int Stopped = 0;
   int Placed = 0;
@@ -26,8 +27,8 @@
 
   void setup() override {
     Queues.replace(testing::makeConfiguration());
-    Scheduler = std::make_unique<work_scheduler>(1, scheduler_limits{},
-                                                 Registry, Queues, Present);
+    Scheduler = std::make_unique<work_scheduler>(
+        1, scheduler_limits{}, Registry, Queues, Evacuated, Present);
   }
 
   /// Feeds \p Event and stores what the scheduler appends.
--- a/src/core/work/tests/schedulertakeovertest.cpp
+++ b/src/core/work/tests/schedulertakeovertest.cpp
@@ -15,6 +15,7 @@
   present_time Present{.Now = time_point(1h), .Wall = wall_time(1h)};
   job_registry Registry;
   queue_directory Queues;
+  evacuated_zones Evacuated;
   std::optional<work_scheduler> Scheduler;
 
   void setup() override { Queues.replace(testing::makeConfiguration()); }
@@ -31,7 +32,8 @@
   }
 
   void takeOver() {
-    Scheduler.emplace(2, scheduler_limits{}, Registry, Queues, Present);
+    Scheduler.emplace(2, scheduler_limits{}, Registry, Queues, Evacuated,
+                      Present);
     feed(scheduler_timer_expired{});
   }
 
--- a/src/core/work/tests/workerreporttest.cpp
+++ b/src/core/work/tests/workerreporttest.cpp
@@ -15,6 +15,7 @@
   present_time Present{.Now = time_point(1h), .Wall = wall_time(1h)};
   job_registry Registry;
   queue_directory Queues;
+  evacuated_zones Evacuated;
   std::unique_ptr<work_scheduler> Scheduler;
   const worker_instance Instance{worker_id("w1"), 1};
   const run_ref Run{{job_id("j1"), {}}, 1};
@@ -24,8 +25,8 @@
 
   void setup() override {
     Queues.replace(testing::makeConfiguration());
-    Scheduler = std::make_unique<work_scheduler>(1, scheduler_limits{},
-                                                 Registry, Queues, Present);
+    Scheduler = std::make_unique<work_scheduler>(
+        1, scheduler_limits{}, Registry, Queues, Evacuated, Present);
     report({});
     feed(job_arrived{
         std::make_shared<const job_spec>(testing::makeJob("j1", 1, 8))});
--- a/src/core/work/types/schedulerevents.h
+++ b/src/core/work/types/schedulerevents.h
@@ -42,13 +42,16 @@
 struct progress_stored {
   std::uint64_t Batch = 0;
 };
+/// Zones were evacuated or restored.
+struct evacuations_changed {};
 /// A timer set by \c set_scheduler_timer has expired. Also sent to start a
 /// placement round when the term begins or the configuration changed.
 struct scheduler_timer_expired {};
 
 using scheduler_event =
     std::variant<job_arrived, job_cancel_requested, worker_reported,
-                 previous_term_ended, progress_stored, scheduler_timer_expired>;
+                 previous_term_ended, progress_stored, evacuations_changed,
+                 scheduler_timer_expired>;
 
 // Commands.
 
--- a/src/core/work/workerpool.h
+++ b/src/core/work/workerpool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/work/evacuatedzones.h"
 #include "core/work/types/limits.h"
 #include "core/work/types/liverun.h"
 
@@ -16,8 +17,9 @@
   bool HasListing = false;  ///< its runs were listed at least once
   bool EndsComplete = true; ///< its last listing had all its ended runs
   bool Reachable = false;
-  resources Used;    ///< by runs that have not ended, stopping ones too
-  resources Freeing; ///< part of Used that stopping runs occupy
+  bool Evacuated = false; ///< its zone is
+  resources Used;         ///< by runs that have not ended, stopping ones too
+  resources Freeing;      ///< part of Used that stopping runs occupy
   std::vector<live_run *> Runs;
   time_point DrainDeadline = time_point::max(); ///< earliest shutdown
   time_point LeaseEnd{}; ///< without a listing, all its runs have ended by then
@@ -33,7 +35,8 @@
   int ConsecutiveSuspicions = 0; ///< since the last successful run
 
   bool available() const {
-    return HasReported && HasListing && Reachable && !Description.Draining;
+    return HasReported && HasListing && Reachable && !Evacuated &&
+           !Description.Draining;
   }
   bool usable(time_point Now) const {
     return available() && SuspectUntil <= Now;
@@ -50,7 +53,9 @@
 /// All workers by id, each with one instance at a time.
 class worker_pool {
 public:
-  explicit worker_pool(const scheduler_limits &Limits) : Limits(Limits) {}
+  /// \param Evacuated outlives the pool.
+  worker_pool(const scheduler_limits &Limits, const evacuated_zones &Evacuated)
+      : Limits(Limits), Evacuated(Evacuated) {}
 
   pool_worker *find(const worker_instance &Instance);
   const pool_worker *find(const worker_instance &Instance) const;
@@ -69,6 +74,8 @@
   /// listing, so a report that repeats one grants nothing.
   pool_worker &applyReport(const worker_report &Report, time_point Now);
   void erase(const worker_id &Worker) { Workers.erase(Worker); }
+  /// Notes which workers are in evacuated zones, after these have changed.
+  void applyEvacuations();
 
   /// Gives the changed orders of a worker their number. Numbers rise over all
   /// workers: the agent of a worker that is erased and added again remembers
@@ -89,6 +96,7 @@
   pool_worker &add(const worker_instance &Instance);
 
   scheduler_limits Limits;
+  const evacuated_zones &Evacuated;
   std::uint64_t LastOrdersNumber = 0;
   std::map<worker_id, pool_worker> Workers;
 };
--- a/src/core/work/workscheduler.h
+++ b/src/core/work/workscheduler.h
@@ -34,9 +34,10 @@
   /// \param Registry contains every record up to the start of the term;
   ///        outlives the scheduler.
   /// \param Queues the active configuration; outlives the scheduler.
+  /// \param Evacuated outlives the scheduler.
   work_scheduler(std::uint64_t Term, const scheduler_limits &Limits,
                  const job_registry &Registry, const queue_directory &Queues,
-                 present_time Present);
+                 const evacuated_zones &Evacuated, present_time Present);
 
   /// \returns commands that are valid until the next call.
   std::span<const scheduler_command> handle(const scheduler_event &Event,
@@ -99,6 +100,8 @@
                            const present_time &Present);
   void onProgressStored(const progress_stored &Event,
                         const present_time &Present);
+  void onEvacuationsChanged(const evacuations_changed &Event,
+                            const present_time &Present);
   void onTimerExpired(const scheduler_timer_expired &Event,
                       const present_time &Present);
 
@@ -132,6 +135,7 @@
                     const present_time &Present);
   void applyRunning(pool_worker &Worker, const running_run &Row,
                     const present_time &Present);
+  void stopEvacuated(const pool_worker &Worker);
   bool hasStarted(const live_run &Run) const;
   void jobStarted(live_job &Job);
   void addUnwantedRun(pool_worker &Worker, const run_ref &Run, bool Listed,
--- a/src/core/workhost/tests/clustersimulation.cpp
+++ b/src/core/workhost/tests/clustersimulation.cpp
@@ -102,8 +102,8 @@
 void cluster_simulation::takeOver() {
   ++Term;
   SchedulerPausedUntil = {};
-  Scheduler = std::make_unique<work_scheduler>(Term, scheduler_limits{},
-                                               Registry, Queues, present());
+  Scheduler = std::make_unique<work_scheduler>(
+      Term, scheduler_limits{}, Registry, Queues, Evacuated, present());
   feedScheduler(scheduler_timer_expired{});
 }
 
--- a/src/core/workhost/tests/clustersimulation.h
+++ b/src/core/workhost/tests/clustersimulation.h
@@ -154,6 +154,7 @@
   time_point Now{std::chrono::hours(1)};
   standins::worker_simulation SimulatedWorkers;
   queue_directory Queues;
+  evacuated_zones Evacuated;
   job_registry Registry;
   std::map<std::string, std::uint64_t> Offsets;
   std::map<job_id, job_spec> Specs;
--- a/src/jobentry/internal/jobentryleadership.cpp
+++ b/src/jobentry/internal/jobentryleadership.cpp
@@ -56,14 +56,27 @@
                          [this, Begin, Alive = Alive](bool Reached) {
                            if (!*Alive)
                              return;
-                           // Submissions that this misses arrive later.
                            if (Reached)
-                             Jobs.readToEnd(CatchUpTimeout, Begin);
+                             catchUpRequests(Begin);
                            else
                              Begin(false);
                          });
 }
 
+/// Reads the jobs and what operators ask for. Submissions that this misses
+/// arrive later.
+void job_entry_role::catchUpRequests(std::function<void(bool)> Done) {
+  Jobs.readToEnd(CatchUpTimeout,
+                 [this, Alive = Alive, Done = std::move(Done)](bool CaughtUp) {
+                   if (!*Alive)
+                     return;
+                   if (CaughtUp)
+                     Operator.readToEnd(CatchUpTimeout, Done);
+                   else
+                     Done(false);
+                 });
+}
+
 /// Stores the term record before any lease is granted, so that the leader of
 /// the next term knows which entry to query for leases.
 void job_entry_role::recordTerm(std::uint64_t NewTerm) {
@@ -95,7 +108,7 @@
 void job_entry_role::beginTerm(std::uint64_t NewTerm) {
   SchedulerDriver = std::make_unique<job_scheduler_driver>(
       Environment.Loop, Environment.Store, Election, Environment.Metrics,
-      Limits, NewTerm, termRecord(), Registry, Queues,
+      Limits, NewTerm, termRecord(), Registry, Queues, Evacuated,
       [this](const keyed_record &Record) { onOwnRecordStored(Record); });
   queryPreviousTerm(PreviousTermAttempts);
   deleteExpired();
--- a/src/jobentry/internal/jobentryrole.cpp
+++ b/src/jobentry/internal/jobentryrole.cpp
@@ -162,6 +162,10 @@
                  : 0);
     if (SchedulerDriver)
       exportSchedulerMetrics(Metrics, SchedulerDriver->scheduler());
+    Metrics
+        .getGauge("geraniumpaddle_evacuated_zones",
+                  "Availability zones that operators have evacuated.")
+        .set(static_cast<double>(Evacuated.size()));
     Metrics.getGauge("geraniumpaddle_ready", "1 while ready for callers.")
         .set(ready() ? 1 : 0);
   });
@@ -183,8 +187,25 @@
 }
 
 void job_entry_role::onOperatorRecord(const keyed_record &Record) {
-  if (Record.Key != ConfigurationKey || Record.Deleted)
+  if (Record.Key == ConfigurationKey && !Record.Deleted)
+    applyConfiguration(Record);
+  else if (const auto Zone = decodeEvacuation(Record.Key))
+    applyEvacuation(*Zone, Record);
+}
+
+void job_entry_role::applyEvacuation(const availability_zone_id &Zone,
+                                     const keyed_record &Record) {
+  const bool Changed =
+      Record.Deleted ? Evacuated.restore(Zone) : Evacuated.evacuate(Zone);
+  if (!Changed)
     return;
+  Log.event(Record.Deleted ? "zone_restored" : "zone_evacuated",
+            {{"zone", Zone.view()}, {"offset", Record.Offset}});
+  if (SchedulerDriver)
+    SchedulerDriver->feed(work::evacuations_changed{});
+}
+
+void job_entry_role::applyConfiguration(const keyed_record &Record) {
   try {
     if (!Queues.replace(decodeConfiguration(Record.Value)))
       return;
--- a/src/jobentry/internal/jobschedulerdriver.cpp
+++ b/src/jobentry/internal/jobschedulerdriver.cpp
@@ -32,10 +32,11 @@
     metric_registry &Metrics, const work::scheduler_limits &Limits,
     std::uint64_t Term, keyed_value TermRecord,
     const work::job_registry &Registry, const work::queue_directory &Queues,
+    const work::evacuated_zones &Evacuated,
     std::function<void(const keyed_record &)> OnJobEnded)
     : Loop(Loop), Store(Store), Election(Election), Metrics(Metrics),
       Decisions(Metrics),
-      Scheduler(Term, Limits, Registry, Queues, currentTime()),
+      Scheduler(Term, Limits, Registry, Queues, Evacuated, currentTime()),
       TermRecord(std::move(TermRecord)), OnJobEnded(std::move(OnJobEnded)),
       SchedulerTimer(Loop), AppendRetry(Loop), TermRepeatTimer(Loop) {
   Log.event("term_started", {{"term", Term},
--- a/src/jobentry/jobentryrole.h
+++ b/src/jobentry/jobentryrole.h
@@ -76,10 +76,14 @@
 
   // Leadership is implemented in a source file of its own.
   void onOperatorRecord(const keyed_record &Record);
+  void applyConfiguration(const keyed_record &Record);
+  void applyEvacuation(const availability_zone_id &Zone,
+                       const keyed_record &Record);
   void onWorkRecord(const keyed_record &Record);
   void onOwnRecordStored(const keyed_record &Record);
   void notifyScheduler(const work::work_record &Record);
   void catchUp(std::uint64_t Term, std::uint64_t TopicEnd);
+  void catchUpRequests(std::function<void(bool)> Done);
   void recordTerm(std::uint64_t Term);
   keyed_value termRecord() const;
   void beginTerm(std::uint64_t Term);
@@ -116,6 +120,7 @@
   work::term_leader PreviousTerm; ///< the last one before Term
   std::vector<work::outstanding_lease> EndedLeases; ///< of EndedTerm
   work::queue_directory Queues;
+  work::evacuated_zones Evacuated;
   work::job_registry Registry;
   topic_reader Operator;
   topic_reader Jobs;
--- a/src/jobentry/jobschedulerdriver.h
+++ b/src/jobentry/jobschedulerdriver.h
@@ -32,6 +32,7 @@
                        keyed_value TermRecord,
                        const work::job_registry &Registry,
                        const work::queue_directory &Queues,
+                       const work::evacuated_zones &Evacuated,
                        std::function<void(const keyed_record &)> OnJobEnded);
   ~job_scheduler_driver();
   job_scheduler_driver(const job_scheduler_driver &) = delete;
--- a/src/platform/internal/platformdecode.cpp
+++ b/src/platform/internal/platformdecode.cpp
@@ -167,6 +167,13 @@
 
 } // namespace
 
+std::optional<availability_zone_id> decodeEvacuation(std::string_view Key) {
+  constexpr std::string_view Prefix = "evacuate/";
+  if (!Key.starts_with(Prefix) || Key.size() == Prefix.size())
+    return std::nullopt;
+  return availability_zone_id(Key.substr(Prefix.size()));
+}
+
 work::configuration decodeConfiguration(std::string_view Text) {
   const json Body = parseBody(Text);
   work::configuration Config{.Version =
--- a/src/platform/platformdecode.h
+++ b/src/platform/platformdecode.h
@@ -14,6 +14,11 @@
 /// Key of the configuration in the topic of operators.
 constexpr std::string_view ConfigurationKey = "config";
 
+/// The zone whose evacuation is requested by the record with \p Key in the
+/// topic of operators, for as long as the record exists; nothing for other
+/// records.
+std::optional<availability_zone_id> decodeEvacuation(std::string_view Key);
+
 /// \throws malformed_message_error
 work::configuration decodeConfiguration(std::string_view Text);
 
