Judge a gang by its slowest member

Cause: the members of a gang advance at the speeds of their workers and end together. A fast one stands at the end of its work until the slowest arrives, was taken for one that hangs after 2.5 s, and the whole gang was stopped and its worker suspected, again and again. Forecasts took a fast member's progress for the gang's, too.

The progress of a gang is that of its slowest member (run_pace). Only the listing of that member's worker can show that it stands still, and that worker is suspected. A gang all of whose members are at the end of their work and that does not end is stopped without a suspect and avoids these workers. Runs that resume from a checkpoint are forecast by what is left.

Red with the old rule put back: two tests of GangProgress, a gang on workers of unequal speed in the simulation (each worker has a speed now) and the property that no gang on sound workers is stopped for standing still, falsified after 26 draws. gp_work_tests 111 and gp_workhost_tests 64 pass.

--- a/src/core/work/internal/liverun.cpp
+++ b/src/core/work/internal/liverun.cpp
@@ -1,21 +1,38 @@
 #include "core/work/types/liverun.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace geraniumpaddle::work {
 
+run_pace paceOf(std::span<const live_run *const> Members) {
+  const auto IsSlower = [](const live_run *A, const live_run *B) {
+    return std::pair(A->Percent, B->PercentAt) <
+           std::pair(B->Percent, A->PercentAt);
+  };
+  const live_run &Slowest =
+      **std::min_element(Members.begin(), Members.end(), IsSlower);
+  return {.Percent = Slowest.Percent,
+          .Since = Slowest.PercentAt,
+          .AllStarted =
+              std::all_of(Members.begin(), Members.end(),
+                          [](const live_run *Each) { return Each->Started; })};
+}
+
 time_point expectedEnd(const live_run &Run, time_point Now) {
   constexpr int FullPercent = 100;
-  // Lower progress values are too coarse to extrapolate.
+  // Less progress is too coarse to extrapolate.
   constexpr int MinPercent = 10;
   if (Run.LongRunning)
     return time_point::max();
   if (!Run.Started)
     return Now + Run.ExpectedDuration;
-  if (Run.Percent < MinPercent)
-    return std::max(Run.StartedAt + Run.ExpectedDuration, Now);
-  const duration Total = (Run.PercentAt - Run.StartedAt) * FullPercent /
-                         std::min(Run.Percent, FullPercent);
+  // A run that resumes from a checkpoint starts with progress.
+  const int ToDo = std::max(FullPercent - Run.StartPercent, 0);
+  const int Done = std::min(Run.Pace.Percent, FullPercent) - Run.StartPercent;
+  const duration Total = Done < MinPercent
+                             ? Run.ExpectedDuration * ToDo / FullPercent
+                             : (Run.Pace.Since - Run.StartedAt) * ToDo / Done;
   return std::max(Run.StartedAt + Total, Now);
 }
 
--- a/src/core/work/internal/workerreports.cpp
+++ b/src/core/work/internal/workerreports.cpp
@@ -20,10 +20,21 @@
 /// is sound. Such a task is at work at 100%.
 constexpr duration ProvenAfter = std::chrono::seconds(4);
 constexpr std::int32_t AtWorkPercent = 100;
+/// A run that lists this progress is at the end of its work.
+constexpr std::int32_t EndPercent = 99;
 /// A run that its worker does not list this long after the order is placed
 /// elsewhere; a start takes a fraction of a second.
 constexpr duration StartLimit = std::chrono::seconds(2);
 
+/// Whether the work that the end of \p Run waits for stands still. The other
+/// members of a gang wait for the slowest.
+bool isStalled(const live_run &Run, time_point Now) {
+  const duration Limit =
+      std::max(StallLimit, Run.ExpectedDuration / StallDivisor);
+  const bool Slowest = Run.Percent <= Run.Pace.Percent;
+  return Run.Pace.AllStarted && Slowest && Now - Run.Pace.Since > Limit;
+}
+
 /// Whether another worker may well start the run.
 bool dependsOnWorker(start_refusal Refusal) {
   return Refusal == start_refusal::Late ||
@@ -148,13 +159,7 @@
     addUnwantedRun(Worker, Row.Run, true, Present);
     return;
   }
-  if (!Run->Started)
-    Run->StartedAt = Present.Now;
-  if (!Run->Started || Row.Percent > Run->Percent)
-    Run->PercentAt = Present.Now;
-  Run->Started = true;
-  Run->Listed = true;
-  Run->Percent = std::max(Run->Percent, Row.Percent);
+  recordProgress(*Run, Row.Percent, Present.Now);
   live_job *Job = findJob(Row.Run.Task.Job);
   if (!Job)
     return;
@@ -166,21 +171,59 @@
       Task.State == task_state::Running && Task.Run == Row.Run.Run;
   if (Current && !Row.Checkpoint.empty() && Row.Checkpoint != Task.Checkpoint)
     Job->setCheckpoint(Position, Row.Checkpoint);
-  const duration Stall =
-      std::max(StallLimit, Run->ExpectedDuration / StallDivisor);
   const bool Proven = Run->LongRunning && Run->Percent >= AtWorkPercent &&
                       Run->StartedAt >= Worker.SuspectedAt &&
                       Present.Now - Run->PercentAt >= ProvenAfter;
   if (Proven && Worker.OnProbation)
     restoreTrust(Worker, *Run, Present);
   // A run that was started since the last listing may have ended already.
-  const bool Stalled = Worker.EndsComplete && !Run->LongRunning &&
-                       !Run->Stopping && Current &&
-                       Present.Now - Run->PercentAt > Stall;
-  if (Stalled) {
-    suspect(Worker, "task_stalled", Present);
-    stopGang(Row.Run, "stalled");
+  const bool Active =
+      Worker.EndsComplete && !Run->LongRunning && !Run->Stopping && Current;
+  if (Active && isStalled(*Run, Present.Now))
+    stopStalled(Worker, *Run, Present);
+}
+
+void work_scheduler::recordProgress(live_run &Run, std::int32_t Percent,
+                                    time_point Now) {
+  const bool Changed = !Run.Started || Percent > Run.Percent;
+  if (!Run.Started) {
+    Run.StartedAt = Now;
+    Run.StartPercent = Percent;
+  }
+  Run.Started = true;
+  Run.Listed = true;
+  if (!Changed)
+    return;
+  Run.PercentAt = Now;
+  Run.Percent = std::max(Run.Percent, Percent);
+  const std::vector<live_run *> Members = gangMembers(Run);
+  const run_pace Pace = paceOf(Members);
+  for (live_run *Member : Members)
+    Member->Pace = Pace;
+}
+
+/// The runs that end together with \p Run, and itself.
+std::vector<live_run *> work_scheduler::gangMembers(live_run &Run) const {
+  if (Run.GangSize <= 1)
+    return {&Run};
+  std::vector<live_run *> Members;
+  for (live_run *Each : Runs.ofJob(Run.Run.Task.Job))
+    if (sameGangRun(Each->Run, Run.Run))
+      Members.push_back(Each);
+  return Members;
+}
+
+void work_scheduler::stopStalled(pool_worker &Worker, live_run &Run,
+                                 const present_time &Present) {
+  if (Run.GangSize > 1 && Run.Percent >= EndPercent) {
+    // No member shows on which worker the gang hangs.
+    for (const live_run *Member : gangMembers(Run))
+      FailedOn[Run.Run.Task.Job].insert(Member->Worker.Worker);
+    stopGang(Run.Run, "gang_not_ending");
+    return;
   }
+  suspect(Worker, "task_stalled", Present);
+  stopGang(Run.Run, "stalled");
 }
 
 /// A gang has started once all of its members have.
--- a/src/core/work/types/liverun.h
+++ b/src/core/work/types/liverun.h
@@ -2,8 +2,18 @@
 
 #include "core/work/types/worker.h"
 
+#include <span>
+
 namespace geraniumpaddle::work {
 
+/// Progress of a run, or of the slowest member of a gang, which the others wait
+/// for at the end of their work.
+struct run_pace {
+  std::int32_t Percent = 0;
+  time_point Since{};     ///< when Percent was reached
+  bool AllStarted = true; ///< no member is still to start
+};
+
 /// A run that is not known to have ended; it occupies capacity of its worker.
 struct live_run {
   run_ref Run;
@@ -21,10 +31,16 @@
   std::uint32_t GangSize = 1; ///< members, which end together; 1: no gang
   bool LongRunning = false;
   std::int32_t Percent = 0;
-  time_point StartedAt{}; ///< when it was first listed
-  time_point PercentAt{}; ///< when Percent last increased
+  std::int32_t StartPercent = 0; ///< when it was first listed
+  time_point StartedAt{};        ///< when it was first listed
+  time_point PercentAt{};        ///< when Percent last increased
+  run_pace Pace{};               ///< decides when it ends
 };
 
+/// The pace of the gang with \p Members, or of a single run. With several
+/// members at the same least progress, that of the one which came there last.
+run_pace paceOf(std::span<const live_run *const> Members);
+
 /// Estimates when \p Run ends: from its progress if that is meaningful,
 /// otherwise from the forecast.
 time_point expectedEnd(const live_run &Run, time_point Now);
--- a/src/core/work/workscheduler.h
+++ b/src/core/work/workscheduler.h
@@ -135,6 +135,10 @@
                     const present_time &Present);
   void applyRunning(pool_worker &Worker, const running_run &Row,
                     const present_time &Present);
+  void recordProgress(live_run &Run, std::int32_t Percent, time_point Now);
+  std::vector<live_run *> gangMembers(live_run &Run) const;
+  void stopStalled(pool_worker &Worker, live_run &Run,
+                   const present_time &Present);
   void stopEvacuated(const pool_worker &Worker);
   bool hasStarted(const live_run &Run) const;
   void jobStarted(live_job &Job);
--- a/src/core/workhost/tests/clusterpropertytest.cpp
+++ b/src/core/workhost/tests/clusterpropertytest.cpp
@@ -254,10 +254,40 @@
   });
 }
 
+/// On sound workers no run is stopped for standing still, whatever the speeds
+/// of the workers are.
+bool soundGangsRunOnce() {
+  return rc::check([&] {
+    cluster_simulation Simulation(*rc::gen::arbitrary<std::uint32_t>(), Workers,
+                                  {});
+    for (int Worker = 0; Worker < Workers; ++Worker)
+      Simulation.setSpeed(Worker, *rc::gen::inRange(30, 300) / 100.0);
+    const auto Sizes = *rc::gen::container<std::vector<std::uint32_t>>(
+        rc::gen::inRange(1U, Workers + 1U));
+    int Jobs = 0;
+    for (const std::uint32_t Size : Sizes) {
+      job_spec Spec = jobOf("job" + std::to_string(++Jobs), Size,
+                            std::to_string(*rc::gen::inRange(500, 9000)), 4);
+      Spec.Steps[0].Gang = true;
+      Spec.Steps[0].Checkpointing = Size % 2 == 0;
+      Simulation.submit(Spec);
+      Simulation.runFor(200ms);
+    }
+    RC_ASSERT(
+        Simulation.runUntil([&] { return Simulation.allEnded(); }, 2000s));
+    RC_ASSERT(Simulation.decisions("task_stalled") == 0U);
+    RC_ASSERT(Simulation.decisions("gang_not_ending") == 0U);
+  });
+}
+
 } // namespace
 
 TEST_GROUP(ClusterSimulationProperties){};
 
+TEST(ClusterSimulationProperties, GangsOnSoundWorkersAreNotTakenForHanging) {
+  CHECK(soundGangsRunOnce());
+}
+
 TEST(ClusterSimulationProperties, NoJobStandsStillBesideIdleCapacity) {
   CHECK(nothingStandsStill({}));
 }
--- a/src/core/workhost/tests/clustersimulation.cpp
+++ b/src/core/workhost/tests/clustersimulation.cpp
@@ -141,6 +141,8 @@
       append(std::move(*Append), Term);
     if (const auto *Timer = std::get_if<set_scheduler_timer>(&Command))
       SchedulerTimerAt = Timer->At;
+    if (const auto *Decision = std::get_if<logged_decision>(&Command))
+      ++Decisions[std::string(Decision->Detail)];
   }
 }
 
@@ -198,6 +200,10 @@
     beginSession(Worker);
 }
 
+void cluster_simulation::setSpeed(int Worker, double Speed) {
+  SimulatedWorkers.setSpeed(workerId(Worker), Speed);
+}
+
 void cluster_simulation::cutWorker(int Worker, duration For) {
   Agents[static_cast<std::size_t>(Worker)].CutUntil = Now + For;
 }
--- a/src/core/workhost/tests/clustersimulation.h
+++ b/src/core/workhost/tests/clustersimulation.h
@@ -70,6 +70,8 @@
   void restartWorker(int Worker);
   /// The worker neither receives nor sends anything for a time.
   void cutWorker(int Worker, duration For);
+  /// See worker_simulation::setSpeed.
+  void setSpeed(int Worker, double Speed);
   /// The worker announces its shutdown, is listed once more, and exits.
   void shutDownWorker(int Worker);
   void drainWorker(int Worker, duration Remaining);
@@ -97,6 +99,12 @@
   }
   const job_registry &registry() const { return Registry; }
   std::uint64_t appends() const { return Appends; }
+  /// Decisions of all schedulers with this detail.
+  std::size_t decisions(std::string_view Detail) const {
+    const auto Found = Decisions.find(Detail);
+    return Found == Decisions.end() ? 0 : Found->second;
+  }
+  const worker_pool &workers() const { return Scheduler->workers(); }
   const job_progress &progress(const job_id &Job) const;
 
 private:
@@ -160,6 +168,7 @@
   std::map<job_id, job_spec> Specs;
   std::uint64_t Term = 0;
   std::uint64_t Appends = 0;
+  std::map<std::string, std::size_t, std::less<>> Decisions; ///< by detail
   std::unique_ptr<work_scheduler> Scheduler;
   time_point SchedulerTimerAt = time_point::max();
   time_point SchedulerPausedUntil{};
--- a/src/core/workhost/tests/clustersimulationtest.cpp
+++ b/src/core/workhost/tests/clustersimulationtest.cpp
@@ -51,6 +51,35 @@
   CHECK(reaches(job_state::Completed, 3s));
 }
 
+// The fast members stand at the end of their work until the slow one arrives.
+TEST(ClusterSimulation, AGangOnWorkersOfUnequalSpeedRunsOnce) {
+  Simulation.setSpeed(0, 0.4);
+  Simulation.setSpeed(1, 1.25);
+  job_spec Spec = jobOf("j1", Workers, "4000", 8);
+  Spec.Steps[0].Gang = true;
+  Simulation.submit(Spec);
+  CHECK(reaches(job_state::Completed, 11s));
+  LONGS_EQUAL(1, Simulation.progress(Job).Tasks[0].Run);
+  LONGS_EQUAL(0, Simulation.decisions("task_stalled"));
+}
+
+TEST(ClusterSimulation, AGangWhoseSlowestMemberHangsMovesOffItsWorker) {
+  job_spec Spec = jobOf("j1", Workers - 1, "3000", 8);
+  Spec.Steps[0].Gang = true;
+  Simulation.submit(Spec);
+  CHECK(Simulation.runUntil(
+      [&] { return Simulation.simulatedWorkers().running() == Workers - 1; },
+      2s));
+  int Hanging = 0;
+  while (!Simulation.runsOn(Hanging))
+    ++Hanging;
+  Simulation.setSpeed(Hanging, 0);
+  CHECK(reaches(job_state::Completed, 12s));
+  LONGS_EQUAL(1, Simulation.decisions("task_stalled"));
+  const worker_id Suspect = Simulation.description(Hanging).Instance.Worker;
+  CHECK(Simulation.workers().all().at(Suspect).OnProbation);
+}
+
 TEST(ClusterSimulation, AJobThatAlwaysFailsUsesItsAttemptsAndFails) {
   Simulation.submit(jobOf("j1", 1, "300f"));
   CHECK(reaches(job_state::Failed));
--- a/standins/taskworkers/workersimulation.cpp
+++ b/standins/taskworkers/workersimulation.cpp
@@ -32,6 +32,7 @@
     if (!Run.Behaviour.Gang.empty())
       Gangs.push_back(Run.Behaviour.Gang);
   Worker = {.Capacity = Worker.Capacity,
+            .Speed = Worker.Speed,
             .StartTimeMs = ++LastStartTimeMs,
             .ClockStart = Now};
   for (const std::string &Gang : Gangs)
@@ -226,6 +227,19 @@
   return Count;
 }
 
+bool worker_simulation::isWorkDone(const simulated_run &Run) const {
+  if (Run.Progress < Run.Behaviour.Work)
+    return false;
+  const std::string &Gang = Run.Behaviour.Gang;
+  if (Gang.empty())
+    return true;
+  for (const auto &[Id, Worker] : Workers)
+    for (const auto &[Key, Other] : Worker.Runs)
+      if (Other.Behaviour.Gang == Gang && Other.Progress < Other.Behaviour.Work)
+        return false;
+  return true;
+}
+
 void worker_simulation::advanceWorker(simulated_worker &Worker, time_point Now,
                                       duration Step) {
   if (Worker.LeaseEnd <= Now)
@@ -259,8 +273,10 @@
         EndRun(work::run_end_reason::GangIncomplete,
                work::run_end_reason::GangIncomplete);
     } else if (!Run.Behaviour.Hangs) {
-      Run.Progress += Step;
-      if (Run.Progress < Run.Behaviour.Work)
+      const auto Advance = std::chrono::duration_cast<duration>(
+          std::chrono::duration<double, duration::period>(Step) * Worker.Speed);
+      Run.Progress = std::min(Run.Progress + Advance, Run.Behaviour.Work);
+      if (!isWorkDone(Run))
         continue;
       if (Run.Behaviour.Fails ||
           FailedRuns[Key.Task] < Run.Behaviour.FailedRuns)
--- a/standins/taskworkers/workersimulation.h
+++ b/standins/taskworkers/workersimulation.h
@@ -58,6 +58,11 @@
 
   void addWorker(const worker_id &Id, const resources &Capacity,
                  time_point Now);
+  /// Work done on the worker in a unit of time; 1 by default, 0 if its tasks
+  /// stand still.
+  void setSpeed(const worker_id &Id, double Speed) {
+    Workers.at(Id).Speed = Speed;
+  }
   /// Replaces the worker by a new instance without runs or other state.
   void restart(const worker_id &Id, time_point Now);
   /// Start time that identifies the worker's present instance.
@@ -105,6 +110,7 @@
   };
   struct simulated_worker {
     resources Capacity;
+    double Speed = 1;
     std::uint64_t StartTimeMs = 0;
     time_point ClockStart{};
     std::uint64_t Token = 0;
@@ -133,6 +139,8 @@
                const work::run_ref &CausingRun);
   /// Number of the gang's runs on all workers.
   std::uint32_t runningMembers(const std::string &Gang) const;
+  /// Whether the run has done its work, and all members of its gang have.
+  bool isWorkDone(const simulated_run &Run) const;
   void advanceWorker(simulated_worker &Worker, time_point Now, duration Step);
   void checkInvariants(const simulated_worker &Worker,
                        const simulated_run &Run);
