--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -1,10 +1,11 @@
-# gp_module(NAME SOURCES ... DEPENDS ... [TESTS ...] [TEST_DEPENDS ...])
+# gp_module(NAME SOURCES ... DEPENDS ... [TESTS ...] [TEST_DEPENDS ...]
+#           [SERIAL_GROUP GROUP])
 #
 # Declares the library of a folder and its test program: the static library
 # gp_NAME (an interface library without SOURCES) and, if TESTS are given, the
-# CppUTest program gp_NAME_tests.
+# CppUTest program gp_NAME_tests. The tests of GROUP run apart from all others.
 function(gp_module NAME)
-  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;TESTS;TEST_DEPENDS" ${ARGN})
+  cmake_parse_arguments(ARG "" "SERIAL_GROUP" "SOURCES;DEPENDS;TESTS;TEST_DEPENDS" ${ARGN})
   if(ARG_SOURCES)
     add_library(gp_${NAME} STATIC ${ARG_SOURCES})
     target_link_libraries(gp_${NAME} PUBLIC ${ARG_DEPENDS} PRIVATE gp_warnings)
@@ -17,8 +18,14 @@
   if(ARG_TESTS AND GP_TESTS)
     add_executable(gp_${NAME}_tests ${ARG_TESTS} ${PROJECT_SOURCE_DIR}/src/testmain/testmain.cpp)
     target_link_libraries(gp_${NAME}_tests PRIVATE gp_${NAME} ${ARG_TEST_DEPENDS} gp_testing gp_warnings)
-    add_test(NAME ${NAME}
-      COMMAND ${PROJECT_SOURCE_DIR}/cmake/runtests ${NAME} $<TARGET_FILE:gp_${NAME}_tests>)
+    set(RUN_TESTS ${PROJECT_SOURCE_DIR}/cmake/runtests ${NAME} $<TARGET_FILE:gp_${NAME}_tests>)
+    set(PARALLEL_GROUPS)
+    if(ARG_SERIAL_GROUP)
+      set(PARALLEL_GROUPS -xsg ${ARG_SERIAL_GROUP})
+      add_test(NAME ${NAME}_serial COMMAND ${RUN_TESTS} -sg ${ARG_SERIAL_GROUP})
+      set_tests_properties(${NAME}_serial PROPERTIES TIMEOUT 600 RUN_SERIAL TRUE)
+    endif()
+    add_test(NAME ${NAME} COMMAND ${RUN_TESTS} ${PARALLEL_GROUPS})
     set_tests_properties(${NAME} PROPERTIES TIMEOUT 240)
   endif()
 endfunction()
--- a/src/daemon/tests/childprocess.cpp
+++ b/src/daemon/tests/childprocess.cpp
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <spawn.h>
 #include <sstream>
@@ -69,6 +70,23 @@
   Code = 128 + SIGKILL;
 }
 
+std::size_t child_process::peakMemoryKb() const {
+  std::ifstream Status("/proc/" + std::to_string(Pid) + "/status");
+  std::string Field;
+  std::size_t Peak = 0;
+  while (Status >> Field)
+    if (Field == "VmHWM:")
+      Status >> Peak;
+  return Peak;
+}
+
+std::size_t child_process::openDescriptors() const {
+  const std::filesystem::directory_iterator Descriptors(
+      "/proc/" + std::to_string(Pid) + "/fd");
+  return static_cast<std::size_t>(
+      std::distance(begin(Descriptors), end(Descriptors)));
+}
+
 std::string child_process::output() const { return readFile(Prefix + ".out"); }
 
 std::string child_process::errors() const { return readFile(Prefix + ".err"); }
--- a/src/daemon/tests/childprocess.h
+++ b/src/daemon/tests/childprocess.h
@@ -25,6 +25,9 @@
   std::optional<int> exitCode();
   /// Sends SIGKILL and waits until the process has ended.
   void kill();
+  /// Most memory that the process has had resident, in KiB; 0 if it has ended.
+  std::size_t peakMemoryKb() const;
+  std::size_t openDescriptors() const;
   std::string output() const;
   std::string errors() const;
 
--- a/src/daemon/tests/processcluster.cpp
+++ b/src/daemon/tests/processcluster.cpp
@@ -248,17 +248,21 @@
 }
 
 void process_cluster::startJobEntry(const std::string &Name,
-                                    const std::string &Store) {
+                                    const std::string &Store,
+                                    const std::string &ExtraSettings) {
   startDaemon(Name,
               jobRoleSettings("job_entry", Name, Store) +
-                  listenSettings(Name, {"peer", "http", "front", "readiness"}));
+                  listenSettings(Name, {"peer", "http", "front", "readiness"}) +
+                  ExtraSettings);
   extraAddresses(Name, 2);
 }
 
 void process_cluster::startJobAgent(const std::string &Name,
-                                    const std::string &Store) {
+                                    const std::string &Store,
+                                    const std::string &ExtraSettings) {
   startDaemon(Name, jobRoleSettings("job_agent", Name, Store) +
-                        listenSettings(Name, {"peer", "http", "control"}));
+                        listenSettings(Name, {"peer", "http", "control"}) +
+                        ExtraSettings);
   extraAddresses(Name, 1);
 }
 
--- a/src/daemon/tests/processcluster.h
+++ b/src/daemon/tests/processcluster.h
@@ -66,10 +66,13 @@
   /// Starts an entry of the users' platform; its interface for callers is at
   /// address(Name + ".front").
   /// \param Store ip:port of the store or a proxy; empty: the store itself.
-  void startJobEntry(const std::string &Name, const std::string &Store = "");
+  /// \param ExtraSettings appended to the settings file.
+  void startJobEntry(const std::string &Name, const std::string &Store = "",
+                     const std::string &ExtraSettings = "");
   /// Starts an agent of the users' platform; workers send their heartbeats to
   /// address(Name + ".control"), which stays the same when it starts again.
-  void startJobAgent(const std::string &Name, const std::string &Store = "");
+  void startJobAgent(const std::string &Name, const std::string &Store = "",
+                     const std::string &ExtraSettings = "");
   /// Starts one process that simulates a worker for each agent, two per rack.
   /// Its control interface is at address("workers"), the workers themselves at
   /// address("w1") and so on.
