Keep processes within their memory and descriptors under any callers

Cause: each HTTP listener allowed 2,048 connections of 8 MiB, and a listener whose connections were all taken stopped accepting, so that silent or slow callers kept all others out. gRPC's buffers had 64 MiB on VMs of 128.

connection_budget (core) decides for all HTTP listeners of a process which connections to close and which requests to refuse: over an eighth of the VM's memory those that hold most, over the limit of connections one that awaits no answer and has never completed a request, or has been quiet longest. A request is refused with 503 before anything is done while those being handled hold half of the budget. connection_limiter (transport) counts what is received, handled and not read. gRPC's buffers get half of the budget.

--- a/src/daemon/internal/processhost.cpp
+++ b/src/daemon/internal/processhost.cpp
@@ -40,26 +40,54 @@
 http_server_limits serverLimits(const settings &Settings) {
   http_server_limits Limits;
   Limits.MaxBodyBytes = static_cast<std::size_t>(Settings.MaxBodyBytes);
-  Limits.MaxConnections = static_cast<std::size_t>(Settings.MaxConnections);
   return Limits;
 }
 
+/// Parts of the VM's memory and of the process's descriptors that callers may
+/// take up. The rest is for the process itself, the store, agents and entries.
+constexpr std::int64_t HeldMemoryDivisor = 8;
+constexpr std::int64_t CallerDescriptorsDivisor = 2;
+constexpr std::int64_t BytesPerMb = 1024 * 1024;
+
+/// What callers or peers may make the process hold. At least one body fits.
+std::int64_t maxHeldBytes(const settings &Settings) {
+  return std::max(Settings.MemoryMb * BytesPerMb / HeldMemoryDivisor,
+                  Settings.MaxBodyBytes);
+}
+
+connection_limits connectionLimits(const settings &Settings) {
+  return {.MaxConnections = static_cast<std::size_t>(
+              std::min(Settings.MaxConnections,
+                       Settings.MaxDescriptors / CallerDescriptorsDivisor)),
+          .MaxHeldBytes = static_cast<std::size_t>(maxHeldBytes(Settings))};
+}
+
+peer_server_settings peerServerSettings(const settings &Settings) {
+  // A message is held twice while it is decoded.
+  constexpr std::int64_t CopiesOfMessage = 2;
+  return {.BufferBytes = static_cast<std::size_t>(maxHeldBytes(Settings) /
+                                                  CopiesOfMessage)};
+}
+
 } // namespace
 
 process_host::process_host(const settings &Settings)
     : Settings(Settings), Peers(Loop, peer_client_settings{}, Traffic),
       Http(Loop, http_client_limits{}, Traffic),
+      Limiter(std::make_shared<connection_limiter>(Loop,
+                                                   connectionLimits(Settings))),
       Identity{node_id(Settings.Node), incarnationAt(Loop.wallNow())},
       SettingsTimer(Loop) {
   registerTrafficMetrics();
+  registerLimitMetrics();
 }
 
 void process_host::listen(peer_handler PeerHandler, http_handler HttpHandler) {
   PeerServer = std::make_unique<peer_server>(Loop, Settings.PeerListen,
-                                             peer_server_settings{},
+                                             peerServerSettings(Settings),
                                              std::move(PeerHandler), Traffic);
   HttpServer = std::make_unique<http_server>(
-      Loop, Settings.HttpListen, serverLimits(Settings),
+      Loop, Settings.HttpListen, serverLimits(Settings), Limiter,
       [this, HttpHandler = std::move(HttpHandler)](
           const http_request_view &Request,
           const std::shared_ptr<ihttp_responder> &Responder) {
@@ -86,7 +114,7 @@
 void process_host::addHttpListener(const std::string &Listen,
                                    http_handler HttpHandler) {
   ExtraHttpServers.push_back(std::make_unique<http_server>(
-      Loop, Listen, serverLimits(Settings), std::move(HttpHandler)));
+      Loop, Listen, serverLimits(Settings), Limiter, std::move(HttpHandler)));
   std::printf("listening also=%s\n",
               withPort(Listen, ExtraHttpServers.back()->port()).c_str());
   std::fflush(stdout);
@@ -188,4 +216,28 @@
   });
 }
 
+void process_host::registerLimitMetrics() {
+  Metrics.onRender([this] {
+    const connection_counts &Counts = Limiter->counts();
+    const auto Set = [this](std::string_view Name, std::string_view Help,
+                            auto Value, const metric_labels &Labels = {}) {
+      Metrics.getGauge(Name, Help, Labels).set(static_cast<double>(Value));
+    };
+    Set("geraniumpaddle_caller_connections", "Open connections of callers.",
+        Counts.Open);
+    Set("geraniumpaddle_caller_bytes",
+        "Bytes that callers make the process hold.",
+        Counts.BufferedBytes + Counts.HandledBytes);
+    for (const auto &[Reason, Count] :
+         {std::pair("bytes", Counts.ClosedForBytes),
+          std::pair("place", Counts.ClosedForPlace)})
+      Set("geraniumpaddle_caller_connections_closed",
+          "Connections closed since the start to keep the limits, by reason.",
+          Count, {{"reason", Reason}});
+    Set("geraniumpaddle_caller_requests_refused",
+        "Requests refused since the start to keep the limits.",
+        Counts.RefusedRequests);
+  });
+}
+
 } // namespace geraniumpaddle
--- a/src/daemon/processhost.h
+++ b/src/daemon/processhost.h
@@ -4,6 +4,7 @@
 #include "metrics/metrics.h"
 #include "peercodec/peercodec.h"
 #include "settings/types/settings.h"
+#include "transport/connectionlimiter.h"
 #include "transport/eventloop.h"
 #include "transport/httpclient.h"
 #include "transport/httpserver.h"
@@ -57,6 +58,7 @@
   void stopWhenIdle(time_point StoppedAt);
   std::size_t sumOverServers(std::size_t (http_server::*Count)() const) const;
   void registerTrafficMetrics();
+  void registerLimitMetrics();
 
   const settings Settings;
   event_loop Loop;
@@ -64,6 +66,7 @@
   traffic_counter Traffic;
   peer_client Peers;
   http_client Http;
+  std::shared_ptr<connection_limiter> Limiter; ///< for all HTTP listeners
   peer_identity Identity;
   std::unique_ptr<peer_server> PeerServer;
   std::unique_ptr<http_server> HttpServer;
--- a/src/settings/internal/settingsschema.cpp
+++ b/src/settings/internal/settingsschema.cpp
@@ -51,6 +51,11 @@
     {"vm.cpu_share", &s::CpuShare, rule::None, required_by::NoRole, 0, MaxCores,
      "share of a core that this VM has; the scheduler runs where it is "
      "largest"},
+    number("vm.memory_mb", &s::MemoryMb, MaxCount,
+           "memory of a process on this VM in MiB; callers may take up an "
+           "eighth"),
+    number("vm.max_descriptors", &s::MaxDescriptors, MaxCount,
+           "descriptors of a process on this VM; callers may take up half"),
     text("listen.peer", &s::PeerListen, rule::Address, required_by::AllRoles,
          "ip:port for the system's own processes"),
     text("listen.http", &s::HttpListen, rule::Address, required_by::AllRoles,
@@ -92,7 +97,7 @@
      required_by::NoRole, 0, 0,
      "salted hash of the operators' token; empty: no token asked", true},
     number("entry.max_connections", &s::MaxConnections, MaxCount,
-           "open connections of callers"),
+           "open connections of callers, on all interfaces together"),
     number("entry.max_body_bytes", &s::MaxBodyBytes, MaxBytes,
            "largest request body"),
     time("entry.request_timeout_ms", &s::RequestTimeout,
--- a/src/settings/types/settings.h
+++ b/src/settings/types/settings.h
@@ -22,6 +22,8 @@
   std::string Region;
   std::string Zone;
   double CpuShare = 1; ///< share of a core that this VM has
+  std::int64_t MemoryMb = 128;
+  std::int64_t MaxDescriptors = 4096;
 
   std::string PeerListen;
   std::string HttpListen;
--- a/src/transport/httpserver.h
+++ b/src/transport/httpserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "transport/connectionlimiter.h"
 #include "transport/eventloop.h"
 #include "transport/ihttpserver.h"
 
@@ -21,6 +22,12 @@
   /// \throws invalid_argument_error, bind_error
   http_server(event_loop &Loop, std::string_view Listen,
               const http_server_limits &Limits, http_handler Handler);
+  /// The connections count for \p Limiter, together with those of other
+  /// servers.
+  http_server(event_loop &Loop, std::string_view Listen,
+              const http_server_limits &Limits,
+              std::shared_ptr<connection_limiter> Limiter,
+              http_handler Handler);
   /// Closes all connections; disconnect handlers are not called.
   ~http_server() override;
   http_server(const http_server &) = delete;
--- a/src/transport/ihttpserver.h
+++ b/src/transport/ihttpserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/connections/types/connectionlimits.h"
 #include "transport/ihttpclient.h"
 
 #include <cstdint>
@@ -55,8 +56,9 @@
 struct http_server_limits {
   std::size_t MaxHeaderBytes = std::size_t{16} * 1024;
   std::size_t MaxBodyBytes = std::size_t{8} * 1024 * 1024;
-  std::size_t MaxConnections = 2048;
   std::chrono::seconds IdleTimeout{30};
+  /// For a server with limits of its own.
+  connection_limits Connections = {};
 };
 
 class ihttp_server {
--- a/src/transport/internal/httpconnection.cpp
+++ b/src/transport/internal/httpconnection.cpp
@@ -119,7 +119,7 @@
     Result.Status = call_status::Completed;
     Result.Code = evhttp_request_get_response_code(Request);
     Result.Headers = copyHeaders(*evhttp_request_get_input_headers(Request));
-    Result.Body = copyBody(*evhttp_request_get_input_buffer(Request));
+    Result.Body = takeBody(*evhttp_request_get_input_buffer(Request));
   } else {
     Result.Status = nothingWritten() ? call_status::NotSent : call_status::Lost;
   }
--- a/src/transport/internal/httpheaders.cpp
+++ b/src/transport/internal/httpheaders.cpp
@@ -47,9 +47,9 @@
   }
 }
 
-std::string copyBody(evbuffer &Buffer) {
+std::string takeBody(evbuffer &Buffer) {
   std::string Body(evbuffer_get_length(&Buffer), '\0');
-  evbuffer_copyout(&Buffer, Body.data(), Body.size());
+  evbuffer_remove(&Buffer, Body.data(), Body.size());
   return Body;
 }
 
--- a/src/transport/internal/httpheaders.h
+++ b/src/transport/internal/httpheaders.h
@@ -28,6 +28,7 @@
 /// derived from the body. Malformed headers are skipped.
 void addHeaders(evkeyvalq &Target, std::span<const http_header> Headers);
 
-std::string copyBody(evbuffer &Buffer);
+/// Moves the content out of \p Buffer.
+std::string takeBody(evbuffer &Buffer);
 
 } // namespace geraniumpaddle
--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -21,6 +21,10 @@
 
 namespace {
 
+/// Sent with the refusal of a request, while requests that are being handled
+/// hold too much. They end within seconds.
+constexpr std::chrono::seconds RetryAfter{1};
+
 /// One request whose response is not completely written yet. Owned by its
 /// connection.
 struct exchange {
@@ -37,7 +41,8 @@
 class http_server::impl {
 public:
   impl(event_loop &Loop, const socket_address &Address,
-       const http_server_limits &Limits, http_handler Handler);
+       const http_server_limits &Limits,
+       std::shared_ptr<connection_limiter> Limiter, http_handler Handler);
   ~impl();
 
   void stopAccepting();
@@ -57,6 +62,9 @@
     impl &Server;
     evhttp_connection *Raw;
     std::shared_ptr<exchange> Current;
+    connection_id Id{};
+    std::size_t Received = 0; ///< bytes since the last request was handled
+    std::size_t Unsent = 0;
   };
 
   class responder;
@@ -66,15 +74,19 @@
   static void onClosed(evhttp_connection *Raw, void *Context);
   static void onResponseWritten(evhttp_request *Request, void *Context);
   static void onReadable(int Descriptor, short, void *Context);
+  static void onInput(evbuffer *, const evbuffer_cb_info *Info, void *Context);
+  static void onOutput(evbuffer *, const evbuffer_cb_info *Info, void *Context);
 
   void registerAccepted();
+  void limit(connection &Connection);
+  void updateBuffered(const connection &Connection);
   void closeAborted();
   void closed(connection &Connection);
   void handle(connection &Connection, evhttp_request *Request);
   void watchForDisconnect(connection &Connection, exchange &Exchange);
   void finishExchange(connection &Connection);
   static void notifyDisconnect(exchange &Exchange);
-  void updateListener();
+  void updateListener(bool MayAccept);
   static bool hasUnreadInput(evhttp_connection *Raw);
 
   event_loop &Loop;
@@ -91,17 +103,34 @@
   std::vector<evhttp_connection *> Aborted;
   event_ptr CloseAbortedEvent;
   event_ptr CloseListenerEvent;
+  std::shared_ptr<connection_limiter> Limiter;
+  std::list<connection_limiter::listener>::iterator Listener;
   evhttp_ptr Http;
 };
 
 class http_server::impl::responder final : public ihttp_responder {
 public:
   responder(impl &Server, std::weak_ptr<exchange> Exchange)
-      : Server(Server), Exchange(std::move(Exchange)) {}
-  ~responder() override { respond({.Code = HTTP_INTERNAL}); }
+      : Server(Server), Exchange(std::move(Exchange)), Limiter(Server.Limiter) {
+  }
+  ~responder() override {
+    respond({.Code = HTTP_INTERNAL});
+    Limiter->endHandling(HeldBytes);
+  }
   responder(const responder &) = delete;
   responder &operator=(const responder &) = delete;
 
+  /// Counts the body of the request as held, for as long as the responder
+  /// exists.
+  /// \returns false if that would be too much.
+  bool hold(std::size_t Bytes) {
+    if (!Limiter->beginHandling(Bytes)) {
+      return false;
+    }
+    HeldBytes = Bytes;
+    return true;
+  }
+
   void respond(http_response Response) override {
     const auto Open = Exchange.lock();
     if (Open && !Open->Responded) {
@@ -126,12 +155,16 @@
 private:
   impl &Server; // outlives every exchange
   std::weak_ptr<exchange> Exchange;
+  std::shared_ptr<connection_limiter> Limiter;
+  std::size_t HeldBytes = 0;
 };
 
 http_server::impl::impl(event_loop &Loop, const socket_address &Address,
-                        const http_server_limits &Limits, http_handler Handler)
+                        const http_server_limits &Limits,
+                        std::shared_ptr<connection_limiter> Limiter,
+                        http_handler Handler)
     : Loop(Loop), Limits(Limits), Handler(std::move(Handler)),
-      Http(evhttp_new(Loop.base())) {
+      Limiter(std::move(Limiter)), Http(evhttp_new(Loop.base())) {
   RegisterEvent.reset(event_new(
       Loop.base(), -1, 0,
       [](int, short, void *Self) {
@@ -168,10 +201,13 @@
     throw bind_error(Address);
   }
   Port = boundPort(evhttp_bound_socket_get_fd(Bound));
+  Listener = this->Limiter->addListener(
+      [this](bool MayAccept) { updateListener(MayAccept); });
 }
 
 http_server::impl::~impl() {
   Destroying = true;
+  Limiter->removeListener(Listener);
   Http.reset();
 }
 
@@ -194,7 +230,10 @@
   if (Buffer != nullptr) {
     Server->Accepted.push_back(Buffer);
     event_active(Server->RegisterEvent.get(), EV_TIMEOUT, 1);
-    Server->updateListener();
+    // The listener would go on accepting before others are closed.
+    if (!Server->Limiter->hasRoomFor(Server->Accepted.size())) {
+      Server->updateListener(false);
+    }
   }
   return Buffer;
 }
@@ -212,20 +251,52 @@
                  sizeof NoDelay);
     auto Connection = std::make_unique<connection>(*this, Raw);
     evhttp_connection_set_closecb(Raw, &impl::onClosed, Connection.get());
+    limit(*Connection);
     Connections.emplace(Raw, std::move(Connection));
   }
-  updateListener();
+  updateListener(Limiter->mayAccept());
+}
+
+void http_server::impl::limit(connection &Connection) {
+  bufferevent *Buffer = evhttp_connection_get_bufferevent(Connection.Raw);
+  evbuffer_add_cb(bufferevent_get_input(Buffer), &impl::onInput, &Connection);
+  evbuffer_add_cb(bufferevent_get_output(Buffer), &impl::onOutput, &Connection);
+  Connection.Id = Limiter->add([this, Raw = Connection.Raw] {
+    Loop.invoke([&] { evhttp_connection_free(Raw); });
+  });
+}
+
+// Bytes that evhttp has moved from the connection's buffer to the request are
+// still held, so that only what arrives is counted here.
+void http_server::impl::onInput(evbuffer *, const evbuffer_cb_info *Info,
+                                void *Context) {
+  auto &Connection = *static_cast<connection *>(Context);
+  if (Info->n_added > 0) {
+    Connection.Received += Info->n_added;
+    Connection.Server.updateBuffered(Connection);
+  }
+}
+
+void http_server::impl::onOutput(evbuffer *, const evbuffer_cb_info *Info,
+                                 void *Context) {
+  auto &Connection = *static_cast<connection *>(Context);
+  Connection.Unsent = Info->orig_size + Info->n_added - Info->n_deleted;
+  Connection.Server.updateBuffered(Connection);
+}
+
+void http_server::impl::updateBuffered(const connection &Connection) {
+  Limiter->setBuffered(Connection.Id, Connection.Received + Connection.Unsent);
 }
 
-void http_server::impl::updateListener() {
+void http_server::impl::updateListener(bool MayAccept) {
   if (Stopped || Bound == nullptr) {
     return;
   }
-  evconnlistener *Listener = evhttp_bound_socket_get_listener(Bound);
-  if (Connections.size() + Accepted.size() >= Limits.MaxConnections) {
-    evconnlistener_disable(Listener);
+  evconnlistener *Accepting = evhttp_bound_socket_get_listener(Bound);
+  if (MayAccept) {
+    evconnlistener_enable(Accepting);
   } else {
-    evconnlistener_enable(Listener);
+    evconnlistener_disable(Accepting);
   }
 }
 
@@ -236,6 +307,12 @@
 
 void http_server::impl::closed(connection &Connection) {
   const auto Open = std::move(Connection.Current);
+  bufferevent *Buffer = evhttp_connection_get_bufferevent(Connection.Raw);
+  evbuffer_remove_cb(bufferevent_get_input(Buffer), &impl::onInput,
+                     &Connection);
+  evbuffer_remove_cb(bufferevent_get_output(Buffer), &impl::onOutput,
+                     &Connection);
+  Limiter->remove(Connection.Id);
   Connections.erase(Connection.Raw);
   if (Open) {
     --OpenRequests;
@@ -243,7 +320,6 @@
   if (Destroying) {
     return;
   }
-  updateListener();
   if (Open && !Open->Responded) {
     Open->Responded = true;
     // evhttp does not own a request any more whose connection it has closed.
@@ -276,6 +352,7 @@
                                evhttp_request *Request) {
   const auto Open = std::make_shared<exchange>(Request);
   Connection.Current = Open;
+  Limiter->setAwaitingResponse(Connection.Id, true);
   ++OpenRequests;
   const auto Responder = std::make_shared<responder>(*this, Open);
   const auto Method = findMethod(evhttp_request_get_command(Request));
@@ -287,7 +364,16 @@
   }
   watchForDisconnect(Connection, *Open);
   const std::string Path = decodedPath(Request);
-  const std::string Body = copyBody(*evhttp_request_get_input_buffer(Request));
+  const std::string Body = takeBody(*evhttp_request_get_input_buffer(Request));
+  Connection.Received = evbuffer_get_length(
+      bufferevent_get_input(evhttp_connection_get_bufferevent(Connection.Raw)));
+  updateBuffered(Connection);
+  if (!Responder->hold(Body.size())) {
+    Responder->respond(
+        {.Code = HTTP_SERVUNAVAIL,
+         .Headers = {{"Retry-After", std::to_string(RetryAfter.count())}}});
+    return;
+  }
   char *RemoteIp = nullptr;
   ev_uint16_t RemotePort = 0;
   evhttp_connection_get_peer(Connection.Raw, &RemoteIp, &RemotePort);
@@ -358,8 +444,10 @@
   evbuffer *Body = evhttp_request_get_output_buffer(Request);
   evbuffer_add(Body, Response.Body.data(), Response.Body.size());
   auto *Raw = evhttp_request_get_connection(Request);
+  connection &Connection = *Connections.at(Raw);
   evhttp_request_set_on_complete_cb(Request, &impl::onResponseWritten,
-                                    Connections.at(Raw).get());
+                                    &Connection);
+  Limiter->setAwaitingResponse(Connection.Id, false);
   evhttp_send_reply(Request, Response.Code, nullptr, nullptr);
 }
 
@@ -401,8 +489,17 @@
 
 http_server::http_server(event_loop &Loop, std::string_view Listen,
                          const http_server_limits &Limits, http_handler Handler)
+    : http_server(
+          Loop, Listen, Limits,
+          std::make_shared<connection_limiter>(Loop, Limits.Connections),
+          std::move(Handler)) {}
+
+http_server::http_server(event_loop &Loop, std::string_view Listen,
+                         const http_server_limits &Limits,
+                         std::shared_ptr<connection_limiter> Limiter,
+                         http_handler Handler)
     : Impl(std::make_unique<impl>(Loop, parseAddress(Listen), Limits,
-                                  std::move(Handler))) {}
+                                  std::move(Limiter), std::move(Handler))) {}
 
 http_server::~http_server() = default;
 
