--- a/src/core/work/internal/placementround.cpp
+++ b/src/core/work/internal/placementround.cpp
@@ -15,10 +15,6 @@
           std::min(A.MemoryMb, B.MemoryMb)};
 }
 
-/// Ranks below this belong to workers that are much slower than the average:
-/// with steps of 10%, slower than six tenths of it.
-constexpr int SlowestSoundRank = -5;
-
 } // namespace
 
 placement_round::placement_round(const worker_pool &Pool,
@@ -35,7 +31,7 @@
     host_capacity Target{
         .Worker = &Worker, .Free = Worker.free(), .Rack = Known->second};
     if (const auto Speed = Speeds.find(Id); Speed != Speeds.end())
-      Target.SpeedRank = Speed->second;
+      Target.Speed = Speed->second;
     Target.FreeAfterStops = Target.Free;
     Target.FreeAfterStops += Worker.Freeing;
     Hosts.push_back(Target);
@@ -118,8 +114,8 @@
 placement_round::speedPreference(const host_capacity &Target,
                                  const placement_request &Request) {
   const bool Urgent = Request.Priority == 0;
-  return {Target.SpeedRank < SlowestSoundRank,
-          Urgent ? -Target.SpeedRank : Target.SpeedRank};
+  return {Target.Speed.TooSlow,
+          Urgent ? -Target.Speed.Step : Target.Speed.Step};
 }
 
 placement_round::host_capacity *
--- a/src/core/work/internal/scheduledecisions.cpp
+++ b/src/core/work/internal/scheduledecisions.cpp
@@ -43,6 +43,10 @@
 /// reserved for urgent jobs, unless they can be stopped cheaply.
 constexpr std::uint32_t FirstDeferrablePriority = 1;
 
+/// Workers slower than this, in relation to the average, get work only if no
+/// other has room.
+constexpr double LeastSoundSpeed = 0.6;
+
 double coreSeconds(const placement_request &Request) {
   return coreEquivalents(reservedResources(*Request.Step)) *
          std::chrono::duration<double>(Request.ExpectedDuration).count() *
@@ -83,10 +87,12 @@
   speed_ranks Ranks;
   if (Limits.SpeedStep <= 0)
     return Ranks;
-  for (const auto &[Id, Worker] : Pool.all())
-    Ranks.emplace(Id, static_cast<int>(std::lround(
-                          std::log(Speeds.speed(Worker.Description.Instance)) /
-                          std::log1p(Limits.SpeedStep))));
+  for (const auto &[Id, Worker] : Pool.all()) {
+    const double Speed = Speeds.speed(Worker.Description.Instance);
+    const double Steps = std::log(Speed) / std::log1p(Limits.SpeedStep);
+    Ranks.emplace(Id, speed_rank{.Step = static_cast<int>(std::lround(Steps)),
+                                 .TooSlow = Speed < LeastSoundSpeed});
+  }
   return Ranks;
 }
 
--- a/src/core/work/internal/workerreports.cpp
+++ b/src/core/work/internal/workerreports.cpp
@@ -22,6 +22,8 @@
 constexpr std::int32_t AtWorkPercent = 100;
 /// A run that lists this progress is at the end of its work.
 constexpr std::int32_t EndPercent = 99;
+constexpr double FullPercent = 100;
+constexpr double MillisecondsPerSecond = 1000;
 /// Progress between two samples of a run's speed; less is too coarse.
 constexpr std::int32_t MinSampledPercent = 10;
 /// A run that its worker does not list this long after the order is placed
@@ -219,7 +221,8 @@
     return;
   if (Run.Started)
     Speeds.record(stepOf(Run.Run), Run.Worker,
-                  static_cast<double>(Advance) / static_cast<double>(Time));
+                  static_cast<double>(Advance) / FullPercent /
+                      (static_cast<double>(Time) / MillisecondsPerSecond));
   Run.SampledPercent = Percent;
   Run.SampledClockMs = ClockMs;
 }
--- a/src/core/work/placementround.h
+++ b/src/core/work/placementround.h
@@ -63,9 +63,13 @@
   double LostCoreSeconds = 0;
 };
 
-/// Speeds of workers in equal steps; 0: average or unknown. Workers that are
-/// left out have 0.
-using speed_ranks = std::unordered_map<worker_id, int>;
+/// Speed of a worker, for comparisons.
+struct speed_rank {
+  int Step = 0; ///< number of equal steps from the average; 0 if unknown
+  bool TooSlow = false; ///< for any step, while there are others
+};
+/// Workers that are left out have an unknown speed.
+using speed_ranks = std::unordered_map<worker_id, speed_rank>;
 
 /// One placement round over the capacity of all workers. Capacity that it
 /// assigns or reserves is not available to later steps of the round.
@@ -116,7 +120,7 @@
     resources FreeAfterStops; ///< free once all stopping runs have ended
     resources Projected;      ///< scratch value for a what-if calculation
     std::size_t Rack = 0;
-    int SpeedRank = 0;
+    speed_rank Speed;
     bool Reserved = false;
     time_point ReservedAt{};
     resources Spare;          ///< free at ReservedAt apart from the reservation
--- a/src/core/work/tests/placementtest.cpp
+++ b/src/core/work/tests/placementtest.cpp
@@ -360,11 +360,11 @@
 TEST(Placement, UrgentStepsGetFastWorkersAndOthersSlowOnes) {
   for (const char *Id : {"w1", "w2", "w3", "w4", "w5"})
     addWorker(Id, "r1");
-  Speeds = {{worker_id("w1"), 1},
-            {worker_id("w2"), -1},
-            {worker_id("w3"), 2},
-            {worker_id("w4"), -2},
-            {worker_id("w5"), -9}};
+  Speeds = {{worker_id("w1"), {.Step = 1}},
+            {worker_id("w2"), {.Step = -1}},
+            {worker_id("w3"), {.Step = 2}},
+            {worker_id("w4"), {.Step = -2}},
+            {worker_id("w5"), {.Step = -9, .TooSlow = true}}};
   const auto WorkersFor = [&](std::uint32_t Priority) {
     auto Round = round();
     placement_request Request = request();
--- a/src/core/work/types/liverun.h
+++ b/src/core/work/types/liverun.h
@@ -36,7 +36,7 @@
   time_point PercentAt{};          ///< when Percent last increased
   run_pace Pace{};                 ///< decides when it ends
   std::int32_t SampledPercent = 0; ///< at the last sample of its speed
-  std::int64_t SampledClockMs = 0; ///< the worker\'s clock at that sample
+  std::int64_t SampledClockMs = 0; ///< the worker's clock at that sample
 };
 
 /// The pace of the gang with \p Members, or of a single run. With several
--- a/src/transport/internal/connectionlimiter.cpp
+++ b/src/transport/internal/connectionlimiter.cpp
@@ -99,7 +99,10 @@
 
 void connection_limiter::logActions() {
   const connection_counts &Counts = counts();
-  if (Loop.now() - LoggedAt < LogInterval) {
+  const bool Acted = Counts.ClosedForBytes != Logged.ClosedForBytes ||
+                     Counts.ClosedForPlace != Logged.ClosedForPlace ||
+                     Counts.RefusedRequests != Logged.RefusedRequests;
+  if (!Acted || Loop.now() - LoggedAt < LogInterval) {
     return;
   }
   Log.warningEvent(
--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -313,6 +313,7 @@
   evbuffer_remove_cb(bufferevent_get_output(Buffer), &impl::onOutput,
                      &Connection);
   Limiter->remove(Connection.Id);
+  std::erase(Aborted, Connection.Raw);
   Connections.erase(Connection.Raw);
   if (Open) {
     --OpenRequests;
--- a/src/transport/tests/httptest.cpp
+++ b/src/transport/tests/httptest.cpp
@@ -494,6 +494,21 @@
   LONGS_EQUAL(1, Pair.Server->openConnections());
 }
 
+// Both close the connection, from events of their own.
+TEST(Http, AConnectionMayBeAbortedAndOverTheLimitAtOnce) {
+  const auto Limiter = std::make_shared<connection_limiter>(
+      Test.Loop, connection_limits{.MaxHeldBytes = 10000});
+  http_server Server(Test.Loop, "127.0.0.1:0", {}, Limiter,
+                     [&](const http_request_view &, const auto &Responder) {
+                       Limiter->setBuffered(connection_id{1}, 20000);
+                       Responder->abort();
+                     });
+  raw_connection Caller(Test.Loop, loopback(Server.port()));
+  Caller.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  CHECK(Test.until([&] { return Caller.ClosedByPeer; }));
+  LONGS_EQUAL(0, Server.openConnections());
+}
+
 // The bodies of requests that wait for their responses are held, too.
 TEST(Http, RequestsAreRefusedWhileOthersHoldTooMuch) {
   http_pair Pair(Test.Loop, {.Connections = {.MaxHeldBytes = 10000}});
