Read-through: state each limit of connection_budget once

exceeded() and the two loops of takeExcess() each wrote the two limits out, and the loops differed only in whom they close and what they count. holdsTooMuch() and hasRoomFor() are the limits now, and one function closes and counts. The comment on caller_crowd promised a reading that it doesn't have. No behaviour changes.

--- a/src/core/connections/connectionbudget.h
+++ b/src/core/connections/connectionbudget.h
@@ -37,10 +37,7 @@
 
   /// Connections to close so that the limits hold. They count as closed.
   std::vector<connection_id> takeExcess();
-  bool exceeded() const {
-    return Counts.BufferedBytes + Counts.HandledBytes > Limits.MaxHeldBytes ||
-           Counts.Open > Limits.MaxConnections;
-  }
+  bool exceeded() const { return holdsTooMuch() || !hasRoomFor(0); }
   /// Whether \p Number more connections fit without another one being closed.
   bool hasRoomFor(std::size_t Number) const {
     return Counts.Open + Number <= Limits.MaxConnections;
@@ -59,6 +56,9 @@
     time_point ActiveAt{};  ///< opened, or last answered
   };
 
+  bool holdsTooMuch() const {
+    return Counts.BufferedBytes + Counts.HandledBytes > Limits.MaxHeldBytes;
+  }
   std::optional<connection_id> largest() const;
   std::optional<connection_id> mostDispensable() const;
 
--- a/src/core/connections/internal/connectionbudget.cpp
+++ b/src/core/connections/internal/connectionbudget.cpp
@@ -93,22 +93,16 @@
 
 std::vector<connection_id> connection_budget::takeExcess() {
   std::vector<connection_id> Excess;
-  while (Counts.BufferedBytes + Counts.HandledBytes > Limits.MaxHeldBytes) {
-    const auto Id = largest();
-    if (!Id)
-      break;
-    ++Counts.ClosedForBytes;
-    Excess.push_back(*Id);
-    close(*Id);
-  }
-  while (Counts.Open > Limits.MaxConnections) {
-    const auto Id = mostDispensable();
-    if (!Id)
-      break;
-    ++Counts.ClosedForPlace;
-    Excess.push_back(*Id);
-    close(*Id);
-  }
+  const auto Take = [&](connection_id Id, std::uint64_t &Closed) {
+    ++Closed;
+    Excess.push_back(Id);
+    close(Id);
+  };
+  std::optional<connection_id> Id;
+  while (holdsTooMuch() && (Id = largest()))
+    Take(*Id, Counts.ClosedForBytes);
+  while (!hasRoomFor(0) && (Id = mostDispensable()))
+    Take(*Id, Counts.ClosedForPlace);
   return Excess;
 }
 
--- a/src/core/work/tests/evacuationtest.cpp
+++ b/src/core/work/tests/evacuationtest.cpp
@@ -25,6 +25,12 @@
     CHECK(Cluster.Evacuated.restore(Zone));
     Cluster.feed(evacuations_changed{});
   }
+  static job_spec urgentJob() {
+    job_spec Spec = testing::makeJob("urgent", 1, 8);
+    Spec.Policy.Queue = "urgent";
+    Spec.Policy.Priority = 0;
+    return Spec;
+  }
   static job_spec gang(std::uint32_t Count) {
     job_spec Spec = testing::makeJob("gang", Count, 8);
     Spec.Steps[0].Gang = true;
@@ -107,10 +113,7 @@
 TEST(Evacuation, WithAllZonesEvacuatedEverythingWaits) {
   evacuate(ZoneA);
   evacuate(ZoneB);
-  job_spec Urgent = testing::makeJob("urgent", 1, 8);
-  Urgent.Policy.Queue = "urgent";
-  Urgent.Policy.Priority = 0;
-  Cluster.submit(Urgent);
+  Cluster.submit(urgentJob());
   Cluster.run(5s);
   CHECK(Cluster.ordered("wa").empty() && Cluster.ordered("wb").empty());
   restore(ZoneB);
@@ -123,13 +126,10 @@
   Cluster.submit(testing::makeJob("j1", 2, 8));
   Cluster.run(200ms);
   evacuate(ZoneA);
-  job_spec Urgent = testing::makeJob("urgent", 1, 8);
-  Urgent.Policy.Queue = "urgent";
-  Urgent.Policy.Priority = 0;
-  Cluster.submit(Urgent);
+  Cluster.submit(urgentJob());
   Cluster.run(500ms);
   LONGS_EQUAL(1, Cluster.decisions(decision_kind::RunStopped, "preempted"));
-  CHECK(Cluster.ordered("wb").front().Task.Job == Urgent.Id);
+  CHECK(Cluster.ordered("wb").front().Task.Job == urgentJob().Id);
 }
 
 // A task that lasts goes on there, and runs elsewhere after it has ended.
--- a/src/daemon/tests/callercrowd.h
+++ b/src/daemon/tests/callercrowd.h
@@ -16,7 +16,7 @@
 };
 
 /// Callers that keep to no limits, on connections to one address on loopback.
-/// They read nothing of what they are sent unless they are told to.
+/// They read nothing of what they are sent.
 class caller_crowd {
 public:
   /// Opens the connections; some may still wait to be accepted.
