--- a/review/common-3/lab.cc
+++ b/review/common-3/lab.cc
@@ -126,14 +126,18 @@
     }
     return 0;
   }
-  /// Kills the entry in office; the script starts it again 3 s later.
-  bool killLeader() {
+  /// The process id of the entry in office; 0 if there is none.
+  pid_t leaderId() {
     int Leader = 0;
-    if (!waitFor([&] { return (Leader = leader()) != 0; }, 10))
-      return false;
     pid_t Id = 0;
-    std::ifstream(Folder + "/edge-" + std::to_string(Leader) + ".pid") >> Id;
-    note("SIGKILL to edge-%d, which is in office", Leader);
+    if (waitFor([&] { return (Leader = leader()) != 0; }, 10))
+      std::ifstream(Folder + "/edge-" + std::to_string(Leader) + ".pid") >> Id;
+    note("edge-%d is in office", Leader);
+    return Id;
+  }
+  /// The script starts the entry again 3 s later.
+  bool killEntry(pid_t Id) {
+    note("SIGKILL to the entry in office");
     return Id > 0 && kill(Id, SIGKILL) == 0;
   }
   template <typename Condition> bool waitFor(Condition Holds, int Seconds) {
@@ -141,7 +145,7 @@
     while (!Holds()) {
       if (steady::now() >= Until)
         return false;
-      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
     }
     return true;
   }
@@ -171,9 +175,11 @@
     Lab.note("the deployment doesn't run jobs");
     return false;
   }
+  const pid_t Leader = Lab.leaderId();
   worker &Worker = *Lab.Workers.front();
+  Lab.waitFor([&] { return Worker.listing(); }, 5);
   if (Trouble)
-    Worker.crashAtStartOf(jobId(1), DownMs);
+    Worker.crashAfterLook(DownMs);
   if (!Lab.submit(jobId(1), Job) ||
       (Trouble && !Lab.waitFor([&] { return Worker.crashed(); }, 10)))
     return false;
@@ -193,7 +199,7 @@
     Lab.note("no task of another job has started");
     return false;
   }
-  return !Trouble || Lab.killLeader();
+  return !Trouble || Lab.killEntry(Leader);
 }
 
 /// Case 12: the job of number 1 has nothing running.
@@ -229,7 +235,7 @@
 int playTwice(lab &Lab, bool Trouble, const std::string &Job) {
   worker &Worker = *Lab.Workers.front();
   const std::string Late = jobId(1);
-  Worker.endAtStop(Late, 400);
+  Worker.endAtStop(Late, 120);
   if (!playLateStart(Lab, Trouble, Job))
     return 2;
   const bool Noted =
@@ -237,7 +243,7 @@
   pause(12000);
   Lab.note("job %s: %s; %d starts, %d ends as done taken note of", Late.c_str(),
            Lab.state(Late).c_str(), Lab.started(Late), Worker.doneNoted(Late));
-  if (!Noted || (Trouble && !Lab.killLeader()))
+  if (!Noted || (Trouble && !Lab.killEntry(Lab.leaderId())))
     return 2;
   const int Before = Lab.started(Late);
   const bool Again =
@@ -259,13 +265,13 @@
   if (!Lab.Record)
     return 2;
   const bool Trouble = std::string(Arguments[4]) != "0";
-  server StoreServer(Lab.ip(250), StorePort, [&Lab](const request &Request) {
-    return Lab.Store.handle(Request);
-  });
+  server StoreServer(
+      Lab.ip(250), StorePort, false,
+      [&Lab](const request &Request) { return Lab.Store.handle(Request); });
   StoreServer.start();
   Lab.Folder = Arguments[5];
   const std::string Case = Arguments[1];
-  Lab.startWorkers(4);
+  Lab.startWorkers(11);
   Lab.putConfiguration();
   const std::string Job =
       R"({"Spec":"one","Steps":[{"Count":1,"Cpu":500,"MemMb":64,)"
--- a/review/common-3/net.hh
+++ b/review/common-3/net.hh
@@ -5,9 +5,11 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <chrono>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
@@ -17,6 +19,7 @@
 #include <stdexcept>
 #include <string>
 #include <thread>
+#include <utility>
 
 namespace review3 {
 
@@ -105,50 +108,68 @@
 
 using handler = std::function<response(const request &)>;
 
-/// An HTTP server that can be stopped and started again, like a process.
+/// An HTTP server that can be stopped and started again, like a process whose
+/// listening socket is kept by a supervisor: connections that nobody has
+/// accepted wait for the next start.
 class server {
 public:
-  server(std::string Ip, int Port, handler Handler)
-      : Ip(std::move(Ip)), Port(Port), Handler(std::move(Handler)) {}
+  server(std::string Ip, int Port, bool CloseEach, handler Handler)
+      : Ip(std::move(Ip)), Port(Port), CloseEach(CloseEach),
+        Handler(std::move(Handler)) {}
 
   void start() {
-    const int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const std::lock_guard Lock(Mutex);
+    Accepting = true;
+    if (Listener >= 0) {
+      InOrderUntil =
+          std::chrono::steady_clock::now() + std::chrono::milliseconds(50);
+      return;
+    }
+    Listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
     const int On = 1;
-    setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &On, sizeof On);
+    setsockopt(Listener, SOL_SOCKET, SO_REUSEADDR, &On, sizeof On);
     const sockaddr_in Address = addressOf(Ip, Port);
-    if (bind(Socket, reinterpret_cast<const sockaddr *>(&Address),
+    if (bind(Listener, reinterpret_cast<const sockaddr *>(&Address),
              sizeof Address) != 0 ||
-        listen(Socket, 128) != 0)
+        listen(Listener, 128) != 0)
       throw std::runtime_error("can't listen on " + Ip);
+    std::thread([this] { acceptAll(); }).detach();
+  }
+  void stopAccepting() {
     const std::lock_guard Lock(Mutex);
-    Sockets.insert(Socket);
-    std::thread([this, Socket] { acceptAll(Socket); }).detach();
+    Accepting = false;
   }
-  /// Ends all connections and refuses new ones.
-  void stop() {
+  /// Ends all accepted connections.
+  void endConnections() {
     const std::lock_guard Lock(Mutex);
     for (const int Socket : Sockets)
       shutdown(Socket, SHUT_RDWR);
   }
 
 private:
-  void forget(int Socket) {
-    const std::lock_guard Lock(Mutex);
-    Sockets.erase(Socket);
-  }
-  void acceptAll(int Listener) {
+  void acceptAll() {
     for (;;) {
-      const int Socket = accept4(Listener, nullptr, nullptr, SOCK_CLOEXEC);
-      if (Socket < 0)
-        break;
+      pollfd Ready{.fd = Listener, .events = POLLIN, .revents = 0};
+      poll(&Ready, 1, 100);
+      bool Waits = true;
       {
         const std::lock_guard Lock(Mutex);
-        Sockets.insert(Socket);
+        const int Socket =
+            Accepting ? accept4(Listener, nullptr, nullptr, SOCK_CLOEXEC) : -1;
+        if (Socket >= 0) {
+          Waits = false;
+          Sockets.insert(Socket);
+          if (std::chrono::steady_clock::now() < InOrderUntil)
+            Oldest = Socket;
+          else
+            std::thread([this, Socket] { answerAll(Socket); }).detach();
+        }
       }
-      std::thread([this, Socket] { answerAll(Socket); }).detach();
+      if (Oldest >= 0)
+        answerAll(std::exchange(Oldest, -1));
+      if (Waits)
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
     }
-    forget(Listener);
-    close(Listener);
   }
   void answerAll(int Socket) {
     connection Connection(Socket);
@@ -170,18 +191,28 @@
       if (Response.Reset ||
           !Connection.write(
               "HTTP/1.1 " + std::to_string(Response.Code) +
-              " -\r\nContent-Type: application/json\r\nContent-Length: " +
-              std::to_string(Response.Body.size()) + "\r\n\r\n" +
-              Response.Body))
+              " -\r\nContent-Type: application/json\r\n" +
+              (CloseEach ? "Connection: close\r\n" : "") +
+              "Content-Length: " + std::to_string(Response.Body.size()) +
+              "\r\n\r\n" + Response.Body) ||
+          CloseEach)
         break;
     }
-    forget(Socket);
+    const std::lock_guard Lock(Mutex);
+    Sockets.erase(Socket);
   }
 
   std::string Ip;
   int Port;
+  bool CloseEach;
   handler Handler;
   std::mutex Mutex;
+  int Listener = -1;
+  bool Accepting = false;
+  /// Until then connections are served one after the other: those that have
+  /// waited, in their order.
+  std::chrono::steady_clock::time_point InOrderUntil;
+  int Oldest = -1;
   std::set<int> Sockets;
 };
 
--- a/review/common-3/workers.hh
+++ b/review/common-3/workers.hh
@@ -5,6 +5,7 @@
 #include "store.hh"
 
 #include <memory>
+#include <utility>
 
 namespace review3 {
 
@@ -24,8 +25,8 @@
 class worker {
 public:
   struct limits {
-    std::int64_t HoldMaxMs = 10000;
-    std::int64_t StopMs = 900;
+    std::int64_t HoldMaxMs = 6000;
+    std::int64_t StopMs = 200;
     std::int64_t WorkMs = 3000;
   };
   using note_function = std::function<void(const std::string &)>;
@@ -34,12 +35,12 @@
          std::string Rack, limits Limits, note_function Note)
       : Id(std::move(Id)), Ip(std::move(Ip)), Port(Port), Kind(std::move(Kind)),
         Rack(std::move(Rack)), Limits(Limits), Note(std::move(Note)),
-        Server(this->Ip, Port,
+        Server(this->Ip, Port, true,
                [this](const request &Request) { return handle(Request); }) {}
 
   /// Starts it and its liveness reports to the agent.
   void start(const std::string &AgentIp, int AgentPort) {
-    begin("");
+    begin();
     std::thread([this, AgentIp, AgentPort] {
       for (;;) {
         const std::string Beat = beat();
@@ -50,11 +51,13 @@
       }
     }).detach();
   }
-  /// The next start of a task of this job gets no answer: the worker crashes,
-  /// starts again with its Id after DownMs, and the start is carried out then.
-  void crashAtStartOf(const std::string &Job, int DownMs) {
+  /// The worker crashes after its answer to the call with which the agent looks
+  /// who answers before it sends a start: a hold that neither sets a deadline
+  /// nor names an AckCursor, while a listing is under way. It is up again with
+  /// its Id after DownMs. Calls wait in the queue of its listening socket,
+  /// which its supervisor keeps.
+  void crashAfterLook(int DownMs) {
     const std::lock_guard Lock(Mutex);
-    CrashJob = Job;
     CrashDownMs = DownMs;
   }
   /// The work of its tasks ends AfterMs after they are told to stop, before the
@@ -69,9 +72,14 @@
     const std::lock_guard Lock(Mutex);
     return DoneNoted[Job];
   }
+  /// Whether a listing has been under way for less than 0.2 s.
+  bool listing() {
+    const std::lock_guard Lock(Mutex);
+    return Holds > 0 && sinceMs(HoldSince) < 200;
+  }
   bool crashed() {
     const std::lock_guard Lock(Mutex);
-    return Lives > 1;
+    return !Up || Lives > 1;
   }
   bool runs(const std::string &Job) {
     const std::lock_guard Lock(Mutex);
@@ -108,8 +116,7 @@
   }
   void note(const std::string &Text) { Note(Id + " " + Text); }
 
-  /// Begins a life, with a start that arrived late if there is one.
-  void begin(const std::string &LateStart) {
+  void begin() {
     {
       const std::lock_guard Lock(Mutex);
       ++Lives;
@@ -129,21 +136,20 @@
       Highest.clear();
       if (Lives > 1)
         note("is up again, born " + std::to_string(Born));
-      if (!LateStart.empty()) {
-        const response Late = startRun(LateStart);
-        note("carries out the late start: " + std::to_string(Late.Code));
-      }
     }
     Server.start();
     Begun.notify_all();
   }
-  void crash(const std::string &LateStart, int DownMs) {
+  void crash() {
     Up = false;
+    Server.stopAccepting();
     note("crashes");
-    std::thread([this, LateStart, DownMs] {
-      Server.stop();
+    std::thread([this, DownMs = std::exchange(CrashDownMs, 0)] {
+      // Its last answer has left.
+      std::this_thread::sleep_for(std::chrono::milliseconds(200));
+      Server.endConnections();
       std::this_thread::sleep_for(std::chrono::milliseconds(DownMs));
-      begin(LateStart);
+      begin();
     }).detach();
   }
 
@@ -161,8 +167,8 @@
       return "";
     return R"({"Service":"bookdesk","Address":")" + Ip + ":" +
            std::to_string(Port) +
-           R"(","Zone":"torino-a","Version":"v1","Slots":8,"State":"ready",)"
-           R"("ColdLeftMs":0,"Capacity":{"Cpu":64000,"MemMb":262144,"Gpu":8},)"
+           R"(","Zone":"perth-east","Version":"v1","Slots":8,"State":"ready",)"
+           R"("ColdLeftMs":0,"Capacity":{"Cpu":128000,"MemMb":262144,"Gpu":8},)"
            R"("Labels":[")" +
            Kind + "\",\"" + Rack + R"("],"born":)" + std::to_string(Born) +
            ",\"ClockMs\":" + std::to_string(sinceMs(Start)) +
@@ -184,7 +190,7 @@
     const auto LeaseEnd = Start + std::chrono::milliseconds(LeaseEndMs);
     while (LeaseEnd <= Now && !Runs.empty())
       finish(Runs.begin()->first, "lapsed");
-    auto Next = LeaseEnd;
+    auto Next = Runs.empty() ? Now + std::chrono::hours(1) : LeaseEnd;
     std::vector<std::pair<run_key, std::string>> Ended;
     for (const auto &[Key, Run] : Runs) {
       if (Run.StopAt <= Now)
@@ -248,16 +254,8 @@
     if (Request.Path == "/healthz")
       return {.Body = "{}"};
     const std::string &Body = Request.Body;
-    if (Request.Path == "/api/run-start") {
-      if (!CrashJob.empty() && jobOf(keyOf(Body).Task) == CrashJob) {
-        note("gets the start of " + keyOf(Body).Task + " run " +
-             std::to_string(keyOf(Body).Run) + ", without an answer");
-        CrashJob.clear();
-        crash(Body, CrashDownMs);
-        return {.Reset = true};
-      }
+    if (Request.Path == "/api/run-start")
       return startRun(Body);
-    }
     const std::uint64_t Sent =
         std::strtoull(jsonField(Body, "FencingToken").c_str(), nullptr, 10);
     if (Sent < Token)
@@ -282,6 +280,8 @@
     }
     if (Request.Path != "/api/hold")
       return {.Code = 404};
+    if (CrashDownMs > 0 && Holds > 0 && jsonField(Body, "AckCursor").empty())
+      crash();
     extend(Body);
     const std::uint64_t Cursor =
         std::strtoull(jsonField(Body, "AckCursor").c_str(), nullptr, 10);
@@ -299,13 +299,17 @@
                             jsonField(Body, "WaitMs").c_str(), nullptr, 10));
     const std::uint64_t Before = LastEnd;
     const int Life = Lives;
+    const bool Last = !Up; // it answers this call, then crashes
+    HoldSince = steady::now();
+    ++Holds;
     for (;;) {
       const auto Next = advance();
       if (LastEnd != Before || steady::now() >= Until || Lives != Life || !Up)
         break;
       Changed.wait_until(Lock, std::min(Next, Until));
     }
-    if (Lives != Life || !Up)
+    --Holds;
+    if (Lives != Life || (!Up && !Last))
       return {.Reset = true};
     std::string Rows;
     for (const auto &[Key, Run] : Runs)
@@ -334,8 +338,9 @@
   std::condition_variable Begun;
   bool Up = false;
   int Lives = 0;
-  std::string CrashJob;
   int CrashDownMs = 0;
+  int Holds = 0;
+  steady::time_point HoldSince;
   std::int64_t Born = 0;
   steady::time_point Start;
   std::map<run_key, run> Runs;
