Keep runs of each instance on their worker's list after a takeover

Cause: the log may name two instances of one worker, since a run that has reached the next instance is moved in memory only. recoverRuns kept the instance that it met first and looked the worker of a run up by instance, so that runs of the other one were on no worker's list. Their ends were passed over and acknowledged all the same, and no lost lease ended them.

Change: the latest instance in the log stands for the worker, runs are listed by the worker's id, and the first listing of the present instance decides on runs of earlier ones, in a takeover as within a term. A listing that lacks ends decides nothing. The random scenarios also check that each run is on one list, that used capacity is that of the list, and that no end as done is acknowledged before it is in the log.

--- a/src/core/work/internal/workerpool.cpp
+++ b/src/core/work/internal/workerpool.cpp
@@ -27,11 +27,16 @@
   return Worker;
 }
 
-pool_worker &worker_pool::addFromLog(const worker_instance &Instance,
-                                     time_point LeaseEnd) {
-  pool_worker &Worker = add(Instance);
-  Worker.LeaseEnd = LeaseEnd;
-  return Worker;
+void worker_pool::addFromLog(const worker_instance &Instance,
+                             time_point LeaseEnd) {
+  pool_worker *Known = find(Instance.Worker);
+  if (!Known)
+    Known = &add(Instance);
+  else if (Known->Description.Instance.StartTimeMs < Instance.StartTimeMs)
+    replaceInstance(*Known, Instance);
+  else
+    return;
+  Known->LeaseEnd = LeaseEnd;
 }
 
 void worker_pool::replaceInstance(pool_worker &Worker,
@@ -41,10 +46,8 @@
                           .Runs = std::move(Worker.Runs)};
   Replacement.Description.Instance = Next;
   numberOrders(Replacement);
-  for (live_run *Run : Replacement.Runs) {
-    Run->Worker = Next;
+  for (live_run *Run : Replacement.Runs)
     Run->Listed = false;
-  }
   Worker = std::move(Replacement);
 }
 
@@ -77,28 +80,23 @@
 }
 
 void worker_pool::allocate(live_run &Run) {
-  pool_worker *Worker = find(Run.Worker);
-  if (!Worker)
-    return;
-  Worker->Used += Run.Need;
+  pool_worker &Worker = workerOf(Run);
+  Worker.Used += Run.Need;
   if (Run.Stopping)
-    Worker->Freeing += Run.Need;
-  Worker->Runs.push_back(&Run);
+    Worker.Freeing += Run.Need;
+  Worker.Runs.push_back(&Run);
 }
 
 void worker_pool::release(const live_run &Run) {
-  pool_worker *Worker = find(Run.Worker);
-  if (!Worker)
-    return;
-  Worker->Used -= Run.Need;
+  pool_worker &Worker = workerOf(Run);
+  Worker.Used -= Run.Need;
   if (Run.Stopping)
-    Worker->Freeing -= Run.Need;
-  std::erase(Worker->Runs, &Run);
+    Worker.Freeing -= Run.Need;
+  std::erase(Worker.Runs, &Run);
 }
 
 void worker_pool::markFreeing(const live_run &Run) {
-  if (pool_worker *Worker = find(Run.Worker))
-    Worker->Freeing += Run.Need;
+  workerOf(Run).Freeing += Run.Need;
 }
 
 time_point worker_pool::leaseEnd(time_point Now) const {
--- a/src/core/work/internal/workerreports.cpp
+++ b/src/core/work/internal/workerreports.cpp
@@ -47,6 +47,16 @@
          Refusal == start_refusal::Invalid;
 }
 
+/// Runs that are or were on the worker, or may still start there.
+std::set<run_ref> shownRuns(const worker_report &Report) {
+  std::set<run_ref> Shown(Report.Unlisted.begin(), Report.Unlisted.end());
+  for (const running_run &Row : Report.Listing->Running)
+    Shown.insert(Row.Run);
+  for (const finished_run &Row : Report.Listing->Finished)
+    Shown.insert(Row.Run);
+  return Shown;
+}
+
 } // namespace
 
 void work_scheduler::onWorkerReported(const worker_reported &Event,
@@ -65,7 +75,9 @@
       Existing->Reachable = false; // it exists no longer
       return;
     }
-    replaceInstance(*Existing, Report, Present);
+    logDecision(decision_kind::WorkerGone, {}, Existing->Description.Instance,
+                "new_life");
+    Pool.replaceInstance(*Existing, Instance);
   }
   if (Report.Left) {
     if (Existing)
@@ -91,24 +103,29 @@
   }
 }
 
-/// Loses the runs of an earlier instance, except those that the new one lists:
-/// a start that was sent to the earlier instance may reach the new one. Such a
-/// run is stopped, since it was placed for another instance, and its task waits
-/// for its end.
-void work_scheduler::replaceInstance(pool_worker &Worker,
-                                     const worker_report &Report,
-                                     const present_time &Present) {
-  std::set<run_ref> Listed;
-  if (Report.Listing) {
-    for (const running_run &Row : Report.Listing->Running)
-      Listed.insert(Row.Run);
-    for (const finished_run &Row : Report.Listing->Finished)
-      Listed.insert(Row.Run);
+/// Decides on the runs that were placed on an earlier instance of the worker. A
+/// start that was sent to that instance may have reached the present one: such
+/// a run is stopped, and its task waits for its end. Any other is lost, unless
+/// the listing lacks ends.
+void work_scheduler::resolveEarlierRuns(pool_worker &Worker,
+                                        const worker_report &Report,
+                                        const present_time &Present) {
+  const worker_instance &Instance = Worker.Description.Instance;
+  std::vector<live_run *> Earlier;
+  std::copy_if(Worker.Runs.begin(), Worker.Runs.end(),
+               std::back_inserter(Earlier),
+               [&](const live_run *Run) { return Run->Worker != Instance; });
+  if (Earlier.empty())
+    return;
+  const std::set<run_ref> Shown = shownRuns(Report);
+  for (live_run *Run : Earlier) {
+    if (Shown.contains(Run->Run)) {
+      Run->Worker = Instance;
+      stopRun(Run->Run, "new_life");
+    } else if (Worker.EndsComplete) {
+      runLost(Run->Run, decision_kind::RunLost, "new_life", Present);
+    }
   }
-  loseWorkerRuns(Worker, "new_life", Present, Listed);
-  Pool.replaceInstance(Worker, Report.Description.Instance);
-  for (const live_run *Run : Worker.Runs)
-    stopRun(Run->Run, "new_life");
 }
 
 /// Processes the last ends that the worker lists; its other runs are lost.
@@ -130,6 +147,7 @@
   Worker.EndsComplete = Report.Listing->EndsComplete;
   for (live_run *Run : Worker.Runs)
     Run->Listed = false;
+  resolveEarlierRuns(Worker, Report, Present);
   for (const running_run &Row : Report.Listing->Running)
     applyRunning(Worker, Row, Present);
   const std::uint64_t PreviousEndNumber = Worker.LastEndNumber;
@@ -485,14 +503,12 @@
 
 void work_scheduler::loseWorkerRuns(pool_worker &Worker,
                                     std::string_view Reason,
-                                    const present_time &Present,
-                                    const std::set<run_ref> &Except) {
+                                    const present_time &Present) {
   logDecision(decision_kind::WorkerGone, {}, Worker.Description.Instance,
               Reason);
   std::vector<run_ref> Lost;
   for (const live_run *Run : Worker.Runs)
-    if (!Except.contains(Run->Run))
-      Lost.push_back(Run->Run);
+    Lost.push_back(Run->Run);
   for (const run_ref &Run : Lost)
     if (Runs.find(Run))
       runLost(Run, decision_kind::RunLost, Reason, Present);
--- a/src/core/work/internal/workscheduler.cpp
+++ b/src/core/work/internal/workscheduler.cpp
@@ -56,8 +56,7 @@
     if (Tasks[I].State != task_state::Running)
       continue;
     const task_position Position = Job.layout().position(I);
-    if (!Pool.find(Tasks[I].LastWorker.Worker))
-      Pool.addFromLog(Tasks[I].LastWorker, LeaseEnd);
+    Pool.addFromLog(Tasks[I].LastWorker, LeaseEnd);
     live_run Run = makeRun(Job, Job.spec().Policy, Position, Present.Now);
     Run.Ordered = true;
     addRun(Run);
@@ -133,11 +132,10 @@
 
 void work_scheduler::eraseRun(const run_ref &Run) {
   const live_run &Live = *Runs.find(Run);
-  pool_worker *Worker = Pool.find(Live.Worker);
+  pool_worker &Worker = Pool.workerOf(Live);
   Pool.release(Live);
   Runs.erase(Live);
-  if (Worker)
-    ordersChanged(*Worker);
+  ordersChanged(Worker);
   RoundNeeded = true;
 }
 
@@ -217,10 +215,9 @@
   Live.Stopping = true;
   logDecision(decision_kind::RunStopped, Run, Live.Worker, Reason);
   Pool.markFreeing(Live);
-  if (pool_worker *Worker = Pool.find(Live.Worker)) {
-    ordersChanged(*Worker);
-    Live.StopOrdersNumber = Worker->OrdersNumber;
-  }
+  pool_worker &Worker = Pool.workerOf(Live);
+  ordersChanged(Worker);
+  Live.StopOrdersNumber = Worker.OrdersNumber;
 }
 
 void work_scheduler::stopGang(const run_ref &Member, std::string_view Reason) {
@@ -247,8 +244,7 @@
       continue;
     Run->Ordered = true;
     Run->PlacedAt = Present.Now;
-    if (pool_worker *Worker = Pool.find(Run->Worker))
-      ordersChanged(*Worker);
+    ordersChanged(Pool.workerOf(*Run));
     if (Run->GangSize > 1)
       StartingGangs.try_emplace(stepOf(Key),
                                 Present.Now + Limits.GangStartLimit);
@@ -302,7 +298,7 @@
     return Orders; // it has not been listed yet
   Orders.AcknowledgedEnds = Worker->AcknowledgedEnd;
   for (const live_run *Run : Worker->Runs) {
-    if (Run->Stopping || !Run->Ordered)
+    if (Run->Stopping || !Run->Ordered || Run->Worker != Known)
       continue;
     desired_run Desired{.Run = Run->Run};
     const live_job *Job = findJob(Run->Run.Task.Job);
--- a/src/core/work/tests/schedulertakeovertest.cpp
+++ b/src/core/work/tests/schedulertakeovertest.cpp
@@ -39,10 +39,98 @@
 
   void feed(const scheduler_event &Event) {
     Present.Now += 50ms;
-    Scheduler->handle(Event, Present);
+    Appends.clear();
+    for (const scheduler_command &Each : Scheduler->handle(Event, Present))
+      if (const auto *Append = std::get_if<append_progress>(&Each))
+        Appends.push_back(*Append);
   }
+
+  /// The later instance of w1 lists \p Running and \p Finished.
+  void reportLaterInstance(std::vector<running_run> Running,
+                           std::vector<finished_run> Finished = {},
+                           bool EndsComplete = true) {
+    feed(worker_reported{
+        {.Description = testing::makeWorker("w1", "r1", Later.StartTimeMs),
+         .Listing = worker_listing{.StartTimeMs = Later.StartTimeMs,
+                                   .ClockMs = ClockMs += 1000,
+                                   .Running = std::move(Running),
+                                   .Finished = std::move(Finished),
+                                   .EndsComplete = EndsComplete},
+         .Applied = Scheduler->orders(Later)->Version}});
+  }
+
+  /// The log has a run of \p Job on the earlier instance of w1, which its start
+  /// has left for the later one, and a run of \p Other on the later instance.
+  void takeOverWithRunsOfTwoInstances(std::string_view Job,
+                                      std::string_view Other) {
+    Registry = {};
+    recordRunning(Job, Earlier);
+    recordRunning(Other, Later);
+    takeOver();
+  }
+
+  std::uint64_t acknowledgedEnds() const {
+    return Scheduler->orders(Later)->AcknowledgedEnds;
+  }
+
+  const worker_instance Earlier{worker_id("w1"), 1};
+  const worker_instance Later{worker_id("w1"), 2};
+  std::int64_t ClockMs = 0;
+  std::vector<append_progress> Appends; ///< of the last event
 };
 
+// TWICE: a scheduler took over while a run that had reached the next instance
+// of its worker was being stopped. Its end was acknowledged and not recorded.
+TEST(SchedulerTakeover, TheEndOfARunOnTheNextInstanceIsRecordedFirst) {
+  for (const auto &[Job, Other] : {std::pair("j1", "j2"), {"j3", "j0"}}) {
+    takeOverWithRunsOfTwoInstances(Job, Other);
+    const run_ref Run{{job_id(Job), {}}, 1};
+    const run_ref OtherRun{{job_id(Other), {}}, 1};
+    LONGS_EQUAL(2, Scheduler->workers().all().at(Later.Worker).Runs.size());
+    reportLaterInstance({{.Run = Run}, {.Run = OtherRun}});
+    reportLaterInstance({{.Run = OtherRun}}, {{.Number = 1, .Run = Run}});
+    LONGS_EQUAL(0, acknowledgedEnds());
+    LONGS_EQUAL(1, Appends.size());
+    CHECK(Appends[0].Records[0].Job == Run.Task.Job);
+    CHECK(Appends[0].Records[0].Progress.State == job_state::Completed);
+    feed(progress_stored{Appends[0].Batch});
+    LONGS_EQUAL(1, acknowledgedEnds());
+  }
+}
+
+// LOST: as above, and the run was stopped. Its job went on as running with
+// nothing running.
+TEST(SchedulerTakeover, ARunStoppedOnTheNextInstanceIsPlacedAgain) {
+  for (const auto &[Job, Other] : {std::pair("j1", "j2"), {"j3", "j0"}}) {
+    takeOverWithRunsOfTwoInstances(Job, Other);
+    const run_ref Run{{job_id(Job), {}}, 1};
+    const run_ref OtherRun{{job_id(Other), {}}, 1};
+    reportLaterInstance(
+        {{.Run = OtherRun}},
+        {{.Number = 1, .Run = Run, .EndReason = run_end_reason::Stopped},
+         {.Number = 2, .Run = OtherRun}});
+    feed(scheduler_timer_expired{});
+    const auto &Runs = Scheduler->workers().all().at(Later.Worker).Runs;
+    LONGS_EQUAL(1, Runs.size());
+    CHECK(Runs.front()->Run.Task.Job == Run.Task.Job);
+    LONGS_EQUAL(2, Runs.front()->Run.Run);
+  }
+}
+
+// TWICE: a run of the earlier instance that is in neither list may have ended
+// on the later one, as long as the listing lacks ends.
+TEST(SchedulerTakeover, AListingThatLacksEndsLosesNoRunOfTheEarlierInstance) {
+  takeOverWithRunsOfTwoInstances("j1", "j2");
+  const run_ref Run{{job_id("j1"), {}}, 1};
+  const run_ref OtherRun{{job_id("j2"), {}}, 1};
+  constexpr bool EndsComplete = false;
+  reportLaterInstance({}, {{.Number = 1, .Run = OtherRun}}, EndsComplete);
+  LONGS_EQUAL(1, Scheduler->runningRuns());
+  CHECK(Scheduler->orders(Later)->Runs.empty()); // it is not to be started
+  reportLaterInstance({}, {{.Number = 2, .Run = Run}});
+  LONGS_EQUAL(0, Scheduler->openJobs());
+}
+
 // The previous term knew that a run which is recorded for the earlier instance
 // is on the later one; only the worker's report shows whether it still is.
 TEST(SchedulerTakeover, TheLeaseOfALaterInstanceKeepsRunsOfTheEarlierOne) {
--- a/src/core/work/workerpool.h
+++ b/src/core/work/workerpool.h
@@ -20,6 +20,7 @@
   bool Evacuated = false; ///< its zone is
   resources Used;         ///< by runs that have not ended, stopping ones too
   resources Freeing;      ///< part of Used that stopping runs occupy
+  /// Also runs that were placed on an earlier instance and may be on this one.
   std::vector<live_run *> Runs;
   time_point DrainDeadline = time_point::max(); ///< earliest shutdown
   time_point LeaseEnd{}; ///< without a listing, all its runs have ended by then
@@ -60,14 +61,18 @@
   pool_worker *find(const worker_instance &Instance);
   const pool_worker *find(const worker_instance &Instance) const;
   pool_worker *find(const worker_id &Worker);
+  /// The worker that has \p Run on its list.
+  pool_worker &workerOf(const live_run &Run) {
+    return Workers.at(Run.Worker.Worker);
+  }
   std::map<worker_id, pool_worker> &all() { return Workers; }
   const std::map<worker_id, pool_worker> &all() const { return Workers; }
 
   /// Adds an instance that is known only from the log and may hold leases
-  /// until \p LeaseEnd.
-  pool_worker &addFromLog(const worker_instance &Instance, time_point LeaseEnd);
-  /// Continues the entry with a later instance of its worker, to which all its
-  /// runs move; the caller has removed those that the later instance lacks.
+  /// until \p LeaseEnd. Does nothing if this or a later one is known.
+  void addFromLog(const worker_instance &Instance, time_point LeaseEnd);
+  /// Continues the entry with a later instance of its worker. It keeps its
+  /// runs, since their starts may have reached the later instance.
   void replaceInstance(pool_worker &Worker, const worker_instance &Next);
   /// Updates a worker from its report. Extends its lease if the worker itself
   /// has answered since the last report: leases are granted from the time of a
@@ -84,6 +89,8 @@
     Worker.OrdersNumber = ++LastOrdersNumber;
   }
 
+  /// Puts \p Run on the list of its worker, which has to be known. A run of an
+  /// earlier instance is listed under the present one.
   void allocate(live_run &Run);
   void release(const live_run &Run);
   /// Counts the capacity of a stopping run as being freed.
--- a/src/core/work/workscheduler.h
+++ b/src/core/work/workscheduler.h
@@ -128,8 +128,8 @@
   void stopGang(const run_ref &Member, std::string_view Reason);
 
   // Reports of the workers: workerreports.cpp.
-  void replaceInstance(pool_worker &Worker, const worker_report &Report,
-                       const present_time &Present);
+  void resolveEarlierRuns(pool_worker &Worker, const worker_report &Report,
+                          const present_time &Present);
   void workerLeft(pool_worker &Worker, const worker_report &Report,
                   const present_time &Present);
   void applyListing(pool_worker &Worker, const worker_report &Report,
@@ -165,8 +165,7 @@
   void runLost(const run_ref &Run, decision_kind Kind, std::string_view Reason,
                const present_time &Present);
   void loseWorkerRuns(pool_worker &Worker, std::string_view Reason,
-                      const present_time &Present,
-                      const std::set<run_ref> &Except = {});
+                      const present_time &Present);
   void releaseTask(live_job &Job, const run_ref &Run,
                    const std::string &Checkpoint);
 
--- a/src/core/workhost/tests/clusterpropertytest.cpp
+++ b/src/core/workhost/tests/clusterpropertytest.cpp
@@ -189,8 +189,11 @@
     const auto Seed = *rc::gen::arbitrary<std::uint32_t>();
     const auto Steps = *rc::gen::container<std::vector<simulation_step>>(Step);
     random_scenario Scenario(Seed, Faults);
-    for (const simulation_step &Each : Steps)
+    for (const simulation_step &Each : Steps) {
       Scenario.apply(Each);
+      RC_ASSERT(Scenario.Simulation.runsAreListedOnce());
+      RC_ASSERT(Scenario.Simulation.unrecordedEnds().empty());
+    }
     const bool Ended = Scenario.Simulation.runUntil(
         [&] { return Scenario.Simulation.allEnded(); }, 300s);
     for (const std::string &Each :
--- a/src/core/workhost/tests/clustersimulation.cpp
+++ b/src/core/workhost/tests/clustersimulation.cpp
@@ -505,6 +505,37 @@
       [](const auto &Each) { return ended(Each.second.state()); });
 }
 
+bool cluster_simulation::runsAreListedOnce() const {
+  std::set<run_ref> Listed;
+  std::size_t Rows = 0;
+  for (const auto &[Id, Worker] : Scheduler->workers().all()) {
+    resources Used;
+    for (const live_run *Run : Worker.Runs) {
+      Listed.insert(Run->Run);
+      Used += Run->Need;
+    }
+    Rows += Worker.Runs.size();
+    if (Used != Worker.Used)
+      return false;
+  }
+  return Rows == Listed.size() && Rows == Scheduler->runningRuns();
+}
+
+std::vector<task_ref> cluster_simulation::unrecordedEnds() const {
+  std::vector<task_ref> Unrecorded;
+  for (const task_ref &Task : SimulatedWorkers.doneTasks()) {
+    const registered_job &Job = *Registry.find(Task.Job);
+    const std::size_t Ordinal = task_layout(*Job.Spec).ordinal(Task.Position);
+    const auto &Tasks = Job.Progress.Tasks;
+    const bool Recorded =
+        ended(Job.state()) ||
+        (Ordinal < Tasks.size() && Tasks[Ordinal].State == task_state::Done);
+    if (!Recorded)
+      Unrecorded.push_back(Task);
+  }
+  return Unrecorded;
+}
+
 bool cluster_simulation::hasStarted(const job_id &Job) const {
   const auto &Started = SimulatedWorkers.failedRuns();
   return std::any_of(Started.begin(), Started.end(), [&Job](const auto &Each) {
--- a/src/core/workhost/tests/clustersimulation.h
+++ b/src/core/workhost/tests/clustersimulation.h
@@ -105,6 +105,11 @@
     return Found == Decisions.end() ? 0 : Found->second;
   }
   const worker_pool &workers() const { return Scheduler->workers(); }
+  /// Whether each run of the scheduler is on the list of one worker, whose used
+  /// capacity is that of its list.
+  bool runsAreListedOnce() const;
+  /// Tasks whose end as done was acknowledged and is not in the log.
+  std::vector<task_ref> unrecordedEnds() const;
   const job_progress &progress(const job_id &Job) const;
 
 private:
