Record the end as done of a run that had been given up

What callers would see: a task is started again although it is done.

Cause: an end whose run is not tracked any more was passed over, and its number was acknowledged with the rest of the listing.

Evidence: with the code before, SchedulerTakeover.ATaskDoneByALostRunIsNot- StartedAgain leaves the job open and ATaskDoneByALostRunIsStoppedElsewhere keeps the second run in the orders.

Change: such an end ends the task, unless the log has it as done, and stops a run of it that was placed since. Ends as failed stay uncounted: the log does not tell whether they were counted.

--- a/src/core/work/internal/workerreports.cpp
+++ b/src/core/work/internal/workerreports.cpp
@@ -315,8 +315,10 @@
 void work_scheduler::applyFinished(pool_worker &Worker, const finished_run &Row,
                                    const present_time &Present) {
   const live_run *Found = Runs.find(Row.Run);
-  if (!Found || Found->Worker != Worker.Description.Instance)
+  if (!Found || Found->Worker != Worker.Description.Instance) {
+    applyEndOfLostRun(Worker, Row, Present);
     return;
+  }
   const live_run Run = *Found;
   logDecision(decision_kind::RunEnded, Row.Run, Run.Worker,
               name(Row.EndReason));
@@ -330,6 +332,28 @@
   finishRun(Run, Row.EndReason, Row.Checkpoint, Present);
 }
 
+/// A run that was given up had done its task. The task must not start again
+/// once the end is acknowledged.
+void work_scheduler::applyEndOfLostRun(const pool_worker &Worker,
+                                       const finished_run &Row,
+                                       const present_time &Present) {
+  const run_ref &Key = Row.Run;
+  live_job *Job = findJob(Key.Task.Job);
+  if (Row.EndReason != run_end_reason::Done || !Job ||
+      !Job->layout().contains(Key.Task.Position) ||
+      Job->step(Key.Task.Position.Step).LongRunning)
+    return;
+  const task_progress &Task = Job->task(Key.Task.Position);
+  if (Task.State == task_state::Done || Key.Run > Task.Run)
+    return;
+  logDecision(decision_kind::RunEnded, Key, Worker.Description.Instance,
+              "done_after_loss");
+  if (Task.State == task_state::Running)
+    stopGang({Key.Task, Task.Run}, "done_by_lost_run");
+  jobStarted(*Job);
+  taskDone(*Job, Key, Present);
+}
+
 void work_scheduler::recordOutcome(pool_worker &Worker, const live_run &Run,
                                    run_end_reason EndReason,
                                    const present_time &Present) {
--- a/src/core/work/tests/schedulertakeovertest.cpp
+++ b/src/core/work/tests/schedulertakeovertest.cpp
@@ -56,7 +56,8 @@
                                    .Running = std::move(Running),
                                    .Finished = std::move(Finished),
                                    .EndsComplete = EndsComplete},
-         .Applied = Scheduler->orders(Later)->Version}});
+         .Applied =
+             Scheduler->orders(Later).value_or(worker_orders{}).Version}});
   }
 
   /// The log has a run of \p Job on the earlier instance of w1, which its start
@@ -117,6 +118,37 @@
   }
 }
 
+// TWICE: a run was given up with the lease of its worker, which had ended it as
+// done. The end was acknowledged, and the task was started again.
+TEST(SchedulerTakeover, ATaskDoneByALostRunIsNotStartedAgain) {
+  recordRunning("j1", Later);
+  takeOver();
+  feed(previous_term_ended{});
+  LONGS_EQUAL(0, Scheduler->runningRuns());
+  const run_ref Run{{job_id("j1"), {}}, 1};
+  reportLaterInstance({}, {{.Number = 1, .Run = Run}});
+  LONGS_EQUAL(0, Scheduler->openJobs());
+  LONGS_EQUAL(0, Scheduler->runningRuns());
+  LONGS_EQUAL(0, acknowledgedEnds()); // the records are not stored yet
+}
+
+// TWICE: as above, with the task placed elsewhere and not started there yet.
+TEST(SchedulerTakeover, ATaskDoneByALostRunIsStoppedElsewhere) {
+  recordRunning("j1", Later);
+  takeOver();
+  const worker_instance Elsewhere{worker_id("w2"), 1};
+  feed(worker_reported{
+      {.Description = testing::makeWorker("w2"),
+       .Listing = worker_listing{.StartTimeMs = 1, .ClockMs = 1}}});
+  feed(previous_term_ended{});
+  feed(progress_stored{1});
+  LONGS_EQUAL(1, Scheduler->orders(Elsewhere)->Runs.size());
+  const run_ref Run{{job_id("j1"), {}}, 1};
+  reportLaterInstance({}, {{.Number = 1, .Run = Run}});
+  LONGS_EQUAL(0, Scheduler->orders(Elsewhere)->Runs.size());
+  LONGS_EQUAL(0, Scheduler->openJobs());
+}
+
 // TWICE: a run of the earlier instance that is in neither list may have ended
 // on the later one, as long as the listing lacks ends.
 TEST(SchedulerTakeover, AListingThatLacksEndsLosesNoRunOfTheEarlierInstance) {
--- a/src/core/work/workscheduler.h
+++ b/src/core/work/workscheduler.h
@@ -148,6 +148,8 @@
                       const present_time &Present);
   void applyFinished(pool_worker &Worker, const finished_run &Row,
                      const present_time &Present);
+  void applyEndOfLostRun(const pool_worker &Worker, const finished_run &Row,
+                         const present_time &Present);
   void stopUnstarted(pool_worker &Worker, const present_time &Present);
   void endNeverStarted(pool_worker &Worker, const worker_report &Report,
                        const present_time &Present);
