Send no late start to a worker that closes its connections

What callers would see: a task runs twice, on the next instance of a worker and on the worker where it was placed when the lease was over.

Cause: a start for a worker that closes its connections goes out on a new one after the instance has answered. If the worker restarts in between, the next instance gets it, whose clock starts anew, so that a lease end that had passed before the start was sent is far in its future.

Change: the client compares the clock of the answer with the lease end and refuses the start as late, as the instance itself would.

--- a/src/platform/internal/taskworkerclient.cpp
+++ b/src/platform/internal/taskworkerclient.cpp
@@ -279,19 +279,33 @@
   }
   const http_call Call =
       makeCall(Target, "/api/run-start", std::move(*Text), Timeout);
-  const result_function Finish =
-      [this, Name = taskName(Order.Run.Run.Task),
-       Born = Target.Instance.StartTimeMs,
-       Done = std::move(Done)](const http_result &Result) {
-        if (!Result.ok())
-          Log.event("run_start_failed", {{"task", Name},
-                                         {"born", Born},
-                                         {"code", Result.Code},
-                                         {"answer", Result.Body}});
-        Done(toStartOutcome(Result));
+  const result_function Finish = [this, Name = taskName(Order.Run.Run.Task),
+                                  Born = Target.Instance.StartTimeMs,
+                                  Done](const http_result &Result) {
+    if (!Result.ok())
+      Log.event("run_start_failed", {{"task", Name},
+                                     {"born", Born},
+                                     {"code", Result.Code},
+                                     {"answer", Result.Body}});
+    Done(toStartOutcome(Result));
+  };
+  const auto SendOnNewConnection =
+      [this, Call, Finish, LeaseEndMs = Order.LeaseEndMs,
+       Name = taskName(Order.Run.Run.Task), Done](const http_result &Answer) {
+        // The next instance, whose clock starts anew, would not see that the
+        // start is late.
+        const auto Listing = toListingOutcome(Answer).Listing;
+        if (!Listing || Listing->ClockMs < LeaseEndMs) {
+          Http.send(Call, Finish);
+          return;
+        }
+        Log.event("run_start_late", {{"task", Name},
+                                     {"lease_end", LeaseEndMs},
+                                     {"clock", Listing->ClockMs}});
+        Done({work::worker_call_result::Refused, work::start_refusal::Late});
       };
-  sendToInstance(Target, Call, Finish, [this, Target, Call, Finish] {
-    identify(Target, [this, Target, Call, Finish](const http_result &Result) {
+  sendToInstance(Target, Call, Finish, [=, this] {
+    identify(Target, [=, this](const http_result &Result) {
       if (!Result.ok()) {
         Finish(Result);
         return;
@@ -300,7 +314,7 @@
       if (Result.Connection)
         sendToInstance(Target, Call, Finish, [Finish] { Finish({}); });
       else // the worker closes each connection
-        Http.send(Call, Finish);
+        SendOnNewConnection(Result);
     });
   });
 }
