Stop what a call to a worker's earlier instance started, without orders

What callers would see: a task runs twice, on the next instance of a worker whose agent can't reach the scheduler, and on the worker where it was placed when the lease was over.

Cause: an agent without orders leaves alone what its worker runs, since that may be from an earlier agent process. A start that reached the next instance ran on until its lease was over, which counts from the start.

Change: if the same process had a session with an earlier instance, what the next one runs can only come from calls to that instance, so it is stopped with the first listing.

Evidence: JobAgent.ARunOfACallToTheEarlierInstanceIsStoppedWithoutOrders and RunReconciler.StopsWhatACallToTheEarlierInstanceStarted fail without it.

--- a/src/core/workhost/internal/runreconciler.cpp
+++ b/src/core/workhost/internal/runreconciler.cpp
@@ -25,8 +25,9 @@
 } // namespace
 
 run_reconciler::run_reconciler(const reconciler_limits &Limits,
-                               worker_description Description)
-    : Limits(Limits), Description(std::move(Description)) {}
+                               worker_description Description,
+                               earlier_session Earlier)
+    : Limits(Limits), Earlier(Earlier), Description(std::move(Description)) {}
 
 std::span<const reconciler_command>
 run_reconciler::handle(const reconciler_event &Event, time_point Now) {
@@ -254,12 +255,16 @@
   Present.insert(Started.begin(), Started.end());
   for (const running_run &Row : Listing->Running)
     Present.insert(Row.Run);
+  // Without orders, the runs are those of an earlier agent process, or were
+  // started by calls to the worker's earlier instance.
+  const bool MayStop =
+      Orders.Version.Term > 0 || Earlier == earlier_session::SameProcess;
   for (const run_ref &Run : Present) {
     const bool Keep = DesiredRuns.contains(Run) && !Refused.contains(Run);
     const bool Busy = StartsInFlight.contains(Run) ||
                       StopsInFlight.contains(Run) || Stopped.contains(Run) ||
                       isFinished(Run);
-    if (Keep || Busy || Orders.Version.Term == 0)
+    if (Keep || Busy || !MayStop)
       continue;
     const auto Retry = RetryAt.find(Run);
     if (Retry != RetryAt.end() && Retry->second > Now)
--- a/src/core/workhost/runreconciler.h
+++ b/src/core/workhost/runreconciler.h
@@ -21,8 +21,11 @@
 /// start is repeated only once this instance has answered another listing.
 class run_reconciler {
 public:
+  /// \param Earlier whether this process has had a session with an earlier
+  ///        instance of the worker.
   run_reconciler(const reconciler_limits &Limits,
-                 worker_description Description);
+                 worker_description Description,
+                 earlier_session Earlier = earlier_session::None);
 
   /// \returns commands that are valid until the next call.
   std::span<const reconciler_command> handle(const reconciler_event &Event,
@@ -80,6 +83,7 @@
   std::vector<run_ref> unlistedRuns() const;
 
   const reconciler_limits Limits;
+  const earlier_session Earlier;
   worker_description Description;
   std::optional<worker_listing> Listing;
   worker_orders Orders;
--- a/src/core/workhost/tests/clustersimulation.cpp
+++ b/src/core/workhost/tests/clustersimulation.cpp
@@ -164,9 +164,11 @@
 
 // Agents
 
-void cluster_simulation::restartAgent(int Worker) { beginSession(Worker); }
+void cluster_simulation::restartAgent(int Worker) {
+  beginSession(Worker, earlier_session::None);
+}
 
-void cluster_simulation::beginSession(int Worker) {
+void cluster_simulation::beginSession(int Worker, earlier_session Earlier) {
   agent &Agent = Agents[static_cast<std::size_t>(Worker)];
   agent Next;
   Next.DisconnectedUntil = Agent.DisconnectedUntil;
@@ -177,8 +179,8 @@
       makeWorker(workerId(Worker).view(), Worker % 2 ? "r1" : "r2");
   Description.Instance.StartTimeMs =
       SimulatedWorkers.startTimeMs(workerId(Worker));
-  Agent.Reconciler =
-      std::make_unique<run_reconciler>(reconciler_limits{}, Description);
+  Agent.Reconciler = std::make_unique<run_reconciler>(reconciler_limits{},
+                                                      Description, Earlier);
   feedAgent(Worker, reconciler_timer_expired{});
 }
 
@@ -197,7 +199,7 @@
   const std::uint64_t Known =
       Agent.Reconciler->description().Instance.StartTimeMs;
   if (Known < SimulatedWorkers.startTimeMs(workerId(Worker)))
-    beginSession(Worker);
+    beginSession(Worker, earlier_session::SameProcess);
 }
 
 void cluster_simulation::setSpeed(int Worker, double Speed) {
--- a/src/core/workhost/tests/clustersimulation.h
+++ b/src/core/workhost/tests/clustersimulation.h
@@ -144,7 +144,7 @@
                     const worker_report &Report);
   void append(append_progress Command, std::uint64_t Term);
   /// Begins a session of the agent with the present instance of its worker.
-  void beginSession(int Worker);
+  void beginSession(int Worker, earlier_session Earlier);
   void sendHeartbeat(int Worker);
   /// Feeds the answer to a call unless its session has ended.
   void answer(int Worker, std::uint64_t Session, const reconciler_event &Event);
--- a/src/core/workhost/tests/runreconcilertest.cpp
+++ b/src/core/workhost/tests/runreconcilertest.cpp
@@ -59,6 +59,22 @@
   LONGS_EQUAL(1, Reconciler.report().Listing->Running.size());
 }
 
+// TWICE: without orders, a run on the next instance of a worker can only come
+// from a call to the earlier one.
+TEST(RunReconciler, StopsWhatACallToTheEarlierInstanceStarted) {
+  for (const auto Earlier :
+       {earlier_session::None, earlier_session::SameProcess}) {
+    run_reconciler Next{reconciler_limits{},
+                        work::testing::makeWorker("w1", "r1", 2), Earlier};
+    Next.handle(reconciler_timer_expired{}, Now);
+    std::size_t Stops = 0;
+    for (const reconciler_command &Each :
+         Next.handle(listing_received{{.Running = {{.Run = Run}}}}, Now))
+      Stops += std::holds_alternative<stop_run>(Each);
+    LONGS_EQUAL(Earlier == earlier_session::SameProcess ? 1 : 0, Stops);
+  }
+}
+
 TEST(RunReconciler, StartsNothingWithoutALease) {
   feed(reconciler_timer_expired{});
   listing();
--- a/src/core/workhost/types/reconcilerevents.h
+++ b/src/core/workhost/types/reconcilerevents.h
@@ -75,6 +75,9 @@
 using reconciler_command = std::variant<start_run, stop_run, list_runs,
                                         send_report, set_reconciler_timer>;
 
+/// Whether an agent has had a session with an earlier instance of its worker.
+enum class earlier_session : std::uint8_t { None, SameProcess };
+
 struct reconciler_limits {
   duration Lease = std::chrono::seconds(6); ///< the platform's maximum
   /// How long a listing waits for a run to finish; the platform's maximum is
--- a/src/jobagent/internal/jobagentrole.cpp
+++ b/src/jobagent/internal/jobagentrole.cpp
@@ -183,13 +183,16 @@
   if (replacedStartTime(Worker, Address) >
       std::optional(Description.Instance.StartTimeMs))
     return;
+  const auto Earlier = Sessions.contains(Worker)
+                           ? work::earlier_session::SameProcess
+                           : work::earlier_session::None;
   std::erase_if(Sessions, [&](const auto &Each) {
     return Each.second->address() == Address || Each.first == Worker;
   });
   Fencing.advance();
   auto Session = std::make_unique<worker_session>(
       Environment.Loop, Environment.Worker, Scheduler, Fencing,
-      limitsFrom(Settings), Address, Description);
+      limitsFrom(Settings), Address, Description, Earlier);
   worker_session &Added = *Session;
   Sessions[Worker] = std::move(Session);
   Added.start();
--- a/src/jobagent/internal/workersession.cpp
+++ b/src/jobagent/internal/workersession.cpp
@@ -23,12 +23,13 @@
                                fencing_source &Fencing,
                                const work::reconciler_limits &Limits,
                                std::string Address,
-                               work::worker_description Description)
+                               work::worker_description Description,
+                               work::earlier_session Earlier)
     : Loop(Loop), Worker(Worker), Scheduler(Scheduler),
       Fencing(Fencing), Target{std::move(Address), Description.Instance,
                                Fencing.token()},
-      Reconciler(Limits, std::move(Description)), LastHeartbeat(Loop.now()),
-      ReconcilerTimer(Loop), ReportTimer(Loop) {}
+      Reconciler(Limits, std::move(Description), Earlier),
+      LastHeartbeat(Loop.now()), ReconcilerTimer(Loop), ReportTimer(Loop) {}
 
 void worker_session::start() {
   Log.event("worker_found", {{"worker", instance().Worker.view()},
--- a/src/jobagent/tests/jobagenttest.cpp
+++ b/src/jobagent/tests/jobagenttest.cpp
@@ -32,19 +32,24 @@
 public:
   void start(const worker_target &, const work::start_run &,
              std::function<void(const start_outcome &)>) override {}
-  void stop(const worker_target &, const work::run_ref &,
-            std::function<void(work::worker_call_result)>) override {}
+  void stop(const worker_target &, const work::run_ref &Run,
+            std::function<void(work::worker_call_result)>) override {
+    Stopped.push_back(Run);
+  }
   void list(const worker_target &Target, const work::list_runs &,
             std::function<void(const listing_outcome &)> Done) override {
     Listed.push_back(Target);
     Answers.push_back(std::move(Done));
   }
   /// Answers the last listing asked for as an instance of the worker.
-  void answerAs(std::uint64_t StartTimeMs) {
+  void answerAs(std::uint64_t StartTimeMs,
+                std::vector<work::running_run> Running = {}) {
     const auto Answer = Answers.back();
-    Answer({.Listing = work::worker_listing{.StartTimeMs = StartTimeMs}});
+    Answer({.Listing = work::worker_listing{.StartTimeMs = StartTimeMs,
+                                            .Running = std::move(Running)}});
   }
 
+  std::vector<work::run_ref> Stopped;
   std::vector<worker_target> Listed;
   std::vector<std::function<void(const listing_outcome &)>> Answers;
 };
@@ -110,6 +115,20 @@
   LONGS_EQUAL(2, Worker.Listed[2].Instance.StartTimeMs);
 }
 
+// TWICE: a run that a call to the earlier instance has started would go on for
+// the length of a lease while no scheduler can be reached.
+TEST(JobAgent, ARunOfACallToTheEarlierInstanceIsStoppedWithoutOrders) {
+  const work::run_ref Run{{job_id("j1"), {}}, 1};
+  send("w1", heartbeat("127.0.0.1:80", 1));
+  Worker.answerAs(1, {{.Run = Run}}); // it may be from an earlier process
+  LONGS_EQUAL(0, Worker.Stopped.size());
+  send("w1", heartbeat("127.0.0.1:80", 2));
+  Worker.answerAs(2); // confirms the instance
+  Worker.answerAs(2, {{.Run = Run}});
+  LONGS_EQUAL(1, Worker.Stopped.size());
+  CHECK(Worker.Stopped.front() == Run);
+}
+
 // A heartbeat of another program may name a later start under the id or the
 // address of a known worker.
 TEST(JobAgent, AHeartbeatThatItsWorkerContradictsDoesNotReplaceTheSession) {
--- a/src/jobagent/workersession.h
+++ b/src/jobagent/workersession.h
@@ -38,7 +38,8 @@
   worker_session(ievent_loop &Loop, itask_worker &Worker,
                  scheduler_client &Scheduler, fencing_source &Fencing,
                  const work::reconciler_limits &Limits, std::string Address,
-                 work::worker_description Description);
+                 work::worker_description Description,
+                 work::earlier_session Earlier);
   ~worker_session() { *Alive = false; }
   worker_session(const worker_session &) = delete;
   worker_session &operator=(const worker_session &) = delete;
