Wait for the lease of an instance that is not listed yet

What callers would see: a task runs twice, on the next instance of a worker, which its agent has found and can't list yet, and where it was placed when the lease of the earlier instance was over.

Cause: the report of such an instance made the worker unusable and left the lease end as it was, although the next instance holds leases of its own.

Change: the first report of the next instance extends the lease end once. Later ones renew nothing.

Evidence: SchedulerTakeover.RunsWaitForTheLeaseOfAnInstanceThatIsNotListedYet fails without it.

--- a/src/core/work/internal/workerreports.cpp
+++ b/src/core/work/internal/workerreports.cpp
@@ -72,7 +72,7 @@
     // Until its runs are known, the task of a start that reached the new
     // instance cannot be told from a lost one.
     if (!Report.Listing && !Report.Left) {
-      Existing->Reachable = false; // it exists no longer
+      noteSuccessor(*Existing, Instance, Present);
       return;
     }
     logDecision(decision_kind::WorkerGone, {}, Existing->Description.Instance,
@@ -103,6 +103,18 @@
   }
 }
 
+/// The instance of \p Worker exists no longer. A start that was sent to it may
+/// have reached the next one, which holds leases of its own.
+void work_scheduler::noteSuccessor(pool_worker &Worker,
+                                   const worker_instance &Next,
+                                   const present_time &Present) {
+  Worker.Reachable = false;
+  if (Worker.SuccessorStartTimeMs >= Next.StartTimeMs)
+    return;
+  Worker.SuccessorStartTimeMs = Next.StartTimeMs;
+  Worker.LeaseEnd = std::max(Worker.LeaseEnd, Pool.leaseEnd(Present.Now));
+}
+
 /// Decides on the runs that were placed on an earlier instance of the worker. A
 /// start that was sent to that instance may have reached the present one: such
 /// a run is stopped, and its task waits for its end. Any other is lost, unless
--- a/src/core/work/tests/schedulertakeovertest.cpp
+++ b/src/core/work/tests/schedulertakeovertest.cpp
@@ -149,6 +149,24 @@
   LONGS_EQUAL(0, Scheduler->openJobs());
 }
 
+// TWICE: the next instance of a worker is known and can't be listed yet, while
+// the lease of the earlier one ends. A late report of it renews nothing.
+TEST(SchedulerTakeover, RunsWaitForTheLeaseOfAnInstanceThatIsNotListedYet) {
+  recordRunning("j1", Earlier);
+  takeOver();
+  const worker_report Unlisted{
+      .Description = testing::makeWorker("w1", "r1", Later.StartTimeMs)};
+  feed(previous_term_ended{{{.Instance = Earlier, .End = Present.Now + 2s}}});
+  feed(worker_reported{Unlisted});
+  const time_point LeaseEnd = Scheduler->workers().leaseEnd(Present.Now);
+  Present.Now += 3s;
+  feed(worker_reported{Unlisted});
+  LONGS_EQUAL(1, Scheduler->runningRuns());
+  Present.Now = LeaseEnd;
+  feed(scheduler_timer_expired{});
+  LONGS_EQUAL(0, Scheduler->runningRuns());
+}
+
 // TWICE: a run of the earlier instance that is in neither list may have ended
 // on the later one, as long as the listing lacks ends.
 TEST(SchedulerTakeover, AListingThatLacksEndsLosesNoRunOfTheEarlierInstance) {
--- a/src/core/work/workerpool.h
+++ b/src/core/work/workerpool.h
@@ -24,6 +24,8 @@
   std::vector<live_run *> Runs;
   time_point DrainDeadline = time_point::max(); ///< earliest shutdown
   time_point LeaseEnd{}; ///< without a listing, all its runs have ended by then
+  /// Of a later instance that has not been listed yet; 0: none is known.
+  std::uint64_t SuccessorStartTimeMs = 0;
   /// The worker's clock in its newest listing.
   std::int64_t ListedClockMs = std::numeric_limits<std::int64_t>::min();
   std::uint64_t LastEndNumber = 0;   ///< highest number of a processed end
--- a/src/core/work/workscheduler.h
+++ b/src/core/work/workscheduler.h
@@ -128,6 +128,8 @@
   void stopGang(const run_ref &Member, std::string_view Reason);
 
   // Reports of the workers: workerreports.cpp.
+  void noteSuccessor(pool_worker &Worker, const worker_instance &Next,
+                     const present_time &Present);
   void resolveEarlierRuns(pool_worker &Worker, const worker_report &Report,
                           const present_time &Present);
   void workerLeft(pool_worker &Worker, const worker_report &Report,
