--- a/src/core/workhost/tests/clusterpropertytest.cpp
+++ b/src/core/workhost/tests/clusterpropertytest.cpp
@@ -323,6 +323,11 @@
                        anyStep(WithoutReplacements)));
 }
 
+// Workers that close each connection, as a server of HTTP/1.1 may.
+TEST(ClusterSimulationProperties, HoldWithRestartsBetweenAnswerAndStart) {
+  CHECK(invariantsHold({.LostOrders = 20, .RestartsBeforeStart = 5}));
+}
+
 TEST(ClusterSimulationProperties, HoldWithAnswersFromBeforeAPause) {
   CHECK(invariantsHold({.LostOrders = 5, .HeldAnswers = 10}));
 }
--- a/src/core/workhost/tests/clustersimulation.cpp
+++ b/src/core/workhost/tests/clustersimulation.cpp
@@ -353,6 +353,15 @@
       Answered(worker_call_result::Refused, start_refusal::Stale);
       return;
     }
+    if (Faults.RestartsBeforeStart > 0) {
+      // The agent asked first, and knows the worker's clock from the answer.
+      if (SimulatedWorkers.clockMs(Id, Now) >= Command.LeaseEndMs) {
+        Answered(worker_call_result::Refused, start_refusal::Late);
+        return;
+      }
+      if (chance(Faults.RestartsBeforeStart))
+        restartWorker(Worker);
+    }
     if (Faults.UnhealthyStarts > 0 && chance(Faults.UnhealthyStarts)) {
       Answered(worker_call_result::Refused, start_refusal::Unhealthy);
       return;
--- a/src/core/workhost/tests/clustersimulation.h
+++ b/src/core/workhost/tests/clustersimulation.h
@@ -36,6 +36,9 @@
   /// Starts reach whichever instance runs under the worker's id, as if they
   /// were not bound to the connection of an instance.
   bool UnboundStarts = false;
+  /// Workers close each connection: a start is sent on a new one after the
+  /// instance has answered. With this chance the worker restarts in between.
+  int RestartsBeforeStart = 0;
   int UnhealthyStarts = 0; ///< starts refused by an unhealthy worker
   /// Time that a worker needs to stop a run.
   duration StopTime = std::chrono::milliseconds(200);
