--- a/src/core/workhost/tests/clusterpropertytest.cpp
+++ b/src/core/workhost/tests/clusterpropertytest.cpp
@@ -328,6 +328,12 @@
   CHECK(invariantsHold({.LostOrders = 20, .RestartsBeforeStart = 5}));
 }
 
+// The next instance of a worker that closes its connections drops ends up to
+// the last acknowledged number of the earlier one.
+TEST(ClusterSimulationProperties, HoldWithRestartsBetweenAnswerAndListing) {
+  CHECK(invariantsHold({.RestartsBeforeListing = 1}));
+}
+
 TEST(ClusterSimulationProperties, HoldWithAnswersFromBeforeAPause) {
   CHECK(invariantsHold({.LostOrders = 5, .HeldAnswers = 10}));
 }
--- a/src/core/workhost/tests/clustersimulation.cpp
+++ b/src/core/workhost/tests/clustersimulation.cpp
@@ -401,8 +401,13 @@
     Fail(Refused ? delay() : CallTimeout, Refused);
     return;
   }
-  if (!inSession(Worker) ||
-      SimulatedWorkers.acceptListOrder(workerId(Worker), Session, Command,
+  if (!inSession(Worker)) {
+    Fail(*Time, false);
+    return;
+  }
+  if (Faults.RestartsBeforeListing > 0 && chance(Faults.RestartsBeforeListing))
+    restartWorker(Worker);
+  if (SimulatedWorkers.acceptListOrder(workerId(Worker), Session, Command,
                                        Now) != standins::order_result::Done) {
     Fail(*Time, false);
     return;
--- a/src/core/workhost/tests/clustersimulation.h
+++ b/src/core/workhost/tests/clustersimulation.h
@@ -39,6 +39,8 @@
   /// Workers close each connection: a start is sent on a new one after the
   /// instance has answered. With this chance the worker restarts in between.
   int RestartsBeforeStart = 0;
+  /// As above, between its answer and a listing request.
+  int RestartsBeforeListing = 0;
   int UnhealthyStarts = 0; ///< starts refused by an unhealthy worker
   /// Time that a worker needs to stop a run.
   duration StopTime = std::chrono::milliseconds(200);
